--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,3 @@
+/** Routes and pools: the operators' tables. */
+export * from './constants.js'
+export * from './rowSchema.js'
--- /dev/null
+++ b/src/core/index.ts
@@ -0,0 +1,13 @@
+/** Shared types of all slices: time, randomness, tasks, results and hashes. */
+export * from './clock.js'
+export * from './core.js'
+export * from './errors.js'
+export * from './hash.js'
+export * from './identity.js'
+export * from './log.js'
+export * from './mailbox.js'
+export * from './outcome.js'
+export * from './random.js'
+export * from './rendezvous.js'
+export * from './resultCode.js'
+export * from './task.js'
--- /dev/null
+++ b/src/core/rendezvous.ts
@@ -0,0 +1,28 @@
+import { hash32 } from './hash.js'
+
+/**
+ * Orders nodes by rendezvous hashing for a key, the owner first. When a node leaves, only the
+ * keys that it owned move.
+ *
+ * @example
+ * const [ownerId] = rankByRendezvous('shard-7', ['a', 'b', 'c'])
+ */
+export const rankByRendezvous = (key: string, nodeIds: readonly string[]): string[] =>
+  nodeIds
+    .map(nodeId => ({ nodeId, weight: hash32(`${key}/${nodeId}`) }))
+    .sort((a, b) => b.weight - a.weight || (a.nodeId < b.nodeId ? -1 : 1))
+    .map(({ nodeId }) => nodeId)
+
+/** Returns the owner of a key, or undefined if there are no nodes. */
+export const ownerByRendezvous = (key: string, nodeIds: readonly string[]): string | undefined => {
+  let ownerId: string | undefined
+  let ownerWeight = -1
+  for (const nodeId of nodeIds) {
+    const weight = hash32(`${key}/${nodeId}`)
+    if (weight > ownerWeight || (weight === ownerWeight && ownerId !== undefined && nodeId < ownerId)) {
+      ownerId = nodeId
+      ownerWeight = weight
+    }
+  }
+  return ownerId
+}
--- /dev/null
+++ b/src/links/constants.ts
@@ -0,0 +1,49 @@
+/** Kinds of frames between the processes of the fleet. */
+export enum FrameKind {
+  Hello = 'hello',
+  Welcome = 'welcome',
+  Proof = 'proof',
+  Heartbeat = 'heartbeat',
+  Run = 'run',
+  Chunk = 'chunk',
+  End = 'end',
+  Refused = 'refused',
+  Cancel = 'cancel',
+  Resume = 'resume',
+  Report = 'report',
+  Drain = 'drain',
+  Bind = 'bind',
+  Bound = 'bound',
+  VoidIfUnseen = 'void-if-unseen',
+  VoidAnswer = 'void-answer',
+  Rows = 'rows',
+  PeerStateRequest = 'peer-state-request',
+  PeerState = 'peer-state',
+  Assignment = 'assignment',
+  Switch = 'switch',
+  CacheEvents = 'cache-events',
+  LimitDemand = 'limit-demand',
+  LimitShare = 'limit-share'
+}
+
+/** Role of a process that opens or accepts a link. */
+export enum NodeRole {
+  Entry = 'entry',
+  Agent = 'agent'
+}
+
+/** State of one link. */
+export enum LinkState {
+  Authenticating = 'authenticating',
+  Open = 'open',
+  Closed = 'closed'
+}
+
+/** A larger frame closes the link: its length field may be damaged or hostile. */
+export const FRAME_BYTES_MAX = 1024 * 1024
+export const FRAME_HEADER_BYTES = 4
+export const HEARTBEAT_INTERVAL_MS = 500
+/** Four missed heartbeats; a middlebox that lost the connection drops frames without a reset. */
+export const LINK_SILENCE_LIMIT_MS = 2_000
+export const HANDSHAKE_TIMEOUT_MS = 2_000
+export const NONCE_BYTES = 16
