--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,2 @@
+/** The outside systems that the operators already run. */
+export * from './types.js'
