Add link tasks and the request cores

Cause: the whole path needs links with sockets and the life of a request. Before: links had a core only. Conclusion: both ends of a request are decided without sockets.

--- /dev/null
+++ b/src/links/linkTask.ts
@@ -0,0 +1,119 @@
+import { randomBytes } from 'node:crypto'
+import type { Socket } from 'node:net'
+import { type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type ResultCode, type Task } from '../core/index.js'
+import { HEARTBEAT_INTERVAL_MS, LINK_SEND_BUFFER_MAX_BYTES, LINK_TICK_MS, NONCE_BYTES } from './constants.js'
+import { createLink } from './createLink.js'
+import { createFrameDecoder, encodeFrame } from './framing.js'
+import type { LinkSide } from './handshake.js'
+import { type FleetKey, type Frame, type LinkEffect, LinkEffectKind, type LinkMessage, LinkMessageKind, type PeerIdentity } from './types.js'
+
+const log = createLog('links')
+
+/** What a link tells the task that uses it. */
+export enum LinkEventKind {
+  Ready = 'link-ready',
+  Frame = 'link-frame',
+  Lost = 'link-lost'
+}
+
+export type LinkEvent =
+  | { kind: LinkEventKind.Ready, link: LinkHandle, peer: PeerIdentity }
+  | { kind: LinkEventKind.Frame, link: LinkHandle, peer: PeerIdentity, frame: Frame }
+  | { kind: LinkEventKind.Lost, link: LinkHandle, peer?: PeerIdentity, code: ResultCode, reason: string }
+
+/** One connection as its user sees it. */
+export interface LinkHandle {
+  readonly linkId: string
+  send (frame: Frame): void
+  close (): void
+}
+
+export interface LinkTaskOptions {
+  socket: Socket
+  side: LinkSide
+  self: PeerIdentity
+  keys: () => readonly FleetKey[]
+  clock: Clock
+  emit: (event: LinkEvent) => void
+}
+
+let nextLinkNumber = 0
+
+const isFrame = (value: unknown): value is Frame =>
+  typeof value === 'object' && value !== null && typeof (value as { kind?: unknown }).kind === 'string'
+
+/**
+ * Runs one link: owns the socket, feeds its frames to the link core and performs the effects.
+ *
+ * @example
+ * runLinkTask({ socket, side: LinkSide.Acceptor, self, keys, clock, emit: event => task.post(event) })
+ */
+export const runLinkTask = ({ socket, side, self, keys, clock, emit }: LinkTaskOptions): LinkHandle => {
+  const linkId = `link-${nextLinkNumber++}`
+  const decoder = createFrameDecoder()
+  const nonce = randomBytes(NONCE_BYTES).toString('hex')
+  let peer: PeerIdentity | undefined
+
+  const closeSocket = () => {
+    socket.destroy()
+    task.stop()
+  }
+
+  const writeFrame = (frame: Frame) => {
+    // A peer that stops reading must not grow this process without bound.
+    if (socket.writableLength > LINK_SEND_BUFFER_MAX_BYTES) {
+      socket.destroy()
+      return
+    }
+    socket.write(encodeFrame(frame))
+  }
+
+  const performers: HandlerTable<LinkEffect, void> = {
+    [LinkEffectKind.SendFrame]: ({ frame }) => writeFrame(frame),
+    [LinkEffectKind.CloseSocket]: closeSocket,
+    [LinkEffectKind.PeerReady]: effect => {
+      peer = effect.peer
+      emit({ kind: LinkEventKind.Ready, link: handle, peer })
+    },
+    [LinkEffectKind.DeliverFrame]: ({ frame }) => {
+      if (peer !== undefined) emit({ kind: LinkEventKind.Frame, link: handle, peer, frame })
+    },
+    [LinkEffectKind.PeerLost]: ({ code, reason }) => {
+      log('link to %s lost: %s', peer?.nodeId ?? socket.remoteAddress, reason)
+      emit({ kind: LinkEventKind.Lost, link: handle, peer, code, reason })
+    }
+  }
+
+  const task: Task<LinkMessage> = createTask({
+    name: 'links',
+    core: createLink({ side, self, keys: keys(), nonce, clock }),
+    perform: effect => dispatch(performers, effect)
+  })
+
+  const handle: LinkHandle = {
+    linkId,
+    send: frame => { task.post({ kind: LinkMessageKind.SendRequested, frame }) },
+    close: () => { socket.destroy() }
+  }
+
+  const receive = (bytes: Buffer) => {
+    try {
+      for (const message of decoder.push(bytes)) {
+        if (!isFrame(message)) throw new FrameError('frame has no kind')
+        // Reading stops when this task falls behind, so a full mailbox never loses a frame.
+        if (!task.post({ kind: LinkMessageKind.FrameReceived, frame: message })) throw new FrameError('mailbox is full')
+      }
+    } catch (error) {
+      log('frame from %s refused: %s', socket.remoteAddress, error instanceof Error ? error.message : error)
+      socket.destroy()
+    }
+  }
+
+  socket.setNoDelay(true)
+  socket.on('data', receive)
+  socket.on('error', error => log('socket error: %s', error.message))
+  socket.on('close', () => task.post({ kind: LinkMessageKind.SocketClosed }))
+  task.tickEvery(Math.min(LINK_TICK_MS, HEARTBEAT_INTERVAL_MS), () => ({ kind: LinkMessageKind.Tick }))
+  task.post({ kind: LinkMessageKind.Opened })
+  return handle
+}
--- /dev/null
+++ b/src/requests/createRequestCore.ts
@@ -0,0 +1,293 @@
+import {
+  type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode, type TimestampMs
+} from '../core/index.js'
+import { RepeatPolicy } from '../configuration/index.js'
+import { FrameKind } from '../links/index.js'
+import { ATTEMPTS_MAX, HOLD_BACK_MAX_BYTES, REQUESTS_MAX, RESUME_WAIT_MS } from './constants.js'
+import { AssemblyKind, type Assembly, createResponseAssembler, type ResponseAssembler } from './createResponseAssembler.js'
+import type { ResponseFrame, ResponseHead } from './frames.js'
+import {
+  AttemptResult, type ChosenAgent, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind,
+  type RequestPorts, type SubmittedRequest
+} from './types.js'
+
+interface LiveRequest {
+  submitted: SubmittedRequest
+  attempt: number
+  agent: ChosenAgent
+  excludedAgentIds: string[]
+  assembler: ResponseAssembler
+  hasFirstBytes: boolean
+  /** Set once bytes have gone to the caller: from then on no other attempt can take over. */
+  isCommitted: boolean
+  head: ResponseHead | undefined
+  heldBody: Uint8Array[]
+  heldBytes: number
+  /** Code of the last attempt that may have run; the request can then no longer end as not run. */
+  mayHaveRunCode: ResultCode | undefined
+  /** While the link is lost: when the attempt is given up. */
+  resumeByMs: TimestampMs | undefined
+  gapSinceMs: TimestampMs | undefined
+}
+
+export interface RequestCoreOptions {
+  clock: Clock
+  ports: RequestPorts
+  requestsMax?: number
+}
+
+export interface RequestCore extends Core<RequestMessage, RequestEffect> {
+  readonly liveCount: number
+  /** Frames that matched no attempt, or were copies. */
+  readonly droppedFrameCount: number
+}
+
+/** A gap this old is not a reordering any more; the missing chunks are asked for again. */
+const GAP_LIMIT_MS = 500
+
+/**
+ * Decides for all unkeyed requests of one entry: dispatch, retries, resumes, deadlines and the
+ * one result that the caller gets.
+ *
+ * @example
+ * const core = createRequestCore({ clock, ports })
+ * core.handle({ kind: RequestMessageKind.Submitted, request })
+ */
+export const createRequestCore = ({ clock, ports, requestsMax = REQUESTS_MAX }: RequestCoreOptions): RequestCore => {
+  const live = new Map<string, LiveRequest>()
+  let droppedFrameCount = 0
+
+  const refuse = (requestId: string, code: ResultCode): RequestEffect[] =>
+    [{ kind: RequestEffectKind.Fail, requestId, code }]
+
+  const end = (request: LiveRequest, code: ResultCode): RequestEffect[] => {
+    const { submitted, mayHaveRunCode } = request
+    const claimsNotRun = describeResult(code).outcome === Outcome.NotRun
+    const finalCode = claimsNotRun && mayHaveRunCode !== undefined ? mayHaveRunCode : code
+    live.delete(submitted.requestId)
+    droppedFrameCount += request.assembler.droppedCount
+    ports.onRequestEnded(submitted, finalCode)
+    return finalCode === ResultCode.Ok
+      ? [{ kind: RequestEffectKind.Complete, requestId: submitted.requestId }]
+      : refuse(submitted.requestId, finalCode)
+  }
+
+  const sendRun = (request: LiveRequest): RequestEffect => {
+    const { submitted, agent, attempt } = request
+    ports.onDispatched(submitted, agent, attempt)
+    return {
+      kind: RequestEffectKind.SendToAgent,
+      agent,
+      frame: {
+        kind: FrameKind.Run,
+        requestId: submitted.requestId,
+        attempt,
+        remainingMs: Math.max(0, submitted.deadlineAtMs - clock.nowMs()),
+        fingerprint: submitted.fingerprint,
+        isSuspect: ports.isSuspect(submitted.fingerprint),
+        request: submitted.request,
+        ...(submitted.traceparent === undefined ? {} : { traceparent: submitted.traceparent })
+      }
+    }
+  }
+
+  const onSubmitted = (submitted: SubmittedRequest): RequestEffect[] => {
+    if (live.size >= requestsMax) return refuse(submitted.requestId, ResultCode.Overloaded)
+    const refusal = ports.admit(submitted)
+    if (refusal !== undefined) return refuse(submitted.requestId, refusal)
+    const agent = ports.choose(submitted, [])
+    if (typeof agent === 'number') {
+      ports.onRequestEnded(submitted, agent)
+      return refuse(submitted.requestId, agent)
+    }
+    const request: LiveRequest = {
+      submitted,
+      attempt: 0,
+      agent,
+      excludedAgentIds: [],
+      assembler: createResponseAssembler(submitted.requestId),
+      hasFirstBytes: false,
+      isCommitted: false,
+      head: undefined,
+      heldBody: [],
+      heldBytes: 0,
+      mayHaveRunCode: undefined,
+      resumeByMs: undefined,
+      gapSinceMs: undefined
+    }
+    live.set(submitted.requestId, request)
+    return [sendRun(request)]
+  }
+
+  const canRetry = (request: LiveRequest, isProvenNotRun: boolean): boolean => {
+    if (request.isCommitted || request.attempt + 1 >= ATTEMPTS_MAX) return false
+    if (clock.nowMs() >= request.submitted.deadlineAtMs) return false
+    const isRepeatable = request.submitted.repeat === RepeatPolicy.Idempotent
+    return (isProvenNotRun || isRepeatable) && ports.takeRetry(request.submitted)
+  }
+
+  const retryOrEnd = (request: LiveRequest, code: ResultCode, isProvenNotRun: boolean): RequestEffect[] => {
+    request.excludedAgentIds.push(request.agent.agentId)
+    if (!canRetry(request, isProvenNotRun)) return end(request, code)
+    const agent = ports.choose(request.submitted, request.excludedAgentIds)
+    if (typeof agent === 'number') return end(request, agent)
+    request.attempt += 1
+    request.agent = agent
+    request.assembler = createResponseAssembler(request.submitted.requestId)
+    request.hasFirstBytes = false
+    request.head = undefined
+    request.heldBody = []
+    request.heldBytes = 0
+    request.resumeByMs = undefined
+    request.gapSinceMs = undefined
+    return [sendRun(request)]
+  }
+
+  const failAttempt = (request: LiveRequest, code: ResultCode, result: AttemptResult): RequestEffect[] => {
+    const isProvenNotRun = result === AttemptResult.Refused
+    if (!isProvenNotRun) request.mayHaveRunCode = code
+    ports.onAttemptEnded(request.submitted, request.agent, request.attempt, result)
+    return retryOrEnd(request, code, isProvenNotRun)
+  }
+
+  const flush = (request: LiveRequest): RequestEffect[] => {
+    const { submitted: { requestId }, head, heldBody } = request
+    const effects: RequestEffect[] = []
+    if (!request.isCommitted && head !== undefined) effects.push({ kind: RequestEffectKind.SendHead, requestId, head })
+    request.isCommitted = true
+    for (const bytes of heldBody) effects.push({ kind: RequestEffectKind.SendBody, requestId, bytes })
+    request.heldBody = []
+    request.heldBytes = 0
+    return effects
+  }
+
+  const takeBytes = (request: LiveRequest, assembly: Assembly): RequestEffect[] => {
+    request.head ??= assembly.head
+    request.heldBody.push(...assembly.bytes)
+    for (const bytes of assembly.bytes) request.heldBytes += bytes.length
+    if (assembly.bytes.length === 0) return []
+    if (!request.hasFirstBytes) {
+      request.hasFirstBytes = true
+      ports.onFirstBytes(request.submitted, request.agent, request.attempt)
+    }
+    const mustFlush = request.submitted.request.isEventStream || request.heldBytes > HOLD_BACK_MAX_BYTES
+    return mustFlush || request.isCommitted ? flush(request) : []
+  }
+
+  const onAssembly: Record<AssemblyKind, (request: LiveRequest, assembly: Assembly) => RequestEffect[]> = {
+    [AssemblyKind.Waiting]: () => [],
+    [AssemblyKind.Delivered]: takeBytes,
+    [AssemblyKind.Complete]: (request, assembly) => {
+      const effects = [...takeBytes(request, assembly), ...flush(request)]
+      ports.onAttemptEnded(request.submitted, request.agent, request.attempt, AttemptResult.Finished)
+      return [...effects, ...end(request, ResultCode.Ok)]
+    },
+    [AssemblyKind.Failed]: (request, { code }) =>
+      failAttempt(request, code, code === ResultCode.UpstreamDied ? AttemptResult.UpstreamDied : AttemptResult.Lost),
+    [AssemblyKind.Corrupt]: (request, { code }) => failAttempt(request, code, AttemptResult.Lost)
+  }
+
+  const trackGap = (request: LiveRequest) => {
+    request.gapSinceMs = request.assembler.hasGap ? request.gapSinceMs ?? clock.nowMs() : undefined
+  }
+
+  const onResponse: HandlerTable<ResponseFrame, (request: LiveRequest) => RequestEffect[]> = {
+    [FrameKind.Chunk]: frame => request => {
+      const assembly = request.assembler.acceptChunk(frame)
+      return onAssembly[assembly.kind](request, assembly)
+    },
+    [FrameKind.End]: frame => request => {
+      const assembly = request.assembler.acceptEnd(frame)
+      return onAssembly[assembly.kind](request, assembly)
+    },
+    [FrameKind.Refused]: ({ code }) => request => {
+      // The agent remembers started attempts until the deadline only; a later refusal proves nothing.
+      const isProof = clock.nowMs() < request.submitted.deadlineAtMs
+      return isProof ? failAttempt(request, code, AttemptResult.Refused) : abandon(request, ResultCode.DeadlineExceeded)
+    }
+  }
+
+  const onFrame = (agentId: string, frame: ResponseFrame): RequestEffect[] => {
+    const request = live.get(frame.requestId)
+    if (request === undefined || request.attempt !== frame.attempt || request.agent.agentId !== agentId) {
+      droppedFrameCount += 1
+      return []
+    }
+    const effects = dispatch(onResponse, frame)(request)
+    trackGap(request)
+    return effects
+  }
+
+  const resume = (request: LiveRequest): RequestEffect => {
+    request.resumeByMs = undefined
+    request.gapSinceMs = undefined
+    return {
+      kind: RequestEffectKind.SendToAgent,
+      agent: request.agent,
+      frame: {
+        kind: FrameKind.Resume,
+        requestId: request.submitted.requestId,
+        attempt: request.attempt,
+        nextSequence: request.assembler.nextSequence
+      }
+    }
+  }
+
+  const cancelFrame = ({ submitted, attempt, agent }: LiveRequest): RequestEffect => ({
+    kind: RequestEffectKind.SendToAgent,
+    agent,
+    frame: { kind: FrameKind.Cancel, requestId: submitted.requestId, attempt }
+  })
+
+  const abandon = (request: LiveRequest, code: ResultCode): RequestEffect[] => {
+    request.mayHaveRunCode = code
+    ports.onAttemptEnded(request.submitted, request.agent, request.attempt, AttemptResult.Cancelled)
+    return [cancelFrame(request), ...end(request, code)]
+  }
+
+  const onAgentLinked = (agentId: string, incarnation: string): RequestEffect[] =>
+    [...live.values()]
+      .filter(({ agent, resumeByMs }) => agent.agentId === agentId && resumeByMs !== undefined)
+      .flatMap(request => request.agent.incarnation === incarnation
+        ? [resume(request)]
+        : failAttempt(request, ResultCode.UpstreamDied, AttemptResult.Lost))
+
+  const onAgentUnlinked = (agentId: string): RequestEffect[] => {
+    const resumeByMs = clock.nowMs() + RESUME_WAIT_MS
+    for (const request of live.values()) if (request.agent.agentId === agentId) request.resumeByMs ??= resumeByMs
+    return []
+  }
+
+  const onTick = (): RequestEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects: RequestEffect[] = []
+    for (const request of [...live.values()]) {
+      const { submitted, resumeByMs, gapSinceMs } = request
+      if (submitted.deadlineAtMs <= nowMs) effects.push(...abandon(request, ResultCode.DeadlineExceeded))
+      else if (resumeByMs !== undefined && resumeByMs <= nowMs) {
+        effects.push(...failAttempt(request, ResultCode.AnswerLost, AttemptResult.Lost))
+      } else if (gapSinceMs !== undefined && gapSinceMs + GAP_LIMIT_MS <= nowMs) effects.push(resume(request))
+    }
+    return effects
+  }
+
+  const onCallerGone = (requestId: string): RequestEffect[] => {
+    const request = live.get(requestId)
+    return request === undefined ? [] : abandon(request, ResultCode.CallerGone)
+  }
+
+  const handlers: HandlerTable<RequestMessage, RequestEffect[]> = {
+    [RequestMessageKind.Submitted]: ({ request }) => onSubmitted(request),
+    [RequestMessageKind.FrameReceived]: ({ agentId, frame }) => onFrame(agentId, frame),
+    [RequestMessageKind.AgentLinked]: ({ agentId, incarnation }) => onAgentLinked(agentId, incarnation),
+    [RequestMessageKind.AgentUnlinked]: ({ agentId }) => onAgentUnlinked(agentId),
+    [RequestMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
+    [RequestMessageKind.Tick]: onTick
+  }
+
+  return {
+    handle: message => dispatch(handlers, message),
+    get liveCount () { return live.size },
+    get droppedFrameCount () { return droppedFrameCount }
+  }
+}
--- /dev/null
+++ b/src/requests/createResponseBuffer.ts
@@ -0,0 +1,77 @@
+import { ResultCode } from '../core/index.js'
+import { FrameKind } from '../links/index.js'
+import { RESUME_BUFFER_MAX_BYTES } from './constants.js'
+import type { ChunkFrame, EndFrame, ResponseHead } from './frames.js'
+import { createResponseHash } from './responseHash.js'
+
+/** A chunk or end without the ids of the attempt that it is sent for. */
+export type BufferedChunk = Pick<ChunkFrame, 'sequence' | 'head' | 'bytes'>
+export type BufferedEnd = Pick<EndFrame, 'code' | 'chunkCount' | 'hash'>
+
+/** Keeps the chunks of one response for resumes, within a byte limit. */
+export interface ResponseBuffer {
+  addHead (head: ResponseHead): BufferedChunk
+  addBytes (bytes: Uint8Array): BufferedChunk
+  end (code: ResultCode): BufferedEnd
+  /** Chunks from `sequence` on, or undefined if one of them is no longer kept. */
+  readFrom (sequence: number): BufferedChunk[] | undefined
+  readonly ended: BufferedEnd | undefined
+  readonly keptBytes: number
+  /** Whether every chunk since the first is still kept. */
+  readonly isWhole: boolean
+}
+
+/**
+ * Creates the buffer of one response. The oldest chunks are dropped beyond the byte limit; a
+ * resume that needs them fails instead of skipping them.
+ *
+ * @example
+ * const buffer = createResponseBuffer('entry1-0')
+ * buffer.addHead({ status: 200, contentType: 'text/event-stream' }).sequence // 0
+ */
+export const createResponseBuffer = (requestId: string, bytesMax = RESUME_BUFFER_MAX_BYTES): ResponseBuffer => {
+  const hash = createResponseHash(requestId)
+  const chunks: BufferedChunk[] = []
+  let firstSequence = 0
+  let keptBytes = 0
+  let ended: BufferedEnd | undefined
+
+  const nextSequence = () => firstSequence + chunks.length
+
+  const add = (chunk: BufferedChunk): BufferedChunk => {
+    chunks.push(chunk)
+    keptBytes += chunk.bytes?.length ?? 0
+    while (keptBytes > bytesMax && chunks.length > 1) {
+      keptBytes -= chunks.shift()?.bytes?.length ?? 0
+      firstSequence += 1
+    }
+    return chunk
+  }
+
+  return {
+    addHead: head => {
+      hash.addHead(head)
+      return add({ sequence: nextSequence(), head })
+    },
+    addBytes: bytes => {
+      hash.addBytes(bytes)
+      return add({ sequence: nextSequence(), bytes })
+    },
+    end: code => {
+      ended = { code, chunkCount: nextSequence(), hash: hash.digest() }
+      return ended
+    },
+    readFrom: sequence => sequence < firstSequence ? undefined : chunks.slice(sequence - firstSequence),
+    get ended () { return ended },
+    get keptBytes () { return keptBytes },
+    get isWhole () { return firstSequence === 0 }
+  }
+}
+
+/** Completes a buffered chunk with the ids of one attempt. */
+export const toChunkFrame = (requestId: string, attempt: number, chunk: BufferedChunk): ChunkFrame =>
+  ({ kind: FrameKind.Chunk, requestId, attempt, ...chunk })
+
+/** Completes a buffered end with the ids of one attempt. */
+export const toEndFrame = (requestId: string, attempt: number, end: BufferedEnd): EndFrame =>
+  ({ kind: FrameKind.End, requestId, attempt, ...end })
--- /dev/null
+++ b/src/requests/frames.ts
@@ -0,0 +1,102 @@
+import { z } from 'zod'
+import { FrameError, ResultCode } from '../core/index.js'
+import { FrameKind, type Frame } from '../links/index.js'
+
+const id = z.string().min(1).max(256)
+const counter = z.number().int().nonnegative()
+const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array)
+
+/** A caller's request as the upstream receives it. */
+export const upstreamRequestSchema = z.object({
+  method: z.string().max(16),
+  path: z.string().max(8192),
+  contentType: z.string().max(256).optional(),
+  customer: id,
+  priority: z.string().max(32),
+  /** Whether the response is an event stream that ends with `data: [DONE]`. */
+  isEventStream: z.boolean(),
+  idempotencyKey: z.string().max(64).optional(),
+  body: bytes
+})
+
+export const responseHeadSchema = z.object({
+  status: z.number().int().min(100).max(599),
+  contentType: z.string().max(256)
+})
+
+const bindingSchema = z.object({
+  key: id,
+  offset: z.number().int().positive(),
+  agentIncarnation: id,
+  fingerprint: id
+})
+
+export const runFrameSchema = z.object({
+  kind: z.literal(FrameKind.Run),
+  requestId: id,
+  attempt: counter,
+  remainingMs: z.number().nonnegative(),
+  fingerprint: id,
+  isSuspect: z.boolean().default(false),
+  traceparent: z.string().max(256).optional(),
+  binding: bindingSchema.optional(),
+  request: upstreamRequestSchema
+})
+
+export const chunkFrameSchema = z.object({
+  kind: z.literal(FrameKind.Chunk),
+  requestId: id,
+  attempt: counter,
+  sequence: counter,
+  head: responseHeadSchema.optional(),
+  bytes: bytes.optional()
+})
+
+export const endFrameSchema = z.object({
+  kind: z.literal(FrameKind.End),
+  requestId: id,
+  attempt: counter,
+  code: z.enum(ResultCode),
+  chunkCount: counter,
+  hash: z.string().max(64)
+})
+
+export const refusedFrameSchema = z.object({
+  kind: z.literal(FrameKind.Refused),
+  requestId: id,
+  attempt: counter,
+  code: z.enum(ResultCode)
+})
+
+export const cancelFrameSchema = z.object({ kind: z.literal(FrameKind.Cancel), requestId: id, attempt: counter })
+
+export const resumeFrameSchema = z.object({
+  kind: z.literal(FrameKind.Resume),
+  requestId: id,
+  attempt: counter,
+  nextSequence: counter
+})
+
+export type UpstreamRequest = z.infer<typeof upstreamRequestSchema>
+export type ResponseHead = z.infer<typeof responseHeadSchema>
+export type RunFrame = z.infer<typeof runFrameSchema>
+export type ChunkFrame = z.infer<typeof chunkFrameSchema>
+export type EndFrame = z.infer<typeof endFrameSchema>
+export type RefusedFrame = z.infer<typeof refusedFrameSchema>
+export type CancelFrame = z.infer<typeof cancelFrameSchema>
+export type ResumeFrame = z.infer<typeof resumeFrameSchema>
+export type ResponseFrame = ChunkFrame | EndFrame | RefusedFrame
+
+/**
+ * Validates a decoded frame against the schema of its kind.
+ *
+ * @example
+ * const run = parseFrame(runFrameSchema, frame)
+ * @throws FrameError with the path of the first fault
+ */
+export const parseFrame = <T>(schema: z.ZodType<T>, frame: Frame): T => {
+  const parsed = schema.safeParse(frame)
+  if (parsed.success) return parsed.data
+  const issue = parsed.error.issues[0]
+  throw new FrameError(`frame ${frame.kind}: ${issue?.path.join('.')} ${issue?.message}`)
+}
--- /dev/null
+++ b/src/requests/types.ts
@@ -0,0 +1,121 @@
+import type { Incarnation, ResultCode, TimestampMs } from '../core/index.js'
+import type { RepeatPolicy } from '../configuration/index.js'
+import type { Frame } from '../links/index.js'
+import type {
+  CancelFrame, ChunkFrame, EndFrame, RefusedFrame, ResponseFrame, ResponseHead, ResumeFrame, RunFrame, UpstreamRequest
+} from './frames.js'
+
+/** A request that a front end has matched to a route. */
+export interface SubmittedRequest {
+  requestId: string
+  route: string
+  pool: string
+  customer: string
+  repeat: RepeatPolicy
+  priority: string
+  deadlineAtMs: TimestampMs
+  request: UpstreamRequest
+  /** Fingerprint of method, path and body; equal for a resend of the same request. */
+  fingerprint: string
+  /** Chained fingerprints of the prompt's blocks, for prefix affinity; empty for services. */
+  promptBlocks: readonly string[]
+  estimatedTokens: number
+  traceparent?: string
+}
+
+/** The upstream that an attempt goes to. */
+export interface ChosenAgent {
+  agentId: string
+  incarnation: Incarnation
+  address: string
+}
+
+/** How an attempt ended, for routing, limits, retry budgets and quarantine. */
+export enum AttemptResult {
+  Finished = 'finished',
+  Refused = 'refused',
+  UpstreamDied = 'upstream-died',
+  Lost = 'lost',
+  Cancelled = 'cancelled'
+}
+
+/** The decisions of other slices that the life of a request depends on. */
+export interface RequestPorts {
+  /** Returns a result code if the request must be refused before it leaves the entry. */
+  admit (request: SubmittedRequest): ResultCode | undefined
+  choose (request: SubmittedRequest, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode
+  /** Takes one retry from the budgets of the customer and the pool. */
+  takeRetry (request: SubmittedRequest): boolean
+  isSuspect (fingerprint: string): boolean
+  onDispatched (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
+  onFirstBytes (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
+  onAttemptEnded (request: SubmittedRequest, agent: ChosenAgent, attempt: number, result: AttemptResult): void
+  /** Called once for each admitted request, however it ends. */
+  onRequestEnded (request: SubmittedRequest, code: ResultCode): void
+}
+
+export enum RequestMessageKind {
+  Submitted = 'submitted',
+  FrameReceived = 'frame-received',
+  AgentLinked = 'agent-linked',
+  AgentUnlinked = 'agent-unlinked',
+  CallerGone = 'caller-gone',
+  Tick = 'tick'
+}
+
+export type RequestMessage =
+  | { kind: RequestMessageKind.Submitted, request: SubmittedRequest }
+  | { kind: RequestMessageKind.FrameReceived, agentId: string, frame: ResponseFrame }
+  | { kind: RequestMessageKind.AgentLinked, agentId: string, incarnation: Incarnation }
+  | { kind: RequestMessageKind.AgentUnlinked, agentId: string }
+  | { kind: RequestMessageKind.CallerGone, requestId: string }
+  | { kind: RequestMessageKind.Tick }
+
+export enum RequestEffectKind {
+  SendToAgent = 'send-to-agent',
+  SendHead = 'send-head',
+  SendBody = 'send-body',
+  Complete = 'complete',
+  Fail = 'fail'
+}
+
+export type RequestEffect =
+  | { kind: RequestEffectKind.SendToAgent, agent: ChosenAgent, frame: RunFrame | CancelFrame | ResumeFrame }
+  | { kind: RequestEffectKind.SendHead, requestId: string, head: ResponseHead }
+  | { kind: RequestEffectKind.SendBody, requestId: string, bytes: Uint8Array }
+  | { kind: RequestEffectKind.Complete, requestId: string }
+  | { kind: RequestEffectKind.Fail, requestId: string, code: ResultCode }
+
+export enum AgentRunMessageKind {
+  RunRequested = 'run-requested',
+  ResumeRequested = 'resume-requested',
+  CancelRequested = 'cancel-requested',
+  UpstreamHead = 'upstream-head',
+  UpstreamBytes = 'upstream-bytes',
+  UpstreamEnded = 'upstream-ended',
+  LinkLost = 'link-lost',
+  DrainStarted = 'drain-started',
+  Tick = 'tick'
+}
+
+export type AgentRunMessage =
+  | { kind: AgentRunMessageKind.RunRequested, linkId: string, frame: RunFrame }
+  | { kind: AgentRunMessageKind.ResumeRequested, linkId: string, frame: ResumeFrame }
+  | { kind: AgentRunMessageKind.CancelRequested, linkId: string, frame: CancelFrame }
+  | { kind: AgentRunMessageKind.UpstreamHead, runId: string, head: ResponseHead }
+  | { kind: AgentRunMessageKind.UpstreamBytes, runId: string, bytes: Uint8Array }
+  | { kind: AgentRunMessageKind.UpstreamEnded, runId: string, code: ResultCode }
+  | { kind: AgentRunMessageKind.LinkLost, linkId: string }
+  | { kind: AgentRunMessageKind.DrainStarted }
+  | { kind: AgentRunMessageKind.Tick }
+
+export enum AgentRunEffectKind {
+  StartUpstream = 'start-upstream',
+  CancelUpstream = 'cancel-upstream',
+  SendFrame = 'send-frame'
+}
+
+export type AgentRunEffect =
+  | { kind: AgentRunEffectKind.StartUpstream, runId: string, frame: RunFrame }
+  | { kind: AgentRunEffectKind.CancelUpstream, runId: string }
+  | { kind: AgentRunEffectKind.SendFrame, linkId: string, frame: ChunkFrame | EndFrame | RefusedFrame | Frame }
