Add platform clients and stand-ins

Cause: the whole path needs a log, a host list, an engine and a service to run against. Before: none.

--- /dev/null
+++ b/src/platform/createUpstreamClient.ts
@@ -0,0 +1,118 @@
+import { Pool } from 'undici'
+import { BaobabdriftError, ResultCode } from '../core/index.js'
+import { createJsonClient } from './httpJson.js'
+
+/** A request as the agent sends it to its upstream. */
+export interface UpstreamCall {
+  method: string
+  path: string
+  contentType?: string
+  headers: Record<string, string>
+  body: Uint8Array
+  isEventStream: boolean
+  timeoutMs: number
+}
+
+/** What the upstream sends back, in order; `onEnd` is called exactly once. */
+export interface UpstreamListener {
+  onHead (status: number, contentType: string): void
+  onBytes (bytes: Uint8Array): void
+  onEnd (code: ResultCode): void
+}
+
+/** Load of an upstream as it reports it. */
+export interface UpstreamLoad {
+  sequence: number
+  madeAtMs: number
+  queuedTokens: number
+  runningRequests: number
+  tokensPerS: number
+}
+
+/** One change of an engine's prefix cache. Sequence numbers may have gaps. */
+export interface CacheEvent {
+  sequence: number
+  isStored: boolean
+  blocks: string[]
+}
+
+export interface UpstreamClient {
+  /** Starts a call; the returned function cancels it. */
+  run (call: UpstreamCall, listener: UpstreamListener): () => void
+  load (): Promise<UpstreamLoad>
+  cacheEvents (afterSequence: number): Promise<CacheEvent[]>
+  /** Gives the engine an order; throws BaobabdriftError with FenceSuperseded if it refuses the fencing token. */
+  order (fence: number, order: unknown): Promise<void>
+  close (): Promise<void>
+}
+
+const LOAD_TIMEOUT_MS = 1_000
+const CONNECTIONS_MAX = 256
+/** An event stream is whole only if its last event is this one. */
+const EVENT_STREAM_END = 'data: [DONE]'
+const TAIL_BYTES = 32
+const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
+const isSuccess = (status: number) => status >= 200 && status < 300
+
+/**
+ * Creates the client of an agent's one upstream, engine or service.
+ *
+ * @example
+ * const cancel = createUpstreamClient('http://127.0.0.1:7301').run(call, listener)
+ */
+export const createUpstreamClient = (baseUrl: string): UpstreamClient => {
+  const pool = new Pool(baseUrl, { connections: CONNECTIONS_MAX, pipelining: 1 })
+  const json = createJsonClient(baseUrl, LOAD_TIMEOUT_MS)
+
+  const run = (call: UpstreamCall, listener: UpstreamListener) => {
+    const abort = new AbortController()
+    let isEnded = false
+    const end = (code: ResultCode) => {
+      if (isEnded) return
+      isEnded = true
+      listener.onEnd(code)
+    }
+
+    const relay = async () => {
+      const { statusCode, headers, body } = await pool.request({
+        method: call.method as 'POST',
+        path: call.path,
+        headers: { ...call.headers, ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }) },
+        body: call.body.length === 0 ? null : call.body,
+        signal: abort.signal,
+        headersTimeout: call.timeoutMs,
+        bodyTimeout: call.timeoutMs
+      })
+      listener.onHead(statusCode, String(headers['content-type'] ?? 'application/octet-stream'))
+      let tail = ''
+      let totalBytes = 0
+      for await (const bytes of body as AsyncIterable<Buffer>) {
+        totalBytes += bytes.length
+        if (totalBytes > RESPONSE_BYTES_MAX) throw new BaobabdriftError(ResultCode.UpstreamRefused, 'response is too large')
+        listener.onBytes(bytes)
+        if (call.isEventStream) tail = (tail + bytes.toString('latin1')).slice(-TAIL_BYTES)
+      }
+      const isWhole = !call.isEventStream || !isSuccess(statusCode) || tail.trimEnd().endsWith(EVENT_STREAM_END)
+      end(isWhole ? ResultCode.Ok : ResultCode.UpstreamDied)
+    }
+
+    relay().catch(error => {
+      const isTimeout = error?.code === 'UND_ERR_HEADERS_TIMEOUT' || error?.code === 'UND_ERR_BODY_TIMEOUT'
+      end(isTimeout ? ResultCode.DeadlineExceeded : error instanceof BaobabdriftError ? error.code : ResultCode.UpstreamDied)
+    })
+    return () => abort.abort()
+  }
+
+  return {
+    run,
+    load: () => json.call('GET', '/load'),
+    cacheEvents: afterSequence => json.call('GET', `/cache-events?after=${afterSequence}`),
+    order: async (fence, order) => {
+      const { accepted } = await json.call<{ accepted: boolean }>('POST', '/orders', { fence, order })
+      if (!accepted) throw new BaobabdriftError(ResultCode.FenceSuperseded)
+    },
+    close: async () => {
+      await Promise.all([pool.destroy(), json.close()])
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/httpJson.ts
@@ -0,0 +1,38 @@
+import { Pool } from 'undici'
+import { BaobabdriftError, ResultCode } from '../core/index.js'
+
+/** A small JSON client for one base URL with a connection pool and a timeout. */
+export interface JsonClient {
+  /** Returns the decoded body of a 2xx answer; throws BaobabdriftError otherwise. */
+  call<T> (method: 'GET' | 'POST', path: string, body?: unknown): Promise<T>
+  close (): Promise<void>
+}
+
+const CONNECTIONS_MAX = 8
+const ERROR_TEXT_MAX = 200
+
+/**
+ * Creates the client.
+ *
+ * @example
+ * const client = createJsonClient('http://127.0.0.1:7001', 2_000)
+ * const page = await client.call<LogPage>('GET', '/streams/configuration/records?from=1')
+ */
+export const createJsonClient = (baseUrl: string, timeoutMs: number): JsonClient => {
+  const pool = new Pool(baseUrl, {
+    connections: CONNECTIONS_MAX, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: { timeout: timeoutMs }
+  })
+  return {
+    call: async <T>(method: 'GET' | 'POST', path: string, body?: unknown): Promise<T> => {
+      const response = await pool.request({
+        method,
+        path,
+        ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
+      })
+      if (response.statusCode >= 200 && response.statusCode < 300) return await response.body.json() as T
+      const text = (await response.body.text()).slice(0, ERROR_TEXT_MAX)
+      throw new BaobabdriftError(ResultCode.UpstreamRefused, `${method} ${path}: status ${response.statusCode} ${text}`)
+    },
+    close: () => pool.destroy()
+  }
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,2 +1,5 @@
-/** The outside systems that the operators already run. */
+/** Clients of the outside systems that the operators already run. */
+export * from './createHostListClient.js'
+export * from './createLogClient.js'
+export * from './createUpstreamClient.js'
 export * from './types.js'
--- /dev/null
+++ b/src/standIns/engineStandIn.ts
@@ -0,0 +1,190 @@
+import fastify, { type FastifyReply } from 'fastify'
+import type { CacheEvent } from '../platform/index.js'
+import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
+
+export interface EngineStandInOptions {
+  port?: number
+  prefillTokensPerS?: number
+  tokenIntervalMs?: number
+  batchMax?: number
+  /** Whether an order with a lower fencing token than the highest seen is refused. */
+  checksFence?: boolean
+  /** The engine drops all connections when a prompt contains this text. */
+  crashText?: string
+  restartMs?: number
+  cacheBlocksMax?: number
+}
+
+interface Generation {
+  reply: FastifyReply
+  prompt: string
+  remainingTokens: number
+  startMs: number
+  sentTokens: number
+}
+
+export interface EngineStandIn extends StandInServer {
+  readonly startedRuns: number
+  readonly crashCount: number
+  /** Orders that were carried out, with their fencing tokens. */
+  readonly orders: ReadonlyArray<{ fence: number, order: unknown }>
+  /** Drops all connections and refuses new ones for the restart time. */
+  crash (): void
+}
+
+interface CompletionBody {
+  model?: string
+  prompt?: string
+  messages?: { role: string, content: string }[]
+  max_tokens?: number
+  stream?: boolean
+}
+
+const DEFAULT_TOKENS = 16
+const CHARACTERS_PER_TOKEN = 4
+const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+const CACHE_BLOCK_CHARACTERS = 256
+const CACHE_EVENTS_KEPT = 1_000
+
+const promptOf = ({ prompt, messages }: CompletionBody) =>
+  prompt ?? messages?.map(({ content }) => content).join('\n') ?? ''
+
+/**
+ * Starts a stand-in of a model engine: continuous batching with a bounded batch, a prefix cache,
+ * event streams, cancellation by a closed connection, lagging load, orders with fencing tokens.
+ *
+ * @example
+ * const engine = await startEngineStandIn({ tokenIntervalMs: 10, crashText: 'crash-me' })
+ */
+export const startEngineStandIn = async ({
+  port = 0, prefillTokensPerS = 50_000, tokenIntervalMs = 10, batchMax = 32, checksFence = true,
+  crashText, restartMs = 500, cacheBlocksMax = 512
+}: EngineStandInOptions = {}): Promise<EngineStandIn> => {
+  const waiting: Generation[] = []
+  const running = new Set<Generation>()
+  const orders: { fence: number, order: unknown }[] = []
+  const cachedBlocks = new Set<string>()
+  const cacheEvents: CacheEvent[] = []
+  let highestFence = 0
+  let startedRuns = 0
+  let crashCount = 0
+  let downUntilMs = 0
+  let loadSequence = 0
+  let eventSequence = 0
+  const app = fastify({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: true })
+
+  const publish = (isStored: boolean, blocks: string[]) => {
+    cacheEvents.push({ sequence: ++eventSequence, isStored, blocks })
+    if (cacheEvents.length > CACHE_EVENTS_KEPT) cacheEvents.shift()
+  }
+
+  const cachePrefix = (prompt: string): number => {
+    let hitCharacters = 0
+    const stored: string[] = []
+    for (let end = CACHE_BLOCK_CHARACTERS; end <= prompt.length; end += CACHE_BLOCK_CHARACTERS) {
+      const block = prompt.slice(0, end)
+      if (cachedBlocks.has(block)) hitCharacters = end
+      else stored.push(block)
+      cachedBlocks.delete(block)
+      cachedBlocks.add(block)
+    }
+    for (const block of cachedBlocks) {
+      if (cachedBlocks.size <= cacheBlocksMax) break
+      cachedBlocks.delete(block)
+    }
+    if (stored.length > 0) publish(true, stored.map(block => `${block.length}`))
+    return hitCharacters
+  }
+
+  const crash = () => {
+    crashCount += 1
+    downUntilMs = Date.now() + restartMs
+    waiting.length = 0
+    running.clear()
+    cachedBlocks.clear()
+    app.server.closeAllConnections()
+  }
+
+  const admit = () => {
+    while (running.size < batchMax && waiting.length > 0) {
+      const generation = waiting.shift()!
+      const uncached = generation.prompt.length - cachePrefix(generation.prompt)
+      generation.startMs = Date.now() + uncached / CHARACTERS_PER_TOKEN / prefillTokensPerS * 1_000
+      running.add(generation)
+    }
+  }
+
+  const step = () => {
+    admit()
+    const nowMs = Date.now()
+    for (const generation of running) {
+      if (generation.startMs > nowMs) continue
+      const { reply } = generation
+      const text = ` token${generation.sentTokens++}`
+      reply.raw.write(`data: ${JSON.stringify({ choices: [{ index: 0, text }] })}\n\n`)
+      generation.remainingTokens -= 1
+      if (generation.remainingTokens > 0) continue
+      running.delete(generation)
+      reply.raw.end('data: [DONE]\n\n')
+    }
+  }
+
+  app.addHook('onRequest', async request => {
+    if (Date.now() < downUntilMs) request.raw.socket.destroy()
+  })
+
+  const complete = async (body: CompletionBody, reply: FastifyReply) => {
+    const prompt = promptOf(body)
+    startedRuns += 1
+    if (crashText !== undefined && prompt.includes(crashText)) {
+      crash()
+      return reply.hijack()
+    }
+    const generation: Generation = {
+      reply, prompt, remainingTokens: body.max_tokens ?? DEFAULT_TOKENS, startMs: 0, sentTokens: 0
+    }
+    reply.hijack()
+    reply.raw.writeHead(200, { 'content-type': 'text/event-stream' })
+    reply.raw.on('close', () => {
+      running.delete(generation)
+      const index = waiting.indexOf(generation)
+      if (index >= 0) waiting.splice(index, 1)
+    })
+    waiting.push(generation)
+  }
+
+  app.post<{ Body: CompletionBody }>('/v1/completions', ({ body }, reply) => complete(body, reply))
+  app.post<{ Body: CompletionBody }>('/v1/chat/completions', ({ body }, reply) => complete(body, reply))
+
+  app.get('/load', async () => ({
+    sequence: ++loadSequence,
+    madeAtMs: Date.now(),
+    queuedTokens: Math.ceil(waiting.reduce((sum, { prompt }) => sum + prompt.length / CHARACTERS_PER_TOKEN, 0)),
+    runningRequests: running.size,
+    tokensPerS: prefillTokensPerS
+  }))
+
+  app.get<{ Querystring: { after?: string } }>('/cache-events', async request =>
+    cacheEvents.filter(({ sequence }) => sequence > Number(request.query.after ?? 0)))
+
+  app.post<{ Body: { fence: number, order: unknown } }>('/orders', async ({ body }) => {
+    if (checksFence && body.fence < highestFence) return { accepted: false }
+    highestFence = Math.max(highestFence, body.fence)
+    orders.push(body)
+    return { accepted: true }
+  })
+
+  const timer = setInterval(step, tokenIntervalMs)
+  const server = await listenOnLoopback(app, port)
+  return {
+    ...server,
+    get startedRuns () { return startedRuns },
+    get crashCount () { return crashCount },
+    orders,
+    crash,
+    close: async () => {
+      clearInterval(timer)
+      await server.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/standIns/index.ts
@@ -0,0 +1,7 @@
+/** Test doubles of the platform, engines and services, each behind its real interface. */
+export * from './engineStandIn.js'
+export * from './hostListStandIn.js'
+export * from './listenOnLoopback.js'
+export * from './logStandIn.js'
+export * from './serviceStandIn.js'
+export * from './weightStoreStandIn.js'
--- /dev/null
+++ b/src/standIns/serviceStandIn.ts
@@ -0,0 +1,59 @@
+import fastify from 'fastify'
+import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
+
+export interface ServiceStandIn extends StandInServer {
+  /** How often each order id was booked; above one is a double run. */
+  readonly runsByOrder: ReadonlyMap<string, number>
+  readonly lookupCount: number
+  faults: {
+    /** Orders take effect, but the connection closes before the answer. */
+    losesAnswers: boolean
+    delayMs: number
+  }
+}
+
+/**
+ * Starts a stand-in of a plain booking service. `POST /orders {orderId}` books without any
+ * protection of its own against doubled calls; `GET /stock/:item` is idempotent.
+ *
+ * @example
+ * const service = await startServiceStandIn()
+ * service.runsByOrder.get('order-7') // 1
+ */
+export const startServiceStandIn = async ({ port = 0 }: { port?: number } = {}): Promise<ServiceStandIn> => {
+  const runsByOrder = new Map<string, number>()
+  const faults = { losesAnswers: false, delayMs: 0 }
+  let lookupCount = 0
+  let running = 0
+  let sequence = 0
+  const app = fastify({ forceCloseConnections: true })
+
+  app.post<{ Body: { orderId: string } }>('/orders', async (request, reply) => {
+    running += 1
+    try {
+      const { orderId } = request.body
+      const runs = (runsByOrder.get(orderId) ?? 0) + 1
+      runsByOrder.set(orderId, runs)
+      if (faults.delayMs > 0) await new Promise(resolve => setTimeout(resolve, faults.delayMs))
+      if (faults.losesAnswers) {
+        request.raw.socket.destroy()
+        return reply.hijack()
+      }
+      return reply.code(201).send({ orderId, booked: true, run: runs })
+    } finally {
+      running -= 1
+    }
+  })
+
+  app.get<{ Params: { item: string } }>('/stock/:item', async request => {
+    lookupCount += 1
+    return { item: request.params.item, lengthsInStock: 12 }
+  })
+
+  app.get('/load', async () => ({
+    sequence: ++sequence, madeAtMs: Date.now(), queuedTokens: 0, runningRequests: running, tokensPerS: 1_000
+  }))
+
+  const server = await listenOnLoopback(app, port)
+  return { ...server, runsByOrder, get lookupCount () { return lookupCount }, faults }
+}
