Run the whole path over real sockets

Cause: every slice needs one path to be plugged into. Change: agent and entry nodes, HTTP front, settings with all faults at once, agent program. Before: no request could be sent.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
   ...neostandard({ ts: true }),
   {
     rules: {
-      camelcase: ['error', { properties: 'always' }],
+      camelcase: ['error', { properties: 'always', allow: ['^max_tokens$'] }],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }]
     }
   }
--- /dev/null
+++ b/src/nodes/agent/createAgentNode.ts
@@ -0,0 +1,170 @@
+import {
+  type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type Incarnation, type Task
+} from '../../core/index.js'
+import {
+  createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, type LinkHandle, listenForLinks, NodeRole,
+  type PeerIdentity, splitAddress
+} from '../../links/index.js'
+import { createUpstreamClient } from '../../platform/index.js'
+import {
+  type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns,
+  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, runFrameSchema
+} from '../../requests/index.js'
+import type { AgentSettings } from '../settings.js'
+import { createUpstreamTask } from './upstreamTask.js'
+
+const log = createLog('agent')
+
+/** Entries that an agent keeps a link to, so that it is announced even while some of them restart. */
+const REGISTRATION_LINKS = 3
+const DRAIN_POLL_MS = 100
+
+export interface AgentNodeOptions {
+  settings: AgentSettings
+  incarnation: Incarnation
+  clock: Clock
+}
+
+export interface AgentNode {
+  readonly linkAddress: string
+  /** Refuses new work, waits for runs in progress and stops. */
+  drain (): Promise<void>
+  /** Stops at once, as a crash would. */
+  stop (): Promise<void>
+}
+
+/**
+ * Starts an agent: the only caller of its host's upstream.
+ *
+ * @example
+ * const agent = await startAgentNode({ settings, incarnation, clock })
+ * await agent.drain()
+ */
+export const startAgentNode = async ({ settings, incarnation, clock }: AgentNodeOptions): Promise<AgentNode> => {
+  const [host, port] = splitAddress(settings.linkAddress)
+  let linkAddress = settings.linkAddress
+  const linksById = new Map<string, { link: LinkHandle, peer: PeerIdentity }>()
+  let isDraining = false
+
+  const self = (): PeerIdentity => ({
+    nodeId: settings.nodeId,
+    incarnation,
+    role: NodeRole.Agent,
+    address: linkAddress,
+    failureDomain: settings.failureDomain,
+    pool: settings.pool
+  })
+
+  const broadcast = (frame: Frame) => {
+    for (const { link } of linksById.values()) link.send(frame)
+  }
+
+  const client = createUpstreamClient(settings.upstreamUrl)
+  const upstream = createUpstreamTask({ client, clock, broadcast })
+  const runs = createAgentRuns({ clock })
+
+  const performers: HandlerTable<AgentRunEffect, void> = {
+    [AgentRunEffectKind.StartUpstream]: ({ runId, frame }) => upstream.start(runId, frame, {
+      onHead: (status, contentType) =>
+        task.post({ kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
+      onBytes: bytes => task.post({ kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
+      onEnd: code => task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code })
+    }),
+    [AgentRunEffectKind.CancelUpstream]: ({ runId }) => upstream.cancel(runId),
+    [AgentRunEffectKind.SendFrame]: ({ linkId, frame }) => linksById.get(linkId)?.link.send(frame)
+  }
+
+  const task: Task<AgentRunMessage> = createTask({
+    name: 'agent', core: runs, perform: effect => dispatch(performers, effect), capacity: 65_536
+  })
+
+  const frameHandlers: Partial<Record<FrameKind, (linkId: string, frame: Frame) => void>> = {
+    [FrameKind.Run]: (linkId, frame) =>
+      task.post({ kind: AgentRunMessageKind.RunRequested, linkId, frame: parseFrame(runFrameSchema, frame) }),
+    [FrameKind.Resume]: (linkId, frame) =>
+      task.post({ kind: AgentRunMessageKind.ResumeRequested, linkId, frame: parseFrame(resumeFrameSchema, frame) }),
+    [FrameKind.Cancel]: (linkId, frame) =>
+      task.post({ kind: AgentRunMessageKind.CancelRequested, linkId, frame: parseFrame(cancelFrameSchema, frame) })
+  }
+
+  const forgetLink = (linkId: string) => {
+    linksById.delete(linkId)
+    task.post({ kind: AgentRunMessageKind.LinkLost, linkId })
+  }
+
+  const onReady = (link: LinkHandle, peer: PeerIdentity) => {
+    linksById.set(link.linkId, { link, peer })
+    if (isDraining) link.send({ kind: FrameKind.Drain })
+  }
+
+  /** Closes older accepted links of the same entry, so that none of their frames arrives after a resume. */
+  const onAcceptedReady = (link: LinkHandle, peer: PeerIdentity) => {
+    for (const [linkId, { link: older, peer: olderPeer }] of acceptedLinks) {
+      if (olderPeer.nodeId !== peer.nodeId) continue
+      older.close()
+      acceptedLinks.delete(linkId)
+      forgetLink(linkId)
+    }
+    acceptedLinks.set(link.linkId, { link, peer })
+    onReady(link, peer)
+  }
+
+  const acceptedLinks = new Map<string, { link: LinkHandle, peer: PeerIdentity }>()
+
+  const onFrame = (link: LinkHandle, frame: Frame) => {
+    // Frames of a link that was closed or replaced are dropped.
+    if (!linksById.has(link.linkId)) return
+    try {
+      frameHandlers[frame.kind]?.(link.linkId, frame)
+    } catch (error) {
+      if (!(error instanceof FrameError)) throw error
+      log('frame refused: %s', error.message)
+      link.close()
+    }
+  }
+
+  const onLost = (link: LinkHandle) => {
+    acceptedLinks.delete(link.linkId)
+    forgetLink(link.linkId)
+  }
+
+  const linkHandlers = (ready: (link: LinkHandle, peer: PeerIdentity) => void): HandlerTable<LinkEvent, void> => ({
+    [LinkEventKind.Ready]: ({ link, peer }) => ready(link, peer),
+    [LinkEventKind.Frame]: ({ link, frame }) => onFrame(link, frame),
+    [LinkEventKind.Lost]: ({ link }) => onLost(link)
+  })
+  const acceptedHandlers = linkHandlers(onAcceptedReady)
+  const dialedHandlers = linkHandlers(onReady)
+
+  const keys = () => settings.fleetKeys
+  const server = await listenForLinks({ host, port, self, keys, clock, emit: event => dispatch(acceptedHandlers, event) })
+  linkAddress = `${host}:${server.port}`
+  const registration = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
+  registration.setWanted(settings.entries.slice(0, REGISTRATION_LINKS))
+  task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
+
+  const stop = async () => {
+    task.stop()
+    registration.close()
+    await server.close()
+    await upstream.stop()
+  }
+
+  const waitForRuns = async () => {
+    const limitMs = clock.nowMs() + settings.drainLimitMs
+    while (runs.activeCount > 0 && clock.nowMs() < limitMs) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
+    }
+  }
+
+  const drain = async () => {
+    log('agent %s drains', settings.nodeId)
+    isDraining = true
+    task.post({ kind: AgentRunMessageKind.DrainStarted })
+    broadcast({ kind: FrameKind.Drain })
+    await waitForRuns()
+    await stop()
+  }
+
+  return { linkAddress, drain, stop }
+}
--- /dev/null
+++ b/src/nodes/entry/callerFront.ts
@@ -0,0 +1,221 @@
+import fastify, { type FastifyReply, type FastifyRequest } from 'fastify'
+import type { AddressInfo } from 'node:net'
+import { type Clock, createLog, describeResult, fingerprint, ResultCode } from '../../core/index.js'
+import type { RouteRow } from '../../configuration/index.js'
+import { COMMENT_INTERVAL_MS, type ResponseHead, type SubmittedRequest } from '../../requests/index.js'
+import { readPromptShape } from './promptBlocks.js'
+import type { AddressAnswer, RequestGateway, ResponseSink } from './types.js'
+
+const log = createLog('callers')
+
+const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+const HEADER_BYTES_MAX = 16 * 1024
+const CUSTOMER_LENGTH_MAX = 128
+const RETRY_AFTER_S = 1
+const CALLER_BUFFER_MAX_BYTES = 8 * 1024 * 1024
+const MODEL_PATH = /^\/v1\/(chat\/)?completions$/
+
+export interface CallerFrontOptions {
+  host: string
+  port: number
+  clock: Clock
+  gateway: RequestGateway
+  nextRequestId: () => string
+  findRoute: (path: string, model: string | undefined) => RouteRow | undefined
+  addressesFor: (customer: string) => AddressAnswer
+  status: () => unknown
+}
+
+export interface CallerFront {
+  readonly port: number
+  close (): Promise<void>
+}
+
+/**
+ * Starts the HTTP front end: it translates HTTP to submitted requests and their results back, and
+ * takes no decision about a request itself.
+ *
+ * @example
+ * const front = await startCallerFront({ host: '127.0.0.1', port: 8101, gateway, ... })
+ */
+export const startCallerFront = async (options: CallerFrontOptions): Promise<CallerFront> => {
+  const { clock, gateway } = options
+  const app = fastify({
+    bodyLimit: BODY_LIMIT_BYTES,
+    forceCloseConnections: true,
+    http: { maxHeaderSize: HEADER_BYTES_MAX }
+  })
+  app.removeAllContentTypeParsers()
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+
+  const refusal = (requestId: string, customer: string | undefined, code: ResultCode) => {
+    const { outcome, text, retryable } = describeResult(code)
+    const addresses = retryable && customer !== undefined ? options.addressesFor(customer).addresses : undefined
+    return { error: { code, outcome, message: text, requestId, ...(addresses === undefined ? {} : { addresses }) } }
+  }
+
+  const refuse = (reply: FastifyReply, requestId: string, customer: string | undefined, code: ResultCode) => {
+    const { httpStatus, retryable, outcome } = describeResult(code)
+    reply.code(httpStatus).header('x-result-code', code).header('x-outcome', outcome).header('x-request-id', requestId)
+    if (retryable) reply.header('retry-after', RETRY_AFTER_S)
+    return reply.send(refusal(requestId, customer, code))
+  }
+
+  /** Relays one response; the reply is hijacked so that chunks go out as they arrive. */
+  const createSink = (reply: FastifyReply, submitted: SubmittedRequest): ResponseSink => {
+    const { raw } = reply
+    const { requestId, customer } = submitted
+    let isStarted = false
+    let isEnded = false
+    let lastWriteMs = clock.nowMs()
+    // Comments keep idle event streams alive through middleboxes on the caller's side.
+    const commentTimer = submitted.request.isEventStream
+      ? setInterval(() => {
+        if (!isStarted || isEnded || clock.nowMs() - lastWriteMs < COMMENT_INTERVAL_MS) return
+        raw.write(': waiting\n\n')
+      }, COMMENT_INTERVAL_MS)
+      : undefined
+
+    const finish = () => {
+      isEnded = true
+      clearInterval(commentTimer)
+    }
+
+    raw.on('close', () => {
+      if (isEnded) return
+      finish()
+      gateway.cancel(requestId)
+    })
+
+    const failStarted = (code: ResultCode) => {
+      if (submitted.request.isEventStream) {
+        raw.end(`event: error\ndata: ${JSON.stringify(refusal(requestId, customer, code))}\n\n`)
+        return
+      }
+      // Without an event stream a broken connection is the only sign left that the body is not whole.
+      raw.destroy()
+    }
+
+    return {
+      onHead: ({ status, contentType }: ResponseHead) => {
+        isStarted = true
+        raw.writeHead(status, {
+          'content-type': contentType,
+          'x-request-id': requestId,
+          'x-result-code': ResultCode.Ok,
+          ...(submitted.request.isEventStream ? { 'cache-control': 'no-cache' } : {})
+        })
+      },
+      onBody: bytes => {
+        lastWriteMs = clock.nowMs()
+        raw.write(bytes)
+        // A caller that stops reading must not hold the rest of its response in memory.
+        if (raw.writableLength > CALLER_BUFFER_MAX_BYTES) raw.destroy()
+      },
+      onComplete: () => {
+        finish()
+        raw.end()
+      },
+      onFail: code => {
+        if (isEnded) return
+        finish()
+        log('request %s failed with code %d', requestId, code)
+        if (isStarted) {
+          failStarted(code)
+          return
+        }
+        const { httpStatus, retryable, outcome } = describeResult(code)
+        if (retryable) raw.setHeader('retry-after', RETRY_AFTER_S)
+        raw.writeHead(httpStatus, {
+          'content-type': 'application/json',
+          'x-request-id': requestId,
+          'x-result-code': code,
+          'x-outcome': outcome
+        })
+        raw.end(JSON.stringify(refusal(requestId, customer, code)))
+      }
+    }
+  }
+
+  const readShape = (path: string, body: Uint8Array) => {
+    if (!MODEL_PATH.test(path)) return { model: undefined, blocks: [], estimatedTokens: 0, isEventStream: false }
+    const parsed: unknown = JSON.parse(Buffer.from(body).toString('utf8'))
+    if (typeof parsed !== 'object' || parsed === null) throw new SyntaxError('body is not an object')
+    return readPromptShape(parsed as Record<string, unknown>)
+  }
+
+  const headerText = (request: FastifyRequest, name: string): string | undefined => {
+    const value = request.headers[name]
+    return typeof value === 'string' && value.length > 0 ? value : undefined
+  }
+
+  const serve = async (request: FastifyRequest, reply: FastifyReply) => {
+    const requestId = options.nextRequestId()
+    const customer = headerText(request, 'x-customer')
+    if (customer === undefined || customer.length > CUSTOMER_LENGTH_MAX) {
+      return refuse(reply, requestId, undefined, ResultCode.MissingCustomer)
+    }
+    const path = request.url.split('?')[0] ?? '/'
+    const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0)
+    let shape: ReturnType<typeof readShape>
+    try {
+      shape = readShape(path, body)
+    } catch {
+      return refuse(reply, requestId, customer, ResultCode.BadRequest)
+    }
+    const route = options.findRoute(path, shape.model)
+    if (route === undefined) return refuse(reply, requestId, customer, ResultCode.NoRoute)
+    if (body.length > route.requestBytesMax) return refuse(reply, requestId, customer, ResultCode.RequestTooLarge)
+
+    const contentType = headerText(request, 'content-type')
+    const idempotencyKey = headerText(request, 'idempotency-key')
+    const traceparent = headerText(request, 'traceparent')
+    const submitted: SubmittedRequest = {
+      requestId,
+      route: route.name,
+      pool: route.pool,
+      customer,
+      repeat: route.repeat,
+      priority: route.priority,
+      deadlineAtMs: clock.nowMs() + route.deadlineMs,
+      fingerprint: fingerprint(Buffer.concat([Buffer.from(`${request.method} ${request.url}\n`), body])),
+      promptBlocks: shape.blocks,
+      estimatedTokens: shape.estimatedTokens,
+      ...(traceparent === undefined ? {} : { traceparent }),
+      request: {
+        method: request.method,
+        path: request.url,
+        customer,
+        priority: route.priority,
+        isEventStream: shape.isEventStream,
+        body,
+        ...(contentType === undefined ? {} : { contentType }),
+        ...(idempotencyKey === undefined ? {} : { idempotencyKey })
+      }
+    }
+    reply.hijack()
+    gateway.submit(submitted, createSink(reply, submitted))
+  }
+
+  app.setErrorHandler((error: { statusCode?: number }, request, reply) => {
+    const code = error.statusCode === 413 ? ResultCode.RequestTooLarge : ResultCode.BadRequest
+    return refuse(reply, options.nextRequestId(), headerText(request, 'x-customer'), code)
+  })
+
+  app.get('/v1/addresses', async (request, reply) => {
+    const customer = headerText(request, 'x-customer')
+    if (customer === undefined) return refuse(reply, options.nextRequestId(), undefined, ResultCode.MissingCustomer)
+    return options.addressesFor(customer)
+  })
+  app.get('/v1/status', async () => options.status())
+  app.all('/*', serve)
+
+  await app.listen({ host: options.host, port: options.port })
+  return {
+    port: (app.server.address() as AddressInfo).port,
+    close: async () => {
+      app.server.closeIdleConnections()
+      await app.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/nodes/settings.ts
@@ -0,0 +1,86 @@
+import { readFileSync } from 'node:fs'
+import { parseDocument } from 'yaml'
+import { z } from 'zod'
+import { SettingsError, type SettingsFault } from '../core/index.js'
+
+const nodeName = z.string().min(1).max(63)
+const socketAddress = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IPv4 address with a port')
+const url = z.url()
+
+const fleetKeySchema = z.strictObject({
+  keyId: z.string().min(1).max(63),
+  secret: z.string().min(16, 'must have at least 16 characters')
+})
+
+const metricsSchema = z.strictObject({ host: z.string().min(1), port: z.number().int().positive() })
+const tracesSchema = z.strictObject({ otlpUrl: url })
+
+const nodeSchema = z.strictObject({
+  nodeId: nodeName,
+  failureDomain: nodeName,
+  region: nodeName,
+  linkAddress: socketAddress.describe('TCP address for links; entries gossip on the same UDP port'),
+  entries: z.array(socketAddress).min(1).describe('Link addresses of entries to start from'),
+  fleetKeys: z.array(fleetKeySchema).min(1).describe('Accepted keys; the first one signs'),
+  metrics: metricsSchema.optional(),
+  traces: tracesSchema.optional()
+})
+
+export const entrySettingsSchema = nodeSchema.extend({
+  callerAddress: socketAddress.describe('Address that callers connect to'),
+  logUrl: url,
+  hostListUrl: url.optional(),
+  addressLifetimeMs: z.number().int().min(1_000).max(3_600_000).default(30_000),
+  drainLimitMs: z.number().int().positive().default(600_000),
+  capacity: z.number().positive().default(1).describe('Relative capacity among the entries')
+})
+
+export const agentSettingsSchema = nodeSchema.extend({
+  pool: nodeName,
+  upstreamUrl: url,
+  weightStoreUrl: url.optional(),
+  group: z.strictObject({ name: nodeName, rank: z.number().int().nonnegative() }).optional(),
+  drainLimitMs: z.number().int().positive().default(600_000)
+})
+
+export type NodeSettings = z.infer<typeof nodeSchema>
+export type EntrySettings = z.infer<typeof entrySettingsSchema>
+export type AgentSettings = z.infer<typeof agentSettingsSchema>
+
+const formatPath = (path: readonly PropertyKey[]): string =>
+  path.reduce<string>((text, part) => typeof part === 'number' ? `${text}[${part}]` : `${text}${text === '' ? '' : '.'}${String(part)}`, '')
+
+/** Converts the issues of a schema into faults with their paths, all of them. */
+export const toSettingsFaults = (error: z.ZodError): SettingsFault[] =>
+  error.issues.flatMap(issue => issue.code === 'unrecognized_keys'
+    ? issue.keys.map(key => ({ path: formatPath([...issue.path, key]), text: 'unknown field' }))
+    : [{ path: formatPath(issue.path) || '(file)', text: issue.message }])
+
+/**
+ * Parses settings text against a schema.
+ *
+ * @example
+ * const settings = parseSettings(entrySettingsSchema, text)
+ * @throws SettingsError with every fault at once
+ */
+export const parseSettings = <T>(schema: z.ZodType<T>, text: string): T => {
+  const document = parseDocument(text)
+  if (document.errors.length > 0) {
+    throw new SettingsError(document.errors.map(({ linePos, message }) =>
+      ({ path: `line ${linePos?.[0].line ?? '?'}`, text: message.split('\n')[0] ?? 'invalid YAML' })))
+  }
+  const parsed = schema.safeParse(document.toJS() ?? {})
+  if (!parsed.success) throw new SettingsError(toSettingsFaults(parsed.error))
+  return parsed.data
+}
+
+/** Reads and parses a settings file; a file that can't be read is a fault like any other. */
+export const loadSettings = <T>(schema: z.ZodType<T>, path: string): T => {
+  let text: string
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new SettingsError([{ path: '(file)', text: `cannot read ${path}: ${(error as NodeJS.ErrnoException).code}` }])
+  }
+  return parseSettings(schema, text)
+}
--- /dev/null
+++ b/src/programs/runProgram.ts
@@ -0,0 +1,81 @@
+import { readFileSync } from 'node:fs'
+import { randomInt } from 'node:crypto'
+import { parseArgs } from 'node:util'
+import type { z } from 'zod'
+import { createIncarnation, createRandom, createSystemClock, type Clock, type Incarnation, SettingsError } from '../core/index.js'
+import { loadSettings } from '../nodes/settings.js'
+
+const EXIT_FAULT = 1
+const EXIT_SETTINGS_INVALID = 2
+
+/** A node that runs until it is told to stop. */
+export interface RunningNode {
+  drain (): Promise<void>
+}
+
+export interface ProgramOptions<Settings> {
+  name: string
+  schema: z.ZodType<Settings>
+  start: (options: { settings: Settings, clock: Clock, incarnation: Incarnation }) => Promise<RunningNode>
+  /** One line that says where the node listens. */
+  describe: (settings: Settings) => string
+}
+
+const readVersion = (): string => {
+  const packageUrl = new URL('../../../package.json', import.meta.url)
+  return (JSON.parse(readFileSync(packageUrl, 'utf8')) as { version: string }).version
+}
+
+const exitWithFaults = (path: string, error: SettingsError): never => {
+  for (const fault of error.faults) console.error(`${path}: ${fault.path}: ${fault.text}`)
+  process.exit(EXIT_SETTINGS_INVALID)
+}
+
+const load = <Settings>(schema: z.ZodType<Settings>, path: string): Settings => {
+  try {
+    return loadSettings(schema, path)
+  } catch (error) {
+    if (error instanceof SettingsError) return exitWithFaults(path, error)
+    throw error
+  }
+}
+
+/** Drains on the first SIGTERM or SIGINT, stops at once on the second. */
+const drainOnSignal = (name: string, node: RunningNode) => {
+  let isDraining = false
+  const onSignal = async () => {
+    if (isDraining) process.exit(EXIT_FAULT)
+    isDraining = true
+    console.log(`${name}: draining`)
+    await node.drain()
+    console.log(`${name}: stopped`)
+    process.exit(0)
+  }
+  process.on('SIGTERM', onSignal)
+  process.on('SIGINT', onSignal)
+}
+
+/**
+ * Runs a program with a settings file.
+ *
+ * @example
+ * await runProgram({ name: 'baobabdrift-entry', schema: entrySettingsSchema, start, describe })
+ */
+export const runProgram = async <Settings>({ name, schema, start, describe }: ProgramOptions<Settings>): Promise<void> => {
+  const usage = `usage: ${name} --settings FILE.yaml`
+  const { values } = parseArgs({
+    options: { settings: { type: 'string' }, help: { type: 'boolean' }, version: { type: 'boolean' } }
+  })
+  if (values.version) return console.log(readVersion())
+  if (values.help) return console.log(usage)
+  if (values.settings === undefined) {
+    console.error(usage)
+    process.exit(EXIT_SETTINGS_INVALID)
+  }
+  const settings = load(schema, values.settings)
+  const clock = createSystemClock()
+  const incarnation = createIncarnation(createRandom(randomInt(2 ** 31)))
+  const node = await start({ settings, clock, incarnation })
+  drainOnSignal(name, node)
+  console.log(`${name}: ${describe(settings)}`)
+}
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -18,3 +18,12 @@
 export const VOID_KEEP_MS = 60_000
 /** Covers the difference in clock rates between entry and agent over the longest deadline. */
 export const STARTED_KEEP_MARGIN_MS = 5_000
+
+/** Headers that an upstream receives besides the caller's content type. */
+export enum UpstreamRequestHeader {
+  RequestId = 'x-request-id',
+  Customer = 'x-customer',
+  Priority = 'x-priority',
+  IdempotencyKey = 'idempotency-key',
+  Traceparent = 'traceparent'
+}
--- a/src/requests/frames.ts
+++ b/src/requests/frames.ts
@@ -100,3 +100,22 @@
   const issue = parsed.error.issues[0]
   throw new FrameError(`frame ${frame.kind}: ${issue?.path.join('.')} ${issue?.message}`)
 }
+
+/** Load of an upstream as its agent reports it; ages instead of times, because clocks differ. */
+export const reportFrameSchema = z.object({
+  kind: z.literal(FrameKind.Report),
+  sequence: counter,
+  ageMs: z.number().nonnegative(),
+  queuedTokens: z.number().nonnegative(),
+  runningRequests: z.number().nonnegative(),
+  tokensPerS: z.number().nonnegative(),
+  isUp: z.boolean()
+})
+
+export const cacheEventsFrameSchema = z.object({
+  kind: z.literal(FrameKind.CacheEvents),
+  events: z.array(z.object({ sequence: counter, isStored: z.boolean(), blocks: z.array(z.string().max(64)) }))
+})
+
+export type ReportFrame = z.infer<typeof reportFrameSchema>
+export type CacheEventsFrame = z.infer<typeof cacheEventsFrameSchema>
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -1,4 +1,5 @@
 import fastify, { type FastifyReply } from 'fastify'
+import { fingerprint } from '../core/index.js'
 import type { CacheEvent } from '../platform/index.js'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
 
@@ -81,6 +82,7 @@
   const cachePrefix = (prompt: string): number => {
     let hitCharacters = 0
     const stored: string[] = []
+    const evicted: string[] = []
     for (let end = CACHE_BLOCK_CHARACTERS; end <= prompt.length; end += CACHE_BLOCK_CHARACTERS) {
       const block = prompt.slice(0, end)
       if (cachedBlocks.has(block)) hitCharacters = end
@@ -91,8 +93,10 @@
     for (const block of cachedBlocks) {
       if (cachedBlocks.size <= cacheBlocksMax) break
       cachedBlocks.delete(block)
+      evicted.push(block)
     }
-    if (stored.length > 0) publish(true, stored.map(block => `${block.length}`))
+    if (evicted.length > 0) publish(false, evicted.map(fingerprint))
+    if (stored.length > 0) publish(true, stored.map(fingerprint))
     return hitCharacters
   }
 
