--- a/src/programs/runProgram.ts
+++ b/src/programs/runProgram.ts
@@ -1,12 +1,13 @@
 import { readFileSync } from 'node:fs'
-import { randomInt } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import { parseArgs } from 'node:util'
 import type { z } from 'zod'
-import { createIncarnation, createRandom, createSystemClock, type Clock, type Incarnation, SettingsError } from '../core/index.js'
+import { createSystemClock, type Clock, type Incarnation, SettingsError } from '../core/index.js'
 import { loadSettings } from '../nodes/settings.js'
 
 const EXIT_FAULT = 1
 const EXIT_SETTINGS_INVALID = 2
+const INCARNATION_BYTES = 8
 
 /** A node that runs until it is told to stop. */
 export interface RunningNode {
@@ -74,7 +75,8 @@
   }
   const settings = load(schema, values.settings)
   const clock = createSystemClock()
-  const incarnation = createIncarnation(createRandom(randomInt(2 ** 31)))
+  // 64 random bits: incarnations of all runs of a fleet over years must differ.
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex')
   const node = await start({ settings, clock, incarnation })
   drainOnSignal(name, node)
   console.log(`${name}: ${describe(settings)}`)
--- /dev/null
+++ b/src/requests/responseAssembly.test.ts
@@ -0,0 +1,66 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { ResultCode } from '../core/index.js'
+import { AssemblyKind, createResponseAssembler } from './createResponseAssembler.js'
+import { createResponseBuffer, toChunkFrame, toEndFrame } from './createResponseBuffer.js'
+import type { ChunkFrame, EndFrame } from './frames.js'
+
+const SEED = 20261204
+const head = { status: 200, contentType: 'text/event-stream' }
+
+const record = (requestId: string, texts: string[]) => {
+  const buffer = createResponseBuffer(requestId)
+  const chunks = [buffer.addHead(head), ...texts.map(text => buffer.addBytes(Buffer.from(text)))]
+    .map(chunk => toChunkFrame(requestId, 0, chunk))
+  return { chunks, end: toEndFrame(requestId, 0, buffer.end(ResultCode.Ok)) }
+}
+
+const assemble = (requestId: string, frames: Array<ChunkFrame | EndFrame>) => {
+  const assembler = createResponseAssembler(requestId)
+  let text = ''
+  let last = AssemblyKind.Waiting
+  for (const frame of frames) {
+    const assembly = 'sequence' in frame ? assembler.acceptChunk(frame) : assembler.acceptEnd(frame as EndFrame)
+    text += Buffer.concat(assembly.bytes).toString()
+    if (assembly.kind !== AssemblyKind.Waiting) last = assembly.kind
+  }
+  return { text, last }
+}
+
+describe('response assembly', () => {
+  it('delivers the whole response whatever the order and number of copies', () => {
+    fc.assert(fc.property(
+      fc.array(fc.string({ minLength: 1 }), { maxLength: 20 }),
+      fc.infiniteStream(fc.nat(1_000)),
+      (texts, order) => {
+        const { chunks, end } = record('e-1', texts)
+        const frames = [...chunks, ...chunks, end]
+          .map(frame => ({ frame, at: order.next().value! }))
+          .sort((a, b) => a.at - b.at)
+          .map(({ frame }) => frame)
+        expect(assemble('e-1', frames)).toEqual({ text: texts.join(''), last: AssemblyKind.Complete })
+      }
+    ), { seed: SEED, numRuns: 300 })
+  })
+
+  it.each<[string, (own: ReturnType<typeof record>, other: ReturnType<typeof record>) => Array<ChunkFrame | EndFrame>]>([
+    ['its last chunk is missing', ({ chunks, end }) => [...chunks.slice(0, -1), end]],
+    ['a chunk of another response took its place', ({ chunks, end }, other) => [...chunks.slice(0, -1), other.chunks.at(-1)!, end]],
+    ['the whole response is another one', (_own, other) => [...other.chunks, other.end]],
+    ['the end announces fewer chunks', ({ chunks, end }) => [...chunks, { ...end, chunkCount: end.chunkCount - 1 }]],
+    ['there is no end', ({ chunks }) => chunks]
+  ])('never completes a response if %s', (_fault, framesOf) => {
+    const own = record('e-1', ['a', 'b', 'c'])
+    const other = record('e-2', ['a', 'b', 'd'])
+    expect(assemble('e-1', framesOf(own, other)).last).not.toBe(AssemblyKind.Complete)
+  })
+
+  it('gives up a resume instead of skipping chunks that are no longer kept', () => {
+    const buffer = createResponseBuffer('e-1', 10)
+    buffer.addHead(head)
+    for (let i = 0; i < 4; i++) buffer.addBytes(Buffer.alloc(4))
+    expect(buffer.readFrom(0)).toBeUndefined()
+    expect(buffer.readFrom(4)).toHaveLength(1)
+    expect(buffer.keptBytes).toBeLessThanOrEqual(10)
+  })
+})
