--- /dev/null
+++ b/src/observe/index.ts
@@ -0,0 +1,4 @@
+/** Traces and metrics of the programs. */
+export * from './createMetrics.js'
+export * from './createTracing.js'
+export * from './metricNames.js'
