--- /dev/null
+++ b/bench/control/configurationWorld.ts
@@ -0,0 +1,229 @@
+import {
+  baseOffsetOf, type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind, type ConfigurationMessage,
+  ConfigurationRecordKind, createConfigurationReader, type Edit, type EditRule, type EditVerdict, FollowerEffectKind,
+  FollowerMessageKind, type FollowerRule, type PoolRow, type RouteRow, type Row, type RowIdentity, RowKind,
+  rowKeyOf, type RowVersion
+} from '../../src/configuration/index.js'
+import { createManualClock, createRandom, dispatch, type HandlerTable, hash32, type ResultCode } from '../../src/core/index.js'
+import { createFakeLog, type FakeLog } from './fakeLog.js'
+import { type NaiveTables, replayNaively } from './naiveReplay.js'
+import { samplePool, sampleRoute } from './sampleRows.js'
+
+export interface ConfigurationWorldOptions {
+  seed: number
+  steps?: number
+  disabledRules?: ReadonlySet<FollowerRule>
+  disabledEditRules?: ReadonlySet<EditRule>
+}
+
+export interface ConfigurationFindings {
+  /** Rows that went back to an older edit, or that an edit changed twice. */
+  reverts: number
+  /** Edits on which two observations of the verdict differ. */
+  splitVerdicts: number
+  /** Hosts behind the end of the log, although another one reached it after all faults had ended. */
+  strandedHosts: number
+  accepted: number
+  snapshotsLoaded: number
+}
+
+interface Host {
+  incarnation: number
+  reader: ReturnType<typeof createConfigurationReader>
+  versions: Map<string, RowVersion>
+}
+
+const HOST_COUNT = 3
+/** Enough for a read that timed out, a page, a peer's state and the pages after it. */
+const SETTLE_ROUNDS = 5
+const DAMAGE_SHARE = 0.1
+const RETENTION_MS = 60_000
+const POOLS = ['quotes', 'yard'].map(name => ({ kind: RowKind.Pool as const, name }))
+const ROUTES = ['ask', 'book', 'cut'].map(name => ({ kind: RowKind.Route as const, name }))
+/** Rows of few variants are prepared once; their validation is not what the schedules exercise. */
+const POOL_ROWS: PoolRow[][] = POOLS.map(({ name }) => [2, 3, 4].map(movesAtOnceMax => samplePool(name, { movesAtOnceMax })))
+const ROUTE_ROWS: RouteRow[][] = ROUTES.map(({ name }) =>
+  POOLS.flatMap(pool => [10_000, 20_000].map(deadlineMs => sampleRoute(name, pool.name, { deadlineMs }))))
+const IDENTITIES: RowIdentity[] = [...POOLS, ...ROUTES]
+const ROWS: Row[][] = [...POOL_ROWS, ...ROUTE_ROWS]
+
+/** Runs one random schedule of edits, snapshots, pauses, retention, outages, losses and duplicates. */
+export const runConfigurationWorld = (
+  { seed, steps = 50, disabledRules, disabledEditRules }: ConfigurationWorldOptions
+): ConfigurationFindings => {
+  // Small seeds give createRandom nearly equal first numbers; a hash spreads them.
+  const random = createRandom(hash32(`configuration/${seed}`))
+  const clock = createManualClock(1_000_000)
+  const log: FakeLog<ConfigurationBody> = createFakeLog()
+  const findings = { reverts: 0, splitVerdicts: 0, accepted: 0, snapshotsLoaded: 0 }
+  const verdictByEdit = new Map<string, { code: ResultCode, offset: number }>()
+  const acceptedAt = new Map<string, number>()
+  const lateAppends: ConfigurationBody[] = []
+  let inFlight: Array<{ to: number, incarnation: number, message: ConfigurationMessage }> = []
+  let isLogOut = false
+  let isSettling = false
+  let editCount = 0
+
+  const createHost = (incarnation: number): Host => ({
+    incarnation,
+    reader: createConfigurationReader({
+      clock, random: createRandom(random.int(0, 1 << 30)), retentionMs: RETENTION_MS, disabledRules, disabledEditRules
+    }),
+    versions: new Map()
+  })
+  const hosts = Array.from({ length: HOST_COUNT }, (_, i) => createHost(i))
+
+  const post = (to: number, message: ConfigurationMessage) => {
+    inFlight.push({ to, incarnation: hosts[to]!.incarnation, message })
+  }
+
+  const noteRows = (host: Host, versions: RowVersion[]) => {
+    if (versions.length > 1) findings.snapshotsLoaded += 1
+    for (const version of versions) {
+      const key = rowKeyOf(version)
+      if (version.offset < (host.versions.get(key)?.offset ?? 0)) findings.reverts += 1
+      const firstOffset = acceptedAt.get(version.editId)
+      if (firstOffset === undefined) findings.accepted += 1
+      else if (firstOffset !== version.offset) findings.reverts += 1
+      acceptedAt.set(version.editId, firstOffset ?? version.offset)
+      host.versions.set(key, version)
+    }
+  }
+
+  const noteVerdict = ({ editId, code, offset }: EditVerdict) => {
+    const known = verdictByEdit.get(editId)
+    if (known === undefined) verdictByEdit.set(editId, { code, offset })
+    else if (known.code !== code || known.offset !== offset) findings.splitVerdicts += 1
+  }
+
+  /** A damaged state is cut short: its last row is missing. */
+  const damageSome = (document: ConfigurationDocument): ConfigurationDocument =>
+    random.next() < DAMAGE_SHARE ? { ...document, versions: document.versions.slice(0, -1) } : document
+
+  const createPerformers = (self: number): HandlerTable<ConfigurationEffect, void> => ({
+    [FollowerEffectKind.ReadLog]: ({ fromOffset }) => post(self, isLogOut
+      ? { kind: FollowerMessageKind.LogFailed }
+      : { kind: FollowerMessageKind.LogPageRead, ...log.read(fromOffset, random.int(2, 20)) }),
+    [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => {
+      for (let to = 0; to < HOST_COUNT; to++) {
+        if (to !== self) post(to, { kind: FollowerMessageKind.PeerStateRequested, peerId: String(self), aboveOffset })
+      }
+    },
+    [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) =>
+      post(Number(peerId), {
+        kind: FollowerMessageKind.PeerStateReceived, document: damageSome(document), retainedSinceMs
+      }),
+    [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) =>
+      appendWithFaults({ kind: ConfigurationRecordKind.Snapshot, snapshot }),
+    [ConfigurationEffectKind.RowsAccepted]: ({ versions }) => noteRows(hosts[self]!, versions),
+    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => noteVerdict(verdict)
+  })
+  const performersByHost = hosts.map((_, i) => createPerformers(i))
+
+  const handle = (to: number, message: ConfigurationMessage) => {
+    for (const effect of hosts[to]!.reader.handle(message)) dispatch(performersByHost[to]!, effect)
+  }
+
+  /** An append takes effect at once, late (a paused writer or a slow answer) or twice; none begins in the end. */
+  const appendWithFaults = (body: ConfigurationBody) => {
+    if (isSettling) return
+    const draw = random.next()
+    if (draw > 0.7 || isLogOut) lateAppends.push(body)
+    if (draw < 0.8 && !isLogOut) log.append(body, clock.nowMs())
+  }
+
+  const edit = () => {
+    const index = random.int(0, IDENTITIES.length - 1)
+    const identity = IDENTITIES[index]!
+    const { versions } = random.pick(hosts)
+    const current = versions.get(rowKeyOf(identity))?.row
+    const row = current && random.next() < 0.3 ? null : random.pick<Row>(ROWS[index]!)
+    const body: Edit = { ...identity, editId: `e${editCount++}`, baseOffset: baseOffsetOf(versions, identity), row }
+    appendWithFaults({ kind: ConfigurationRecordKind.Edit, edit: body, faults: [] })
+  }
+
+  const takeRandom = <T>(items: T[]): T | undefined => {
+    if (items.length === 0) return undefined
+    const index = random.int(0, items.length - 1)
+    const item = items[index]!
+    items[index] = items.at(-1)!
+    items.pop()
+    return item
+  }
+
+  const appendLate = () => {
+    const body = isLogOut ? undefined : takeRandom(lateAppends)
+    if (body !== undefined) log.append(body, clock.nowMs())
+  }
+
+  const deliver = () => {
+    const item = takeRandom(inFlight)
+    if (item === undefined) return
+    const draw = random.next()
+    if (draw < 0.1) inFlight.push(item)
+    if (draw > 0.9 || item.incarnation !== hosts[item.to]!.incarnation) return
+    handle(item.to, item.message)
+  }
+
+  const tick = () => {
+    clock.advance(random.int(100, 3_000))
+    handle(random.int(0, HOST_COUNT - 1), { kind: FollowerMessageKind.Tick })
+  }
+
+  const expire = () => {
+    const limitMs = clock.nowMs() - RETENTION_MS
+    const kept = log.history.findIndex(({ timeMs }) => timeMs >= limitMs)
+    log.expireBelow(random.next() < 0.2 ? random.int(1, log.nextOffset) : kept === -1 ? 1 : kept + 1)
+  }
+
+  const restart = () => {
+    const index = random.int(0, HOST_COUNT - 1)
+    hosts[index] = createHost(hosts[index]!.incarnation + HOST_COUNT)
+  }
+
+  const pause = () => {
+    clock.advance(random.int(5_000, 40_000))
+  }
+
+  /** Steps by weight; hosts that no step picks for a while are the paused and slow ones. */
+  const actions = [
+    ...Array<() => void>(10).fill(deliver), ...Array<() => void>(5).fill(edit), ...Array<() => void>(5).fill(tick),
+    appendLate, appendLate, expire, restart, pause, () => { isLogOut = !isLogOut }
+  ]
+
+  const settle = () => {
+    isLogOut = false
+    isSettling = true
+    while (lateAppends.length > 0) appendLate()
+    for (let round = 0; round < SETTLE_ROUNDS; round++) {
+      clock.advance(4_000)
+      for (let to = 0; to < HOST_COUNT; to++) handle(to, { kind: FollowerMessageKind.Tick })
+      for (let i = 0; i < 200 && inFlight.length > 0; i++) {
+        const batch = inFlight
+        inFlight = []
+        for (const { to, incarnation, message } of batch) if (incarnation === hosts[to]!.incarnation) handle(to, message)
+      }
+    }
+  }
+
+  const isCurrent = (host: Host): boolean => {
+    const [effect] = host.reader.handle({ kind: FollowerMessageKind.PeerStateRequested, peerId: '0', aboveOffset: -1 })
+    return effect?.kind === FollowerEffectKind.SendState && effect.document.offset + 1 === log.nextOffset
+  }
+
+  /** A host that reached the end of the log must hold what the naive replay of all records holds. */
+  const compare = (currentHosts: Host[], { lastByKey, codeByEditId }: NaiveTables) => {
+    for (const { versions } of currentHosts) {
+      for (const [key, { offset }] of lastByKey) if (versions.get(key)?.offset !== offset) findings.reverts += 1
+      for (const key of versions.keys()) if (!lastByKey.has(key)) findings.reverts += 1
+    }
+    for (const [editId, { code }] of verdictByEdit) if (codeByEditId.get(editId) !== code) findings.splitVerdicts += 1
+  }
+
+  for (let step = 0; step < steps; step++) random.pick(actions)()
+  settle()
+  const currentHosts = hosts.filter(isCurrent)
+  compare(currentHosts, replayNaively(log.history))
+  const strandedHosts = currentHosts.length === 0 ? 0 : HOST_COUNT - currentHosts.length
+  return { ...findings, strandedHosts }
+}
--- /dev/null
+++ b/bench/control/naiveReplay.ts
@@ -0,0 +1,50 @@
+import { type ConfigurationBody, ConfigurationRecordKind, type FollowedRecord, RowKind } from '../../src/configuration/index.js'
+import { ResultCode } from '../../src/core/index.js'
+
+export interface NaiveEdit {
+  key: string
+  editId: string
+  offset: number
+  row: { kind: RowKind, pool?: string } | null
+}
+
+/** Result of reading every record of the stream from the first on. */
+export interface NaiveTables {
+  /** The last accepted edit of each row, deletions included. */
+  lastByKey: Map<string, NaiveEdit>
+  codeByEditId: Map<string, ResultCode>
+}
+
+const lastOf = (accepted: readonly NaiveEdit[], key: string) => accepted.findLast(edit => edit.key === key)
+
+const isLive = (accepted: readonly NaiveEdit[], key: string) => (lastOf(accepted, key)?.row ?? null) !== null
+
+const isRouted = (accepted: readonly NaiveEdit[], pool: string) =>
+  accepted.some(({ key, offset, row }) =>
+    row?.kind === RowKind.Route && row.pool === pool && lastOf(accepted, key)?.offset === offset)
+
+const hasReferences = (accepted: readonly NaiveEdit[], { key, row }: NaiveEdit): boolean => {
+  if (row === null) return isLive(accepted, key) && !isRouted(accepted, key.replace(/^pool\//, ''))
+  return row.kind !== RowKind.Route || isLive(accepted, `${RowKind.Pool}/${row.pool}`)
+}
+
+/**
+ * Reference for differential tests: keeps every record, searches them all for each verdict and
+ * knows no snapshots, no trimming and no offsets of its own.
+ */
+export const replayNaively = (history: ReadonlyArray<FollowedRecord<ConfigurationBody>>): NaiveTables => {
+  const accepted: NaiveEdit[] = []
+  const codeByEditId = new Map<string, ResultCode>()
+  for (const { offset, body } of history) {
+    if (body.kind !== ConfigurationRecordKind.Edit || codeByEditId.has(body.edit.editId)) continue
+    const { editId, kind, name, baseOffset, row } = body.edit
+    const edit = { key: `${kind}/${name}`, editId, offset, row }
+    if ((lastOf(accepted, edit.key)?.offset ?? 0) !== baseOffset) codeByEditId.set(editId, ResultCode.EditConflict)
+    else if (body.faults.length > 0 || !hasReferences(accepted, edit)) codeByEditId.set(editId, ResultCode.EditInvalid)
+    else {
+      codeByEditId.set(editId, ResultCode.EditAccepted)
+      accepted.push(edit)
+    }
+  }
+  return { lastByKey: new Map(accepted.map(edit => [edit.key, edit])), codeByEditId }
+}
--- /dev/null
+++ b/src/configuration/canonicalText.ts
@@ -0,0 +1,12 @@
+const sortKeys = (_key: string, value: unknown): unknown => {
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) return value
+  return Object.fromEntries(Object.entries(value).sort(([a], [b]) => (a < b ? -1 : 1)))
+}
+
+/**
+ * JSON with sorted keys: equal content gives equal text whatever encoding it passed through.
+ *
+ * @example
+ * canonicalText({ b: 1, a: 2 }) // '{"a":2,"b":1}'
+ */
+export const canonicalText = (value: unknown): string => JSON.stringify(value, sortKeys)
--- /dev/null
+++ b/src/configuration/createConfigurationReader.test.ts
@@ -0,0 +1,230 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createFakeLog } from '../../bench/control/fakeLog.js'
+import { runConfigurationWorld } from '../../bench/control/configurationWorld.js'
+import { samplePool, sampleRoute } from '../../bench/control/sampleRows.js'
+import { createManualClock, createRandom, hash32, ResultCode } from '../core/index.js'
+import { ConfigurationRecordKind, READ_TIMEOUT_MS, RowKind, SNAPSHOT_LATEST_SHARE } from './constants.js'
+import { createConfigurationReader } from './createConfigurationReader.js'
+import { FollowerEffectKind, FollowerMessageKind } from './followerTypes.js'
+import { parseConfigurationBody, toConfigurationRecord } from './recordSchema.js'
+import type { Row } from './rowSchema.js'
+import {
+  type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind, type Edit,
+  type EditVerdict
+} from './types.js'
+
+const RETENTION_MS = 100_000
+
+const editOf = (editId: string, row: Row, baseOffset: number): ConfigurationBody =>
+  ({ kind: ConfigurationRecordKind.Edit, edit: { editId, kind: row.kind, name: row.name, baseOffset, row }, faults: [] })
+const removalOf = (editId: string, kind: RowKind, name: string, baseOffset: number): ConfigurationBody =>
+  ({ kind: ConfigurationRecordKind.Edit, edit: { editId, kind, name, baseOffset, row: null }, faults: [] })
+const yard = (movesAtOnceMax = 1) => samplePool('yard', { movesAtOnceMax })
+
+const setUp = (retentionMs = RETENTION_MS) => {
+  const clock = createManualClock(1_000_000)
+  const log = createFakeLog<ConfigurationBody>()
+  const createReader = (seed = 1) => {
+    const reader = createConfigurationReader({ clock, random: createRandom(hash32(`reader-${seed}`)), retentionMs })
+    const effects: ConfigurationEffect[] = []
+    const handle = (message: Parameters<typeof reader.handle>[0]) => {
+      const produced = reader.handle(message)
+      effects.push(...produced)
+      return produced
+    }
+    /** Answers reads until the reader asks for no more. */
+    const follow = () => {
+      clock.advance(READ_TIMEOUT_MS + 1)
+      let pending = handle({ kind: FollowerMessageKind.Tick })
+      for (let i = 0; i < 20; i++) {
+        const read = pending.find(effect => effect.kind === FollowerEffectKind.ReadLog)
+        if (read === undefined) return
+        pending = handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(read.fromOffset, 2) })
+      }
+    }
+    const state = (): ConfigurationDocument => {
+      const [effect] = reader.handle({ kind: FollowerMessageKind.PeerStateRequested, peerId: 'p', aboveOffset: -1 })
+      if (effect?.kind !== FollowerEffectKind.SendState) throw new Error('no state')
+      return effect.document
+    }
+    const verdicts = (): EditVerdict[] =>
+      effects.flatMap(effect => effect.kind === ConfigurationEffectKind.VerdictReached ? [effect.verdict] : [])
+    return { handle, follow, state, verdicts, effects }
+  }
+  const append = (...bodies: ConfigurationBody[]) => bodies.map(body => log.append(body, clock.nowMs()))
+  return { clock, log, append, createReader }
+}
+
+const codes = (verdicts: EditVerdict[]) => verdicts.map(({ editId, code }) => [editId, ResultCode[code]])
+
+describe('verdicts', () => {
+  it.each<[string, ConfigurationBody[], Array<[string, string]>]>([
+    ['one of two racing edits wins', [editOf('a', yard(1), 0), editOf('b', yard(2), 1), editOf('c', yard(3), 1)],
+      [['a', 'EditAccepted'], ['b', 'EditAccepted'], ['c', 'EditConflict']]],
+    ['a duplicate of an accepted edit is ignored', [editOf('a', yard(), 0), editOf('a', yard(), 0)], [['a', 'EditAccepted']]],
+    ['a late duplicate does not bring back a deleted row',
+      [editOf('a', yard(), 0), removalOf('b', RowKind.Pool, 'yard', 1), editOf('a', yard(), 0)],
+      [['a', 'EditAccepted'], ['b', 'EditAccepted']]],
+    ['a late duplicate of an invalid edit stays invalid',
+      [editOf('a', sampleRoute('r', 'yard'), 0), editOf('b', yard(), 0), editOf('a', sampleRoute('r', 'yard'), 0)],
+      [['a', 'EditInvalid'], ['b', 'EditAccepted']]],
+    ['a deleted row is created again on its tombstone only',
+      [editOf('a', yard(), 0), removalOf('b', RowKind.Pool, 'yard', 1), editOf('c', yard(), 0), editOf('d', yard(), 2)],
+      [['a', 'EditAccepted'], ['b', 'EditAccepted'], ['c', 'EditConflict'], ['d', 'EditAccepted']]],
+    ['a pool that a route names stays',
+      [editOf('a', yard(), 0), editOf('b', sampleRoute('r', 'yard'), 0), removalOf('c', RowKind.Pool, 'yard', 1)],
+      [['a', 'EditAccepted'], ['b', 'EditAccepted'], ['c', 'EditInvalid']]],
+    ['a row that never existed cannot be deleted', [removalOf('a', RowKind.Pool, 'yard', 0)], [['a', 'EditInvalid']]],
+    ['a record that fits no schema is passed over',
+      [{ kind: ConfigurationRecordKind.Unreadable }, editOf('a', yard(), 0)], [['a', 'EditAccepted']]]
+  ])('%s', (_case, bodies, expected) => {
+    const { append, createReader } = setUp()
+    append(...bodies)
+    const reader = createReader()
+    reader.follow()
+    expect(codes(reader.verdicts())).toEqual(expected)
+  })
+
+  it('names the winner of a race', () => {
+    const { append, createReader } = setUp()
+    append(editOf('a', yard(1), 0), editOf('b', yard(2), 0))
+    const reader = createReader()
+    reader.follow()
+    expect(reader.verdicts()[1]).toMatchObject({ editId: 'b', winner: { editId: 'a', offset: 1 } })
+  })
+
+  it('gives an edit with an invalid row a verdict with its faults', () => {
+    const edit: Edit = { editId: 'a', kind: RowKind.Pool, name: 'yard', baseOffset: 0, row: { ...yard(), subsetSize: 0 } }
+    const body = parseConfigurationBody(toConfigurationRecord({ kind: ConfigurationRecordKind.Edit, edit, faults: [] }))
+    const { append, createReader } = setUp()
+    append(body)
+    const reader = createReader()
+    reader.follow()
+    expect(reader.verdicts()).toMatchObject([{ code: ResultCode.EditInvalid, faults: [{ path: 'subsetSize' }] }])
+  })
+})
+
+describe('retention, snapshots and peers', () => {
+  const withSnapshot = () => {
+    const world = setUp()
+    world.append(editOf('a', yard(1), 0), editOf('b', yard(2), 1))
+    const writer = world.createReader()
+    writer.follow()
+    world.clock.advance(RETENTION_MS * SNAPSHOT_LATEST_SHARE)
+    writer.follow()
+    const [snapshot] = writer.effects.flatMap(effect => effect.kind === FollowerEffectKind.AppendSnapshot ? [effect.snapshot] : [])
+    if (snapshot === undefined) throw new Error('no snapshot was due')
+    return { ...world, writer, snapshot, body: { kind: ConfigurationRecordKind.Snapshot as const, snapshot } }
+  }
+
+  it('starts a fresh host from a snapshot when the first records have expired', () => {
+    const { append, log, createReader, body, writer } = withSnapshot()
+    append(body, editOf('c', yard(3), 2))
+    log.expireBelow(3)
+    const fresh = createReader(2)
+    fresh.follow()
+    writer.follow()
+    expect(fresh.state()).toEqual(writer.state())
+    expect(fresh.verdicts().map(({ editId }) => editId)).toEqual(['a', 'b', 'c'])
+  })
+
+  it('does not move backwards on the late snapshot of a paused writer', () => {
+    const { append, createReader, body } = withSnapshot()
+    append(editOf('c', yard(3), 2), body)
+    const reader = createReader(2)
+    reader.follow()
+    expect(reader.state().versions).toMatchObject([{ editId: 'c', offset: 3 }])
+  })
+
+  it('refuses a snapshot whose next record has expired, and waits for peers', () => {
+    const { append, log, createReader, body } = withSnapshot()
+    append(editOf('c', yard(3), 2), body)
+    log.expireBelow(4)
+    const fresh = createReader(2)
+    fresh.follow()
+    expect(fresh.state().offset).toBe(0)
+    expect(fresh.effects).toContainEqual({ kind: FollowerEffectKind.AskPeers, aboveOffset: 0 })
+  })
+
+  it('keeps serving and accepts nothing when retention passes a slow reader, until a peer helps', () => {
+    const { append, log, createReader } = setUp()
+    append(editOf('a', yard(1), 0))
+    const [slow, current] = [createReader(1), createReader(2)]
+    slow.follow()
+    append(editOf('b', yard(2), 1), editOf('c', yard(3), 2))
+    current.follow()
+    log.expireBelow(3)
+    slow.follow()
+    expect(slow.state().versions).toMatchObject([{ editId: 'a' }])
+    slow.handle({ kind: FollowerMessageKind.PeerStateReceived, document: current.state(), retainedSinceMs: 1 })
+    expect(slow.state()).toEqual(current.state())
+  })
+
+  it('starts a fresh host from the highest intact state of its peers while the log is out', () => {
+    const { append, createReader } = setUp()
+    const peer = createReader(1)
+    append(editOf('a', yard(1), 0))
+    peer.follow()
+    const lower = peer.state()
+    append(editOf('b', yard(2), 1))
+    peer.follow()
+    const fresh = createReader(2)
+    expect(fresh.handle({ kind: FollowerMessageKind.LogFailed })).toContainEqual({ kind: FollowerEffectKind.AskPeers, aboveOffset: 0 })
+    const damaged = { ...peer.state(), offset: 9 }
+    for (const document of [damaged, peer.state(), lower]) {
+      fresh.handle({ kind: FollowerMessageKind.PeerStateReceived, document, retainedSinceMs: 1 })
+    }
+    expect(fresh.state()).toEqual(peer.state())
+  })
+
+  it('leaves the snapshot to few of 340 readers, because the others see it within seconds', () => {
+    const { append, log, clock, createReader } = setUp(3_600_000)
+    append(editOf('a', yard(), 0))
+    const readers = Array.from({ length: 340 }, (_, seed) => createReader(seed))
+    const tickAll = () => readers.flatMap(({ handle }) => {
+      const effects = handle({ kind: FollowerMessageKind.Tick })
+      for (const effect of effects) {
+        if (effect.kind !== FollowerEffectKind.ReadLog) continue
+        handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(effect.fromOffset) })
+      }
+      return effects
+    })
+    for (let second = 0; second < 3_600 && log.nextOffset === 2; second++) {
+      for (const effect of tickAll()) {
+        if (effect.kind !== FollowerEffectKind.AppendSnapshot) continue
+        append({ kind: ConfigurationRecordKind.Snapshot, snapshot: effect.snapshot })
+      }
+      clock.advance(1_000)
+    }
+    for (const { handle } of readers) handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(2) })
+    const dueAgain = tickAll()
+    expect(log.nextOffset - 2).toBeGreaterThan(0)
+    // 340 readers are due over 1,080 s, so 0.3 of them a second after the first.
+    expect(log.nextOffset - 2).toBeLessThanOrEqual(3)
+    expect(dueAgain.filter(({ kind }) => kind === FollowerEffectKind.AppendSnapshot)).toEqual([])
+  })
+
+  it('keeps the table through the replacement of every host within one retention time', () => {
+    const { append, clock, log, createReader } = setUp()
+    append(editOf('a', yard(), 0))
+    let reader = createReader(0)
+    reader.follow()
+    for (let generation = 1; generation < 8; generation++) {
+      clock.advance(RETENTION_MS * 0.2)
+      reader.follow()
+      const snapshots = reader.effects.flatMap(effect => effect.kind === FollowerEffectKind.AppendSnapshot ? [effect.snapshot] : [])
+      for (const snapshot of snapshots) append({ kind: ConfigurationRecordKind.Snapshot, snapshot })
+      log.expireBelow(log.history.findIndex(({ timeMs }) => timeMs >= clock.nowMs() - RETENTION_MS) + 1 || log.nextOffset)
+      reader = createReader(generation)
+      reader.follow()
+      expect(reader.state().versions).toMatchObject([{ editId: 'a', offset: 1 }])
+    }
+  })
+})
+
+it('agrees with a reader that keeps every record, over random schedules', () => {
+  fc.assert(fc.property(fc.integer({ min: 1, max: 1 << 28 }), seed => {
+    expect(runConfigurationWorld({ seed })).toMatchObject({ reverts: 0, splitVerdicts: 0, strandedHosts: 0 })
+  }), { seed: 6, numRuns: 300 })
+})
--- /dev/null
+++ b/src/configuration/decideEdit.ts
@@ -0,0 +1,76 @@
+import { ResultCode, type SettingsFault } from '../core/index.js'
+import { EditRule, RowKind } from './constants.js'
+import { rowKeyOf } from './configurationState.js'
+import type { ConfigurationState, Edit, EditVerdict, RowVersion } from './types.js'
+
+/** An edit as it stands in the log, with the faults that its row had against the schema. */
+export interface LoggedEdit {
+  edit: Edit
+  offset: number
+  faults: SettingsFault[]
+}
+
+type Rules = ReadonlySet<EditRule>
+
+const hasPool = ({ versions }: ConfigurationState, name: string) => {
+  const version = versions.get(rowKeyOf({ kind: RowKind.Pool, name }))
+  return version !== undefined && version.row !== null
+}
+
+const routesTo = ({ versions }: ConfigurationState, pool: string) =>
+  [...versions.values()].filter(({ row }) => row?.kind === RowKind.Route && row.pool === pool)
+
+/** Faults of a removal by kind of row. */
+const removalFaults: Record<RowKind, (state: ConfigurationState, name: string) => SettingsFault[]> = {
+  [RowKind.Route]: () => [],
+  [RowKind.Pool]: (state, name) =>
+    routesTo(state, name).map(route => ({ path: 'name', text: `route ${route.name} still names this pool` }))
+}
+
+const referenceFaults = (state: ConfigurationState, { kind, name, row }: Edit): SettingsFault[] => {
+  if (row === null) return removalFaults[kind](state, name)
+  if (row.kind !== RowKind.Route || hasPool(state, row.pool)) return []
+  return [{ path: 'pool', text: `pool ${row.pool} does not exist` }]
+}
+
+const existenceFaults = (current: RowVersion | undefined, edit: Edit): SettingsFault[] => {
+  const exists = current !== undefined && current.row !== null
+  return edit.row === null && !exists ? [{ path: 'name', text: 'the row does not exist' }] : []
+}
+
+const tableFaults = (state: ConfigurationState, edit: Edit, current: RowVersion | undefined, disabledRules: Rules) => [
+  ...existenceFaults(current, edit),
+  ...(disabledRules.has(EditRule.References) ? [] : referenceFaults(state, edit))
+]
+
+/** With the rule off, a deleted row counts as one that never existed. */
+const currentOffset = (current: RowVersion | undefined, disabledRules: Rules) => {
+  if (current === undefined) return 0
+  return current.row === null && disabledRules.has(EditRule.TombstoneOffset) ? 0 : current.offset
+}
+
+/**
+ * Decides on one edit from the state before its offset. Returns undefined for a duplicate of an
+ * edit that was decided before. All readers reach the same verdict, because the state and the
+ * edit come from the log alone.
+ *
+ * @example
+ * decideEdit(state, { edit, offset: 7, faults: [] })?.code // ResultCode.EditAccepted
+ */
+export const decideEdit = (
+  state: ConfigurationState,
+  { edit, offset, faults }: LoggedEdit,
+  disabledRules: Rules = new Set()
+): EditVerdict | undefined => {
+  const { editId } = edit
+  if (state.verdicts.has(editId) && !disabledRules.has(EditRule.DuplicateEditIds)) return undefined
+  const current = state.versions.get(rowKeyOf(edit))
+  if (edit.baseOffset !== currentOffset(current, disabledRules) && !disabledRules.has(EditRule.BaseOffset)) {
+    const winner = current && { winner: { editId: current.editId, offset: current.offset } }
+    return { editId, offset, code: ResultCode.EditConflict, ...winner }
+  }
+  // A row with faults against the schema was not parsed, so nothing else can be said about it.
+  const allFaults = faults.length > 0 ? faults : tableFaults(state, edit, current, disabledRules)
+  if (allFaults.length > 0) return { editId, offset, code: ResultCode.EditInvalid, faults: allFaults }
+  return { editId, offset, code: ResultCode.EditAccepted }
+}
--- /dev/null
+++ b/src/configuration/followerTypes.ts
@@ -0,0 +1,81 @@
+import type { TimestampMs } from '../core/index.js'
+
+/** A state document names the offset up to which records are applied and the hash of its content. */
+export interface StateDocument {
+  offset: number
+  hash: string
+}
+
+/** A snapshot as it stands in a stream. */
+export interface Snapshot<Document extends StateDocument> {
+  document: Document
+  /** Time at which the writer made it; a paused writer may append it much later. */
+  takenMs: TimestampMs
+}
+
+/** A log record after its body passed the schema. */
+export interface FollowedRecord<Body> {
+  offset: number
+  timeMs: TimestampMs
+  body: Body
+}
+
+/** The part of a reader that depends on the stream. `apply` and `fromDocument` own their state. */
+export interface StreamModel<State extends { offset: number }, Body, Document extends StateDocument, Effect> {
+  getDefaultState (): State
+  apply (state: State, record: FollowedRecord<Body>): Effect[]
+  snapshotOf (body: Body): Snapshot<Document> | undefined
+  toDocument (state: State): Document
+  fromDocument (document: Document): State
+  isIntact (document: Document): boolean
+  /** Whether the document would replace some item of the state by one of a lower offset. */
+  replacesByLower (state: State, document: Document): boolean
+  /** Effects that lead a user of the old state to the new one. */
+  changesBetween (oldState: State, newState: State): Effect[]
+}
+
+export enum FollowerMessageKind {
+  LogPageRead = 'log-page-read',
+  SnapshotSeen = 'snapshot-seen',
+  PeerStateReceived = 'peer-state-received',
+  PeerStateRequested = 'peer-state-requested',
+  OffsetSeen = 'offset-seen',
+  LogFailed = 'log-failed',
+  Tick = 'tick'
+}
+
+export type FollowerMessage<Body, Document extends StateDocument> =
+  | {
+    kind: FollowerMessageKind.LogPageRead
+    records: ReadonlyArray<FollowedRecord<Body>>
+    /** Oldest offset that the log still retains. */
+    firstOffset: number
+    /** Offset of the next record to be appended. */
+    nextOffset: number
+  }
+  | { kind: FollowerMessageKind.SnapshotSeen, snapshot: Snapshot<Document>, timeMs: TimestampMs, firstOffset: number }
+  | { kind: FollowerMessageKind.PeerStateReceived, document: Document, retainedSinceMs: TimestampMs | undefined }
+  | { kind: FollowerMessageKind.PeerStateRequested, peerId: string, aboveOffset: number }
+  /** Gossip carries the highest offset that any node has seen. */
+  | { kind: FollowerMessageKind.OffsetSeen, offset: number }
+  | { kind: FollowerMessageKind.LogFailed }
+  | { kind: FollowerMessageKind.Tick }
+
+export enum FollowerEffectKind {
+  ReadLog = 'read-log',
+  AskPeers = 'ask-peers',
+  SendState = 'send-state',
+  AppendSnapshot = 'append-snapshot'
+}
+
+export type FollowerEffect<Document extends StateDocument> =
+  | { kind: FollowerEffectKind.ReadLog, fromOffset: number }
+  | { kind: FollowerEffectKind.AskPeers, aboveOffset: number }
+  | {
+    kind: FollowerEffectKind.SendState
+    peerId: string
+    document: Document
+    /** Time from which the log must still retain records; a fresh host schedules its snapshot by it. */
+    retainedSinceMs: TimestampMs | undefined
+  }
+  | { kind: FollowerEffectKind.AppendSnapshot, snapshot: Snapshot<Document> }
--- /dev/null
+++ b/src/configuration/recordSchema.ts
@@ -0,0 +1,105 @@
+import { z } from 'zod'
+import { type LogPage, type LogRecord } from '../platform/index.js'
+import { ResultCode } from '../core/index.js'
+import { hashConfiguration, isIntactConfiguration } from './configurationState.js'
+import { ConfigurationRecordKind, ROW_NAME_LENGTH_MAX, RowKind } from './constants.js'
+import { type FollowedRecord, type FollowerMessage, FollowerMessageKind, type StateDocument } from './followerTypes.js'
+import { faultsOf } from './parseRows.js'
+import { rowSchema } from './rowSchema.js'
+import type { ConfigurationBody, ConfigurationDocument, ConfigurationMessage } from './types.js'
+
+const offsetSchema = z.number().int().nonnegative()
+const editIdSchema = z.string().min(1).max(64)
+const identity = { kind: z.enum(RowKind), name: z.string().min(1).max(ROW_NAME_LENGTH_MAX) }
+const faultSchema = z.object({ path: z.string(), text: z.string() })
+
+/** The row is parsed apart, so that an edit with an invalid row still gets a verdict. */
+const editRecordSchema = z.object({
+  type: z.literal(ConfigurationRecordKind.Edit),
+  edit: z.object({ ...identity, editId: editIdSchema, baseOffset: offsetSchema, row: z.unknown() })
+})
+
+const versionSchema = z.object({ ...identity, offset: offsetSchema, editId: editIdSchema, row: rowSchema.nullable() })
+
+const verdictSchema = z.object({
+  editId: editIdSchema,
+  offset: offsetSchema,
+  code: z.literal([ResultCode.EditAccepted, ResultCode.EditConflict, ResultCode.EditInvalid]),
+  winner: z.object({ editId: editIdSchema, offset: offsetSchema }).optional(),
+  faults: z.array(faultSchema).optional()
+})
+
+const documentContentSchema = z.object({
+  offset: offsetSchema, hash: z.string(), versions: z.array(versionSchema), verdicts: z.array(verdictSchema)
+})
+
+const parseDocument = (raw: unknown, context: z.RefinementCtx): ConfigurationDocument => {
+  const parsed = documentContentSchema.safeParse(raw)
+  if (!parsed.success) {
+    context.addIssue({ code: 'custom', message: 'not a configuration document' })
+    return z.NEVER
+  }
+  // The hash covers what the writer sent. A field that a later release added gets its default
+  // here, which must not make an undamaged document look damaged.
+  const isIntact = isIntactConfiguration(raw as ConfigurationDocument)
+  return isIntact ? { ...parsed.data, hash: hashConfiguration(parsed.data) } : parsed.data
+}
+
+/** Schema of a configuration document from a snapshot record or a peer. */
+export const configurationDocumentSchema = z.unknown().transform(parseDocument)
+
+const snapshotRecordSchema = z.object({
+  type: z.literal(ConfigurationRecordKind.Snapshot),
+  snapshot: z.object({ document: configurationDocumentSchema, takenMs: z.number() })
+})
+
+const recordSchema = z.discriminatedUnion('type', [editRecordSchema, snapshotRecordSchema])
+
+type ParsedRecord = z.infer<typeof recordSchema>
+
+const parseEdit = ({ edit }: z.infer<typeof editRecordSchema>): ConfigurationBody => {
+  const { editId, baseOffset, kind, name } = edit
+  const base = { editId, baseOffset, kind, name }
+  if (edit.row === null) return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: null }, faults: [] }
+  const parsed = rowSchema.safeParse(edit.row)
+  if (!parsed.success) {
+    return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: null }, faults: faultsOf(parsed.error) }
+  }
+  const isSameRow = parsed.data.kind === kind && parsed.data.name === name
+  const faults = isSameRow ? [] : [{ path: 'name', text: 'the edit names another row than it holds' }]
+  return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: parsed.data }, faults }
+}
+
+const bodyParsers: { [Type in ParsedRecord['type']]: (record: Extract<ParsedRecord, { type: Type }>) => ConfigurationBody } = {
+  [ConfigurationRecordKind.Edit]: parseEdit,
+  [ConfigurationRecordKind.Snapshot]: ({ snapshot }) => ({ kind: ConfigurationRecordKind.Snapshot, snapshot })
+}
+
+/** Parses the body of one record; a body that fits no schema becomes `Unreadable`. */
+export const parseConfigurationBody = (body: unknown): ConfigurationBody => {
+  const parsed = recordSchema.safeParse(body)
+  if (!parsed.success) return { kind: ConfigurationRecordKind.Unreadable }
+  const parse = bodyParsers[parsed.data.type] as (record: ParsedRecord) => ConfigurationBody
+  return parse(parsed.data)
+}
+
+/** Body of the log record of an edit or a snapshot; the inverse of `parseConfigurationBody`. */
+export const toConfigurationRecord = (
+  body: Exclude<ConfigurationBody, { kind: ConfigurationRecordKind.Unreadable }>
+): unknown => {
+  if (body.kind === ConfigurationRecordKind.Edit) return { type: body.kind, edit: body.edit }
+  return { type: body.kind, snapshot: body.snapshot }
+}
+
+/** Converts one log page to a message; `parseBody` is the boundary at which bodies are validated. */
+export const toPageMessage = <Body, Document extends StateDocument>(
+  { records, firstOffset, nextOffset }: LogPage,
+  parseBody: (body: unknown) => Body
+): FollowerMessage<Body, Document> => {
+  const parseRecord = ({ offset, timeMs, body }: LogRecord): FollowedRecord<Body> =>
+    ({ offset, timeMs, body: parseBody(body) })
+  return { kind: FollowerMessageKind.LogPageRead, records: records.map(parseRecord), firstOffset, nextOffset }
+}
+
+/** Converts one page of the configuration stream to a message of its reader. */
+export const toConfigurationPage = (page: LogPage): ConfigurationMessage => toPageMessage(page, parseConfigurationBody)
--- /dev/null
+++ b/src/configuration/types.ts
@@ -0,0 +1,80 @@
+import type { ResultCode, SettingsFault } from '../core/index.js'
+import type { ConfigurationRecordKind, RowChangeKind, RowKind } from './constants.js'
+import type { FollowerEffect, FollowerMessage, Snapshot, StateDocument } from './followerTypes.js'
+import type { Row } from './rowSchema.js'
+
+/** Identity of a row in the two tables. */
+export interface RowIdentity {
+  kind: RowKind
+  name: string
+}
+
+/** The last accepted edit of a row. A deleted row stays as a tombstone with `row: null`. */
+export interface RowVersion extends RowIdentity {
+  /** Offset of the edit; the base of the next edit of this row. */
+  offset: number
+  editId: string
+  row: Row | null
+}
+
+/** A change to one row, as the command line appends it. `row: null` deletes the row. */
+export interface Edit extends RowIdentity {
+  editId: string
+  /** Offset of the row's last accepted edit, deletions included; 0 if the row never existed. */
+  baseOffset: number
+  row: Row | null
+}
+
+/** The verdict that every reader reaches on one edit. */
+export interface EditVerdict {
+  editId: string
+  offset: number
+  code: ResultCode.EditAccepted | ResultCode.EditConflict | ResultCode.EditInvalid
+  /** The accepted edit that a conflicting edit lost to. */
+  winner?: { editId: string, offset: number }
+  /** Why an edit is invalid. */
+  faults?: SettingsFault[]
+}
+
+/** Everything that a reader knows as of one offset. */
+export interface ConfigurationState {
+  offset: number
+  /** By row key, tombstones included. */
+  versions: Map<string, RowVersion>
+  /** Verdicts on recent edits by edit id, oldest first. */
+  verdicts: Map<string, EditVerdict>
+}
+
+/** The state as a snapshot record or a peer carries it. */
+export interface ConfigurationDocument extends StateDocument {
+  versions: RowVersion[]
+  verdicts: EditVerdict[]
+}
+
+export type ConfigurationBody =
+  | { kind: ConfigurationRecordKind.Edit, edit: Edit, faults: SettingsFault[] }
+  | { kind: ConfigurationRecordKind.Snapshot, snapshot: Snapshot<ConfigurationDocument> }
+  | { kind: ConfigurationRecordKind.Unreadable }
+
+export type ConfigurationMessage = FollowerMessage<ConfigurationBody, ConfigurationDocument>
+
+export enum ConfigurationEffectKind {
+  RowsAccepted = 'rows-accepted',
+  VerdictReached = 'verdict-reached'
+}
+
+export type ConfigurationOwnEffect =
+  /** Rows that took effect, with the offset up to which the tables now stand. */
+  | { kind: ConfigurationEffectKind.RowsAccepted, offset: number, versions: RowVersion[] }
+  | { kind: ConfigurationEffectKind.VerdictReached, verdict: EditVerdict }
+
+export type ConfigurationEffect = FollowerEffect<ConfigurationDocument> | ConfigurationOwnEffect
+
+/** One row that differs between two tables. */
+export interface RowChange extends RowIdentity {
+  change: RowChangeKind
+  before: Row | null
+  after: Row | null
+  /** Paths of the fields that differ; empty for added and removed rows. */
+  paths: string[]
+}
