--- /dev/null
+++ b/bench/routing/engineFake.ts
@@ -0,0 +1,219 @@
+import type { EventQueue } from '../harness/index.js'
+
+/** A prompt with its blocks; the engine sees the same fingerprints as the entries. */
+export interface BenchRequest {
+  requestId: string
+  customer: string
+  blocks: readonly string[]
+  promptTokens: number
+  outputTokens: number
+  arrivedMs: number
+  deadlineMs: number
+}
+
+/** What an engine tells the caller of one run. */
+export interface RunListener {
+  firstToken (): void
+  finished (): void
+  expired (): void
+}
+
+interface Run {
+  request: BenchRequest
+  listener: RunListener
+  cachedTokens: number
+  prefillLeft: number
+  outputLeft: number
+  lastTokenMs: number
+  /** Uncached tokens by the cache at arrival; the work that a report shows. */
+  arrivedTokens: number
+}
+
+export interface EngineSettings {
+  /** 1 for a normal engine; a third for the straggler. */
+  speed: number
+  batchMax: number
+  cacheBlocksMax: number
+}
+
+export const BLOCK_TOKENS = 64
+const STEP_BASE_MS = 6
+const DECODE_MS = 0.5
+const PREFILL_TOKEN_MS = 0.08
+const CHUNK_TOKENS = 256
+const REPORT_SMOOTHING = 0.1
+
+export interface CacheChange { stored: boolean, block: string }
+
+/**
+ * A fake engine with continuous batching: every step decodes one token of each running request
+ * and processes one chunk of prompts. Its prefix cache evicts the least recently used block.
+ */
+export const createEngineFake = (queue: EventQueue, { speed, batchMax, cacheBlocksMax }: EngineSettings) => {
+  const { clock } = queue
+  const cache = new Set<string>()
+  const waiting: Run[] = []
+  let running: Run[] = []
+  let changes: CacheChange[] = []
+  let isStepping = false
+  let tokensPerS = 1_000 / PREFILL_TOKEN_MS / 2
+  let acceptedTokens = 0
+  let finishedCount = 0
+  let reportedFinished = 0
+  let finishedPerS = 0
+  let lastReportMs = 0
+  let backlogTokens = 0
+  let eventSequence = 0
+  const stats = { busyMs: 0, workMs: 0, cachedTokens: 0, promptTokens: 0, gapsMs: [] as number[], stepListeners: [] as Array<() => void> }
+
+  const matchTokens = (blocks: readonly string[]) => {
+    let count = 0
+    while (count < blocks.length && cache.has(blocks[count]!)) count += 1
+    return count * BLOCK_TOKENS
+  }
+
+  const store = (blocks: readonly string[]) => {
+    for (let i = blocks.length - 1; i >= 0; i--) {
+      const block = blocks[i]!
+      if (!cache.delete(block)) changes.push({ stored: true, block })
+      cache.add(block)
+    }
+    for (const block of cache) {
+      if (cache.size <= cacheBlocksMax) break
+      cache.delete(block)
+      changes.push({ stored: false, block })
+    }
+  }
+
+  const dropExpired = () => {
+    const nowMs = clock.nowMs()
+    const isExpired = ({ request }: Run) => request.deadlineMs <= nowMs
+    const drop = (run: Run) => {
+      backlogTokens -= run.arrivedTokens
+      run.listener.expired()
+    }
+    while (waiting.length > 0 && isExpired(waiting[0]!)) drop(waiting.shift()!)
+    if (!running.some(isExpired)) return
+    running.filter(isExpired).forEach(run => { drop(run) })
+    running = running.filter(run => !isExpired(run))
+  }
+
+  const admit = () => {
+    while (running.length < batchMax && waiting.length > 0) {
+      const run = waiting.shift()!
+      run.cachedTokens = Math.min(matchTokens(run.request.blocks), run.request.promptTokens - 1)
+      run.prefillLeft = run.request.promptTokens - run.cachedTokens
+      stats.cachedTokens += run.cachedTokens
+      stats.promptTokens += run.request.promptTokens
+      running.push(run)
+    }
+  }
+
+  const finishStep = (prefills: Array<{ run: Run, tokens: number }>, decodes: Run[], durationMs: number) => {
+    const nowMs = clock.nowMs()
+    const prefilled = prefills.reduce((sum, { tokens }) => sum + tokens, 0)
+    if (prefilled >= CHUNK_TOKENS) tokensPerS += REPORT_SMOOTHING * (prefilled / durationMs * 1_000 - tokensPerS)
+    for (const run of decodes) {
+      stats.gapsMs.push(nowMs - run.lastTokenMs)
+      run.lastTokenMs = nowMs
+      run.outputLeft -= 1
+    }
+    for (const { run, tokens } of prefills) {
+      run.prefillLeft -= tokens
+      backlogTokens -= Math.min(tokens, run.arrivedTokens)
+      run.arrivedTokens = Math.max(0, run.arrivedTokens - tokens)
+      if (run.prefillLeft > 0) continue
+      backlogTokens -= run.arrivedTokens
+      run.arrivedTokens = 0
+      store(run.request.blocks)
+      run.lastTokenMs = nowMs
+      run.outputLeft -= 1
+      run.listener.firstToken()
+    }
+    const done = running.filter(run => run.prefillLeft <= 0 && run.outputLeft <= 0)
+    running = running.filter(run => run.prefillLeft > 0 || run.outputLeft > 0)
+    finishedCount += done.length
+    done.forEach(run => { run.listener.finished() })
+    isStepping = false
+    step()
+    stats.stepListeners.forEach(listener => { listener() })
+  }
+
+  const step = () => {
+    if (isStepping) return
+    dropExpired()
+    admit()
+    if (running.length === 0) return
+    isStepping = true
+    let budget = CHUNK_TOKENS
+    const prefills: Array<{ run: Run, tokens: number }> = []
+    const decodes: Run[] = []
+    for (const run of running) {
+      if (run.prefillLeft <= 0) decodes.push(run)
+      else if (budget > 0) {
+        const tokens = Math.min(budget, run.prefillLeft)
+        prefills.push({ run, tokens })
+        budget -= tokens
+      }
+    }
+    const workMs = STEP_BASE_MS + DECODE_MS * decodes.length + PREFILL_TOKEN_MS * (CHUNK_TOKENS - budget)
+    stats.busyMs += workMs / speed
+    stats.workMs += workMs
+    queue.after(workMs / speed, () => { finishStep(prefills, decodes, workMs / speed) })
+  }
+
+  const submit = (request: BenchRequest, listener: RunListener) => {
+    const arrivedTokens = Math.max(1, request.promptTokens - matchTokens(request.blocks))
+    backlogTokens += arrivedTokens
+    acceptedTokens += arrivedTokens
+    waiting.push({ request, listener, cachedTokens: 0, prefillLeft: request.promptTokens, outputLeft: request.outputTokens, lastTokenMs: 0, arrivedTokens })
+    step()
+  }
+
+  const makeReport = (sequence: number) => {
+    const seconds = (clock.nowMs() - lastReportMs) / 1_000
+    if (seconds > 0) finishedPerS += 0.3 * ((finishedCount - reportedFinished) / seconds - finishedPerS)
+    lastReportMs = clock.nowMs()
+    reportedFinished = finishedCount
+    return {
+      sequence,
+      madeAtMs: clock.nowMs(),
+      queuedTokens: backlogTokens,
+      runningRequests: running.length,
+      waitingRequests: waiting.length,
+      runningMax: batchMax,
+      tokensPerS,
+      acceptedTokens,
+      finishedPerS,
+      prefixCache: { eventSequence, blocksMax: cacheBlocksMax }
+    }
+  }
+
+  /** Exact time to the first token of a request that arrived now, for the dispatcher with perfect knowledge. */
+  const predictExactly = (request: BenchRequest) => {
+    const decodes = running.filter(run => run.prefillLeft <= 0)
+    const stepMs = (STEP_BASE_MS + DECODE_MS * decodes.length + PREFILL_TOKEN_MS * CHUNK_TOKENS) / speed
+    const uncached = request.promptTokens - Math.min(matchTokens(request.blocks), request.promptTokens - 1)
+    const prefillMs = Math.ceil((backlogTokens + uncached) / CHUNK_TOKENS) * stepMs
+    const missingPlaces = running.length + waiting.length + 1 - batchMax
+    if (missingPlaces <= 0) return { totalMs: prefillMs, backlogTokens }
+    const lefts = running.map(run => run.outputLeft).sort((a, b) => a - b)
+    return { totalMs: Math.max(prefillMs, (lefts[Math.min(lefts.length, missingPlaces) - 1] ?? 0) * stepMs), backlogTokens }
+  }
+
+  return {
+    submit,
+    makeReport,
+    predictExactly,
+    takeCacheChanges: () => {
+      const taken = changes
+      changes = []
+      eventSequence += 1
+      return { sequence: eventSequence, changes: taken }
+    },
+    listCache: () => ({ sequence: eventSequence, blocks: [...cache] }),
+    stats
+  }
+}
+
+export type EngineFake = ReturnType<typeof createEngineFake>
--- /dev/null
+++ b/bench/routing/scenario.ts
@@ -0,0 +1,138 @@
+import { createRandom, type Random } from '../../src/core/index.js'
+import { createEventQueue, type EventQueue } from '../harness/index.js'
+import { type BenchRequest, createEngineFake, type EngineFake } from './engineFake.js'
+import { makeWorkload } from './workload.js'
+
+export const ENTRY_COUNT = 15
+const LINK_MS = 1
+const REPORT_INTERVAL_MS = 500
+const REPORT_DELAY_MS = 1_000
+const CACHE_EVENT_LOSS = 0.02
+const LOAD_WINDOW_MS = 30_000
+
+export interface ScenarioSettings {
+  seed: number
+  engineCount: number
+  requestsPerS: number
+  durationMs: number
+  warmUpMs: number
+  deadlineMs: number
+  familyCount: number
+}
+
+/** What a dispatcher needs of the scenario. */
+export interface ScenarioContext {
+  queue: EventQueue
+  random: Random
+  engines: EngineFake[]
+  /** Sends a request to an engine; it arrives after the delay of the link. */
+  send (entry: number, request: BenchRequest, engine: number): void
+  refuse (request: BenchRequest): void
+}
+
+/** A routing policy under test: the product's router or a naive version. */
+export interface Dispatcher {
+  arrive (entry: number, request: BenchRequest): void
+  report? (engine: number, report: ReturnType<EngineFake['makeReport']>): void
+  cacheChanged? (engine: number, batch: ReturnType<EngineFake['takeCacheChanges']>): void
+  firstToken? (entry: number, request: BenchRequest, engine: number): void
+  ended? (entry: number, request: BenchRequest, engine: number, finished: boolean): void
+  tick? (): void
+}
+
+export interface ScenarioResult {
+  firstTokenMs: number[]
+  gapsMs: number[]
+  hitRatio: number
+  /** Mean over windows of the busiest engine's busy share over the mean of all. */
+  loadMaxOverMean: number
+  arrivedCount: number
+  finishedCount: number
+  refusedCount: number
+  expiredCount: number
+  finishedPerS: number
+}
+
+/** Runs one policy on one seeded workload. The first engine runs at a third of its speed. */
+export const runScenario = (settings: ScenarioSettings, createDispatcher: (context: ScenarioContext) => Dispatcher): ScenarioResult => {
+  const { seed, engineCount, durationMs, warmUpMs } = settings
+  const queue = createEventQueue()
+  const random = createRandom(seed + 1)
+  const networkRandom = createRandom(seed + 2)
+  const engines = Array.from({ length: engineCount }, (_, i) =>
+    createEngineFake(queue, { speed: i === 0 ? 1 / 3 : 1, batchMax: 32, cacheBlocksMax: 420 }))
+  const firstTokenMs: number[] = []
+  const counts = { arrived: 0, finished: 0, refused: 0, expired: 0 }
+  const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs
+
+  const send = (entry: number, request: BenchRequest, engine: number) => {
+    const end = (finished: boolean) => {
+      if (isCounted(request)) counts[finished ? 'finished' : 'expired'] += 1
+      queue.after(LINK_MS, () => dispatcher.ended?.(entry, request, engine, finished))
+    }
+    queue.after(LINK_MS, () => engines[engine]!.submit(request, {
+      firstToken: () => {
+        if (isCounted(request)) firstTokenMs.push(queue.clock.nowMs() + LINK_MS - request.arrivedMs)
+        queue.after(LINK_MS, () => dispatcher.firstToken?.(entry, request, engine))
+      },
+      finished: () => { end(true) },
+      expired: () => { end(false) }
+    }))
+  }
+  const refuse = (request: BenchRequest) => { if (isCounted(request)) counts.refused += 1 }
+  const dispatcher = createDispatcher({ queue, random, engines, send, refuse })
+
+  const requests = makeWorkload(settings)
+  const entryRandom = createRandom(seed + 3)
+  const scheduleNext = (i: number) => {
+    const request = requests[i]
+    if (request === undefined) return
+    queue.after(request.arrivedMs - queue.clock.nowMs(), () => {
+      if (isCounted(request)) counts.arrived += 1
+      dispatcher.arrive(entryRandom.int(0, ENTRY_COUNT - 1), request)
+      scheduleNext(i + 1)
+    })
+  }
+  scheduleNext(0)
+
+  let sequence = 0
+  queue.every(REPORT_INTERVAL_MS, () => {
+    sequence += 1
+    engines.forEach((engine, i) => {
+      const batch = engine.takeCacheChanges()
+      const report = engine.makeReport(sequence)
+      queue.after(REPORT_DELAY_MS, () => dispatcher.report?.(i, report))
+      if (networkRandom.next() >= CACHE_EVENT_LOSS) {
+        queue.after(REPORT_DELAY_MS + networkRandom.next() * 500, () => dispatcher.cacheChanged?.(i, batch))
+      }
+    })
+    dispatcher.tick?.()
+    return queue.clock.nowMs() < durationMs
+  })
+
+  const windows: number[] = []
+  let windowStart: number[] | undefined
+  queue.after(warmUpMs, () => {
+    windowStart = engines.map(({ stats }) => stats.busyMs)
+    queue.every(LOAD_WINDOW_MS, () => {
+      const busy = engines.map(({ stats }, i) => stats.busyMs - windowStart![i]!)
+      windowStart = engines.map(({ stats }) => stats.busyMs)
+      if (queue.clock.nowMs() <= durationMs) windows.push(Math.max(...busy) * busy.length / busy.reduce((a, b) => a + b, 0))
+    })
+    for (const { stats } of engines) stats.gapsMs.length = stats.cachedTokens = stats.promptTokens = 0
+  })
+  queue.runUntil(durationMs + settings.deadlineMs)
+
+  const sum = (key: 'cachedTokens' | 'promptTokens') => engines.reduce((total, { stats }) => total + stats[key], 0)
+  return {
+    firstTokenMs,
+    gapsMs: engines.flatMap(({ stats }) => stats.gapsMs),
+    hitRatio: sum('cachedTokens') / sum('promptTokens'),
+    loadMaxOverMean: windows.reduce((a, b) => a + b, 0) / windows.length,
+    arrivedCount: counts.arrived,
+    finishedCount: counts.finished,
+    refusedCount: counts.refused,
+    expiredCount: counts.expired,
+    finishedPerS: counts.finished / (durationMs - warmUpMs) * 1_000
+  }
+}
--- /dev/null
+++ b/src/routing/chooseUpstream.ts
@@ -0,0 +1,83 @@
+import { hash32, type Random, type TimestampMs } from '../core/index.js'
+import { HOLDER_CHOICES, HOME_CHOICES, RANDOM_CHOICES, UpstreamState, WORK_PER_S_DEFAULT } from './constants.js'
+import type { Upstream } from './getDefaultUpstream.js'
+import { predict, type Prediction } from './predict.js'
+import type { ChooseRequest } from './types.js'
+
+/** Numbers of upstreams that are compared for a request. */
+export interface ChoiceCounts {
+  random: number
+  holders: number
+  homes: number
+}
+
+export const DEFAULT_CHOICE_COUNTS: ChoiceCounts = {
+  random: RANDOM_CHOICES, holders: HOLDER_CHOICES, homes: HOME_CHOICES
+}
+
+/** Blocks whose fingerprint decides the home of a prompt: enough to tell apart system prompts. */
+const HOME_BLOCKS = 4
+
+/** Returns the upstreams that may get a request. Ejected ones serve only if nothing else is left. */
+export const findAvailable = (upstreams: Iterable<Upstream>, excludedIds: readonly string[]): Upstream[] => {
+  const serving: Upstream[] = []
+  const ejected: Upstream[] = []
+  for (const upstream of upstreams) {
+    if (excludedIds.includes(upstream.upstreamId)) continue
+    if (upstream.state === UpstreamState.Serving) serving.push(upstream)
+    if (upstream.state === UpstreamState.Ejected) ejected.push(upstream)
+  }
+  return serving.length > 0 ? serving : ejected
+}
+
+const takeBest = (upstreams: readonly Upstream[], count: number, rate: (upstream: Upstream) => number): Upstream[] =>
+  upstreams
+    .map(upstream => ({ upstream, rating: rate(upstream) }))
+    .filter(({ rating }) => rating > 0)
+    .sort((a, b) => b.rating - a.rating)
+    .slice(0, count)
+    .map(({ upstream }) => upstream)
+
+const pickCandidates = (available: readonly Upstream[], blocks: ChooseRequest['blocks'], counts: ChoiceCounts, random: Random) => {
+  const candidates = new Set<Upstream>()
+  for (let i = 0; i < counts.random; i++) candidates.add(random.pick(available))
+  if (blocks.length === 0) return candidates
+  const homeKey = blocks[Math.min(HOME_BLOCKS, blocks.length) - 1]!
+  for (const upstream of takeBest(available, counts.holders, ({ prefix }) => prefix.matchBlocks(blocks))) candidates.add(upstream)
+  for (const upstream of takeBest(available, counts.homes, ({ upstreamId }) => 1 + hash32(`${homeKey}/${upstreamId}`))) candidates.add(upstream)
+  return candidates
+}
+
+const medianSpeed = (upstreams: readonly Upstream[]): number => {
+  const speeds = upstreams.flatMap(({ report }) => report === undefined ? [] : [report.tokensPerS]).sort((a, b) => a - b)
+  return speeds[speeds.length >> 1] || WORK_PER_S_DEFAULT
+}
+
+/**
+ * Compares a few upstreams and returns their predictions, the best first. Comparing all of them
+ * would send every entry to the same upstream, as all entries see the same late reports.
+ */
+export const compareUpstreams = (
+  available: readonly Upstream[],
+  request: Pick<ChooseRequest, 'blocks' | 'tokens'>,
+  { counts, random, nowMs }: { counts: ChoiceCounts, random: Random, nowMs: TimestampMs }
+): Prediction[] => {
+  const poolTokensPerS = medianSpeed(available)
+  return [...pickCandidates(available, request.blocks, counts, random)]
+    .map(upstream => predict(upstream, request, { poolTokensPerS, nowMs }))
+    .sort((a, b) => a.costMs - b.costMs)
+}
+
+/** Says in one line why the first prediction won. */
+export const explainChoice = ([best, next]: readonly Prediction[], comparedCount: number, availableCount: number): string => {
+  if (best === undefined) return 'no upstream is available'
+  const { upstream, queuedTokens, uncachedTokens, tokensPerS, firstTokenMs, placeWaitMs: waitMs } = best
+  const parts = [
+    `${upstream.upstreamId}: first token in ${Math.round(firstTokenMs)} ms`,
+    `(${Math.round(queuedTokens)} queued + ${Math.round(uncachedTokens)} uncached) / ${Math.round(tokensPerS)} per s`
+  ]
+  if (waitMs > 0) parts.push(`${Math.round(waitMs)} ms for a place`)
+  if (upstream.failureRatio > 0.01) parts.push(`failure ratio ${upstream.failureRatio.toFixed(2)}`)
+  if (next !== undefined) parts.push(`next ${next.upstream.upstreamId} ${Math.round(next.costMs)} ms`)
+  return `${parts.join(', ')}; compared ${comparedCount} of ${availableCount}`
+}
--- /dev/null
+++ b/src/routing/constants.ts
@@ -0,0 +1,104 @@
+/** Messages that the router core handles. */
+export enum RouterMessageKind {
+  UpstreamAppeared = 'upstream-appeared',
+  UpstreamLeft = 'upstream-left',
+  UpstreamDraining = 'upstream-draining',
+  LoadReported = 'load-reported',
+  CacheChanged = 'cache-changed',
+  CacheSnapshotReceived = 'cache-snapshot-received',
+  ChooseRequested = 'choose-requested',
+  Dispatched = 'dispatched',
+  FirstTokenSeen = 'first-token-seen',
+  Finished = 'finished',
+  Failed = 'failed',
+  Tick = 'tick'
+}
+
+/** Effects that the router core asks its owner to perform. */
+export enum RouterEffectKind {
+  Chosen = 'chosen',
+  NoneAvailable = 'none-available',
+  CacheSnapshotWanted = 'cache-snapshot-wanted',
+  Ejected = 'ejected',
+  Reinstated = 'reinstated'
+}
+
+/** Whether an upstream may receive new work. */
+export enum UpstreamState {
+  Serving = 'serving',
+  Draining = 'draining',
+  Ejected = 'ejected'
+}
+
+/** Why an attempt failed; only some causes say something about the health of the upstream. */
+export enum FailureCause {
+  /** The upstream answered with an error. */
+  Error = 'error',
+  /** The upstream or its link was lost. */
+  Lost = 'lost',
+  /** The upstream refused for lack of room. */
+  Busy = 'busy',
+  /** The caller cancelled the request. */
+  Cancelled = 'cancelled'
+}
+
+/** A change of the prefix cache of an upstream. */
+export enum CacheEventKind {
+  Stored = 'stored',
+  Removed = 'removed',
+  Cleared = 'cleared'
+}
+
+/** Tokens covered by one block fingerprint. */
+export const BLOCK_TOKENS = 64
+
+/** Random upstreams compared for each request, besides the holders of its prefix. */
+export const RANDOM_CHOICES = 2
+/** Holders of the longest known prefix that are compared. */
+export const HOLDER_CHOICES = 2
+/**
+ * Homes of the prefix by rendezvous hashing that are compared. They make entries that decide
+ * alone place a new prefix on the same upstreams.
+ */
+export const HOME_CHOICES = 2
+
+/** Blocks remembered for each upstream that does not report the size of its cache. */
+export const PREFIX_BLOCKS_DEFAULT = 2_048
+/** Upper bound on the blocks remembered for each upstream. */
+export const PREFIX_BLOCKS_MAX = 16_384
+
+/** A report older than this says nothing about the queue any more. */
+export const REPORT_STALE_MS = 10_000
+/** Assumed work per second of an upstream before any report of the pool. */
+export const WORK_PER_S_DEFAULT = 1_000
+
+/** Factor on the trust in the prefix index for every gap in the cache events. */
+export const GAP_TRUST_FACTOR = 0.5
+export const TRUST_MIN = 0.1
+/** Batches of cache events kept while an earlier one is missing. */
+export const CACHE_REORDER_MAX = 16
+/** Time after which a missing batch of cache events counts as lost. */
+export const CACHE_GAP_LIMIT_MS = 2_000
+/** Least time between two requests for a cache snapshot of the same upstream. */
+export const SNAPSHOT_INTERVAL_MS = 5_000
+
+/** A new upstream reaches its full weight after this time: its caches are cold. */
+export const RAMP_UP_MS = 10_000
+export const RAMP_UP_WEIGHT_MIN = 0.1
+
+export const EJECTION_CONSECUTIVE_FAILURES = 3
+export const EJECTION_FAILURE_RATIO = 0.5
+export const EJECTION_ATTEMPTS_MIN = 6
+export const EJECTION_BASE_MS = 5_000
+export const EJECTION_MAX_MS = 60_000
+/** Weight of the newest attempt in the moving failure ratio. */
+export const FAILURE_SMOOTHING = 0.2
+/** Added to the predicted time of an upstream that fails every attempt; the ejection cap may keep it in use. */
+export const FAILURE_PENALTY_MS = 10_000
+
+/** Weight of the newest sample in moving averages of speed and prediction error. */
+export const SMOOTHING = 0.2
+/** Attempts in flight remembered by one router. */
+export const IN_FLIGHT_MAX = 20_000
+/** Own dispatches remembered for each upstream since its last report. */
+export const SENDS_MAX = 4_096
--- /dev/null
+++ b/src/routing/createRouter.ts
@@ -0,0 +1,197 @@
+import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
+import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable } from './chooseUpstream.js'
+import {
+  BLOCK_TOKENS, FailureCause, IN_FLIGHT_MAX, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
+  SENDS_MAX, UpstreamState, WORK_PER_S_DEFAULT
+} from './constants.js'
+import { ejectOutlier, noteAttemptEnd, reinstateIfDue } from './ejection.js'
+import { getDefaultUpstream, type Upstream } from './getDefaultUpstream.js'
+import { predict } from './predict.js'
+import type { RouterEffect, RouterMessage } from './types.js'
+
+export interface RouterOptions {
+  clock: Clock
+  random: Random
+  /** Largest share of upstreams ejected at a time, from the pool row. */
+  setAsideShareMax: number
+  /** Numbers of upstreams compared; benches vary them. */
+  counts?: ChoiceCounts
+}
+
+export type { ChoiceCounts }
+
+type MessageOf<Kind extends RouterMessageKind> = Extract<RouterMessage, { kind: Kind }>
+
+/** Bounds of the correction of predictions, so that one odd sample can't bar an upstream. */
+const ERROR_FACTOR_MIN = 0.5
+const ERROR_FACTOR_MAX = 4
+
+const blamesUpstream: Record<FailureCause, boolean> = {
+  [FailureCause.Error]: true,
+  [FailureCause.Lost]: true,
+  [FailureCause.Busy]: false,
+  [FailureCause.Cancelled]: false
+}
+
+/**
+ * Decides which upstream of one pool gets a request. One router serves one pool in one entry and
+ * decides alone from reports, cache events and its own dispatches.
+ *
+ * @example
+ * const router = createRouter({ clock, random, setAsideShareMax: pool.setAsideShareMax })
+ * router.handle({ kind: RouterMessageKind.UpstreamAppeared, upstreamId: 'u1', incarnation, failureDomain: 'tema-a' })
+ * const [effect] = router.handle({ kind: RouterMessageKind.ChooseRequested, requestId: 'r1', blocks: [], tokens: 1, deadlineMs, excludedIds: [] })
+ */
+export const createRouter = (
+  { clock, random, setAsideShareMax, counts = DEFAULT_CHOICE_COUNTS }: RouterOptions
+): Core<RouterMessage, RouterEffect> => {
+  const upstreams = new Map<string, Upstream>()
+
+  const findRun = ({ upstreamId, incarnation }: { upstreamId: string, incarnation: string }): Upstream | undefined => {
+    const upstream = upstreams.get(upstreamId)
+    return upstream?.incarnation === incarnation ? upstream : undefined
+  }
+
+  const askSnapshot = (upstream: Upstream): RouterEffect[] => {
+    const nowMs = clock.nowMs()
+    if (nowMs - upstream.snapshotAskedMs < SNAPSHOT_INTERVAL_MS) return []
+    upstream.snapshotAskedMs = nowMs
+    return [{ kind: RouterEffectKind.CacheSnapshotWanted, upstreamId: upstream.upstreamId }]
+  }
+
+  const onAppeared = ({ upstreamId, incarnation, failureDomain }: MessageOf<RouterMessageKind.UpstreamAppeared>): RouterEffect[] => {
+    if (upstreams.get(upstreamId)?.incarnation === incarnation) return []
+    // A new incarnation has an empty cache and queue; nothing known about the old one holds.
+    upstreams.set(upstreamId, getDefaultUpstream({ upstreamId, incarnation, failureDomain, nowMs: clock.nowMs() }))
+    return []
+  }
+
+  const onLeft = (message: MessageOf<RouterMessageKind.UpstreamLeft>): RouterEffect[] => {
+    if (findRun(message) !== undefined) upstreams.delete(message.upstreamId)
+    return []
+  }
+
+  const onDraining = (message: MessageOf<RouterMessageKind.UpstreamDraining>): RouterEffect[] => {
+    const upstream = findRun(message)
+    if (upstream !== undefined) upstream.state = UpstreamState.Draining
+    return []
+  }
+
+  const noteInflow = (upstream: Upstream, madeAtMs: number, acceptedTokens: number) => {
+    const previous = upstream.report
+    const own = upstream.sends.reduce((sum, { atMs, tokens }) => atMs <= madeAtMs ? sum + tokens : sum, 0)
+    upstream.sends = upstream.sends.filter(({ atMs }) => atMs > madeAtMs)
+    if (previous === undefined || madeAtMs <= previous.madeAtMs) return
+    const seconds = (madeAtMs - previous.madeAtMs) / 1_000
+    const othersPerS = Math.max(0, acceptedTokens - previous.acceptedTokens - own) / seconds
+    upstream.otherInflowPerS += SMOOTHING * (othersPerS - upstream.otherInflowPerS)
+  }
+
+  const onReport = (message: MessageOf<RouterMessageKind.LoadReported>): RouterEffect[] => {
+    const upstream = findRun(message)
+    const { report } = message
+    if (upstream === undefined) return []
+    if (upstream.report !== undefined && report.sequence <= upstream.report.sequence) return []
+    noteInflow(upstream, report.madeAtMs, report.acceptedTokens)
+    upstream.report = report
+    if (report.prefixCache !== undefined) upstream.prefix.noteState(report.prefixCache, clock.nowMs())
+    return []
+  }
+
+  const onCacheChanged = (message: MessageOf<RouterMessageKind.CacheChanged>): RouterEffect[] => {
+    const upstream = findRun(message)
+    if (upstream === undefined) return []
+    return upstream.prefix.applyEvents(message.sequence, message.events, clock.nowMs()) ? askSnapshot(upstream) : []
+  }
+
+  const onSnapshot = (message: MessageOf<RouterMessageKind.CacheSnapshotReceived>): RouterEffect[] => {
+    findRun(message)?.prefix.replace(message.sequence, message.blocks)
+    return []
+  }
+
+  const onChoose = (message: MessageOf<RouterMessageKind.ChooseRequested>): RouterEffect[] => {
+    const { requestId, deadlineMs, excludedIds } = message
+    const nowMs = clock.nowMs()
+    const available = findAvailable(upstreams.values(), excludedIds)
+    if (available.length === 0) {
+      const explanation = `no upstream: ${upstreams.size} known, ${excludedIds.length} excluded`
+      return [{ kind: RouterEffectKind.NoneAvailable, requestId, code: ResultCode.NoUpstream, explanation }]
+    }
+    const predictions = compareUpstreams(available, message, { counts, random, nowMs })
+    const { upstream, firstTokenMs } = predictions[0]!
+    return [{
+      kind: RouterEffectKind.Chosen,
+      requestId,
+      upstreamId: upstream.upstreamId,
+      predictedFirstTokenMs: firstTokenMs,
+      meetsDeadline: nowMs + firstTokenMs <= deadlineMs,
+      explanation: explainChoice(predictions, predictions.length, available.length)
+    }]
+  }
+
+  const onDispatched = (message: MessageOf<RouterMessageKind.Dispatched>): RouterEffect[] => {
+    const upstream = upstreams.get(message.upstreamId)
+    if (upstream === undefined || upstream.attempts.size >= IN_FLIGHT_MAX) return []
+    const nowMs = clock.nowMs()
+    const { uncachedTokens, firstTokenMs } = predict(upstream, message, { poolTokensPerS: WORK_PER_S_DEFAULT, nowMs })
+    upstream.attempts.set(message.requestId, {
+      dispatchedMs: nowMs, tokens: uncachedTokens, predictedMs: firstTokenMs, firstTokenSeen: false
+    })
+    upstream.sends.push({ atMs: nowMs, tokens: uncachedTokens })
+    if (upstream.sends.length > SENDS_MAX) upstream.sends.shift()
+    upstream.prefix.addPrompt(message.blocks.slice(0, Math.floor(message.tokens / BLOCK_TOKENS)))
+    return []
+  }
+
+  const onFirstToken = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.FirstTokenSeen>): RouterEffect[] => {
+    const upstream = upstreams.get(upstreamId)
+    const attempt = upstream?.attempts.get(requestId)
+    if (upstream === undefined || attempt === undefined || attempt.firstTokenSeen) return []
+    attempt.firstTokenSeen = true
+    if (upstream.report === undefined || attempt.predictedMs <= 0) return []
+    const sample = (clock.nowMs() - attempt.dispatchedMs) / (attempt.predictedMs / upstream.errorFactor)
+    const next = upstream.errorFactor + 0.05 * (sample - upstream.errorFactor)
+    upstream.errorFactor = Math.min(ERROR_FACTOR_MAX, Math.max(ERROR_FACTOR_MIN, next))
+    return []
+  }
+
+  const onFinished = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.Finished>): RouterEffect[] => {
+    const upstream = upstreams.get(upstreamId)
+    if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false)
+    return []
+  }
+
+  const onFailed = ({ requestId, upstreamId, cause }: MessageOf<RouterMessageKind.Failed>): RouterEffect[] => {
+    const upstream = upstreams.get(upstreamId)
+    if (upstream === undefined || !upstream.attempts.delete(requestId) || !blamesUpstream[cause]) return []
+    noteAttemptEnd(upstream, true)
+    const reason = ejectOutlier(upstream, { upstreams, setAsideShareMax, nowMs: clock.nowMs() })
+    if (reason === undefined) return []
+    return [{ kind: RouterEffectKind.Ejected, upstreamId, untilMs: upstream.ejectedUntilMs, reason }]
+  }
+
+  const onTick = (): RouterEffect[] => {
+    const nowMs = clock.nowMs()
+    return [...upstreams.values()].flatMap((upstream): RouterEffect[] => [
+      ...upstream.prefix.expireGaps(nowMs) ? askSnapshot(upstream) : [],
+      ...reinstateIfDue(upstream, nowMs) ? [{ kind: RouterEffectKind.Reinstated as const, upstreamId: upstream.upstreamId }] : []
+    ])
+  }
+
+  const handlers: HandlerTable<RouterMessage, RouterEffect[]> = {
+    [RouterMessageKind.UpstreamAppeared]: onAppeared,
+    [RouterMessageKind.UpstreamLeft]: onLeft,
+    [RouterMessageKind.UpstreamDraining]: onDraining,
+    [RouterMessageKind.LoadReported]: onReport,
+    [RouterMessageKind.CacheChanged]: onCacheChanged,
+    [RouterMessageKind.CacheSnapshotReceived]: onSnapshot,
+    [RouterMessageKind.ChooseRequested]: onChoose,
+    [RouterMessageKind.Dispatched]: onDispatched,
+    [RouterMessageKind.FirstTokenSeen]: onFirstToken,
+    [RouterMessageKind.Finished]: onFinished,
+    [RouterMessageKind.Failed]: onFailed,
+    [RouterMessageKind.Tick]: onTick
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- /dev/null
+++ b/src/routing/ejection.ts
@@ -0,0 +1,47 @@
+import type { TimestampMs } from '../core/index.js'
+import {
+  EJECTION_ATTEMPTS_MIN, EJECTION_BASE_MS, EJECTION_CONSECUTIVE_FAILURES, EJECTION_FAILURE_RATIO, EJECTION_MAX_MS,
+  FAILURE_SMOOTHING, UpstreamState
+} from './constants.js'
+import type { Upstream } from './getDefaultUpstream.js'
+
+/** Counts one attempt that ended well or badly by the fault of the upstream. */
+export const noteAttemptEnd = (upstream: Upstream, failed: boolean): void => {
+  upstream.attemptCount += 1
+  upstream.failureRatio += FAILURE_SMOOTHING * (Number(failed) - upstream.failureRatio)
+  upstream.consecutiveFailures = failed ? upstream.consecutiveFailures + 1 : 0
+  if (!failed && upstream.failureRatio < 0.01) upstream.ejectionCount = 0
+}
+
+const isOutlier = ({ consecutiveFailures, failureRatio, attemptCount }: Upstream): boolean =>
+  consecutiveFailures >= EJECTION_CONSECUTIVE_FAILURES ||
+  (attemptCount >= EJECTION_ATTEMPTS_MIN && failureRatio > EJECTION_FAILURE_RATIO)
+
+/**
+ * Ejects an outlier for a time that doubles with each ejection, unless the share of upstreams
+ * set aside would exceed its cap. Returns the reason, or undefined if it stays in use.
+ */
+export const ejectOutlier = (
+  upstream: Upstream,
+  { upstreams, setAsideShareMax, nowMs }:
+  { upstreams: ReadonlyMap<string, Upstream>, setAsideShareMax: number, nowMs: TimestampMs }
+): string | undefined => {
+  if (upstream.state !== UpstreamState.Serving || !isOutlier(upstream)) return undefined
+  let ejectedCount = 0
+  for (const { state } of upstreams.values()) ejectedCount += Number(state === UpstreamState.Ejected)
+  if (ejectedCount + 1 > Math.floor(setAsideShareMax * upstreams.size)) return undefined
+  upstream.state = UpstreamState.Ejected
+  upstream.ejectedUntilMs = nowMs + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * 2 ** upstream.ejectionCount)
+  upstream.ejectionCount += 1
+  return `${upstream.consecutiveFailures} consecutive failures, failure ratio ${upstream.failureRatio.toFixed(2)}`
+}
+
+/** Returns an ejected upstream to service with a new ramp-up once its time is over. */
+export const reinstateIfDue = (upstream: Upstream, nowMs: TimestampMs): boolean => {
+  if (upstream.state !== UpstreamState.Ejected || nowMs < upstream.ejectedUntilMs) return false
+  upstream.state = UpstreamState.Serving
+  upstream.rampStartMs = nowMs
+  // One more failure ejects it again.
+  upstream.consecutiveFailures = EJECTION_CONSECUTIVE_FAILURES - 1
+  return true
+}
--- /dev/null
+++ b/src/routing/getDefaultUpstream.ts
@@ -0,0 +1,62 @@
+import type { Incarnation, TimestampMs } from '../core/index.js'
+import { UpstreamState } from './constants.js'
+import { createPrefixIndex, type PrefixIndex } from './prefixIndex.js'
+import type { LoadReport } from './types.js'
+
+/** One attempt that this entry dispatched. */
+export interface Attempt {
+  dispatchedMs: TimestampMs
+  /** Work that was expected at dispatch: the uncached part of the prompt. */
+  tokens: number
+  predictedMs: number
+  firstTokenSeen: boolean
+}
+
+/** What an entry knows about one upstream. */
+export interface Upstream {
+  upstreamId: string
+  incarnation: Incarnation
+  failureDomain: string
+  state: UpstreamState
+  /** Start of the ramp-up. */
+  rampStartMs: TimestampMs
+  report: LoadReport | undefined
+  /** Work per second sent there by other entries, as a moving average. */
+  otherInflowPerS: number
+  /** Own dispatches since the last report was made. */
+  sends: Array<{ atMs: TimestampMs, tokens: number }>
+  attempts: Map<string, Attempt>
+  prefix: PrefixIndex
+  snapshotAskedMs: TimestampMs
+  /** Measured time to the first token divided by the predicted time, as a moving average. */
+  errorFactor: number
+  failureRatio: number
+  attemptCount: number
+  consecutiveFailures: number
+  ejectionCount: number
+  ejectedUntilMs: TimestampMs
+}
+
+/** Returns the state of an upstream that was just announced. */
+export const getDefaultUpstream = (
+  { upstreamId, incarnation, failureDomain, nowMs }:
+  { upstreamId: string, incarnation: Incarnation, failureDomain: string, nowMs: TimestampMs }
+): Upstream => ({
+  upstreamId,
+  incarnation,
+  failureDomain,
+  state: UpstreamState.Serving,
+  rampStartMs: nowMs,
+  report: undefined,
+  otherInflowPerS: 0,
+  sends: [],
+  attempts: new Map(),
+  prefix: createPrefixIndex(),
+  snapshotAskedMs: Number.NEGATIVE_INFINITY,
+  errorFactor: 1,
+  failureRatio: 0,
+  attemptCount: 0,
+  consecutiveFailures: 0,
+  ejectionCount: 0,
+  ejectedUntilMs: 0
+})
--- /dev/null
+++ b/src/routing/predict.ts
@@ -0,0 +1,71 @@
+import type { TimestampMs } from '../core/index.js'
+import { BLOCK_TOKENS, FAILURE_PENALTY_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS } from './constants.js'
+import type { Upstream } from './getDefaultUpstream.js'
+import type { ChooseRequest } from './types.js'
+
+/** Prediction for one request on one upstream. */
+export interface Prediction {
+  upstream: Upstream
+  queuedTokens: number
+  uncachedTokens: number
+  tokensPerS: number
+  /** Wait for a place among the running requests. */
+  placeWaitMs: number
+  firstTokenMs: number
+  /** Value that is compared: the predicted time with ramp-up and failures taken into account. */
+  costMs: number
+}
+
+/** Share of its normal work that a new or reinstated upstream gets. */
+export const rampWeight = ({ rampStartMs }: Upstream, nowMs: TimestampMs): number =>
+  Math.min(1, Math.max(RAMP_UP_WEIGHT_MIN, (nowMs - rampStartMs) / RAMP_UP_MS))
+
+/** Own work that certainly waits there, as its first token is missing. */
+const sumWaitingOwn = ({ attempts }: Upstream): number => {
+  let tokens = 0
+  for (const attempt of attempts.values()) if (!attempt.firstTokenSeen) tokens += attempt.tokens
+  return tokens
+}
+
+/**
+ * Work that waits at an upstream now: the last report plus what this entry sent and what others
+ * likely sent since then, less what the upstream processed meanwhile.
+ */
+export const estimateQueue = (upstream: Upstream, tokensPerS: number, nowMs: TimestampMs) => {
+  const waitingOwn = sumWaitingOwn(upstream)
+  const { report } = upstream
+  if (report === undefined || nowMs - report.madeAtMs > REPORT_STALE_MS) return { tokens: waitingOwn, requests: 0 }
+  const ageS = Math.max(0, nowMs - report.madeAtMs) / 1_000
+  const ownSince = upstream.sends.reduce((sum, { tokens }) => sum + tokens, 0)
+  const inflow = ownSince + upstream.otherInflowPerS * ageS
+  const queued = Math.max(0, report.queuedTokens + inflow - tokensPerS * ageS)
+  // Own work without a first token is certainly still there, whatever the clocks of the report say.
+  return { tokens: Math.max(queued, waitingOwn), requests: upstream.sends.length }
+}
+
+const placeWaitMs = ({ report }: Upstream, requestsSince: number): number => {
+  if (report === undefined || report.runningMax === 0 || report.finishedPerS <= 0) return 0
+  const waiting = report.runningRequests + report.waitingRequests + requestsSince + 1 - report.runningMax
+  return Math.max(0, waiting) / report.finishedPerS * 1_000
+}
+
+/**
+ * Predicts the time to the first token of a request on one upstream.
+ *
+ * @example
+ * predict(upstream, request, { poolTokensPerS: 6_000, nowMs }).firstTokenMs
+ */
+export const predict = (
+  upstream: Upstream,
+  { blocks, tokens }: Pick<ChooseRequest, 'blocks' | 'tokens'>,
+  { poolTokensPerS, nowMs }: { poolTokensPerS: number, nowMs: TimestampMs }
+): Prediction => {
+  const tokensPerS = upstream.report?.tokensPerS || poolTokensPerS
+  const queue = estimateQueue(upstream, tokensPerS, nowMs)
+  const cachedTokens = upstream.prefix.matchBlocks(blocks) * BLOCK_TOKENS * upstream.prefix.trust
+  const uncachedTokens = Math.max(Math.min(1, tokens), tokens - cachedTokens)
+  const waitMs = placeWaitMs(upstream, queue.requests)
+  const firstTokenMs = waitMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000 * upstream.errorFactor
+  const costMs = firstTokenMs / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
+  return { upstream, queuedTokens: queue.tokens, uncachedTokens, tokensPerS, placeWaitMs: waitMs, firstTokenMs, costMs }
+}
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,86 @@
+import type { Incarnation, ResultCode, TimestampMs } from '../core/index.js'
+import type { CacheEventKind, FailureCause, RouterEffectKind, RouterMessageKind } from './constants.js'
+
+/**
+ * Load of one upstream as its agent measured it. The unit of work is a prompt token for engines
+ * and a request for plain services.
+ */
+export interface LoadReport {
+  /** Grows by one with each report of an incarnation. */
+  sequence: number
+  madeAtMs: TimestampMs
+  /** Work that is accepted and not yet processed. */
+  queuedTokens: number
+  runningRequests: number
+  /** Requests that wait for a place among the running ones. */
+  waitingRequests: number
+  /** Most requests that run at once; 0 if unlimited. */
+  runningMax: number
+  /** Measured work per second while there was work. */
+  tokensPerS: number
+  /** Work accepted since the start of the incarnation; shows the inflow from all entries. */
+  acceptedTokens: number
+  /** Requests finished per second, as a moving average. */
+  finishedPerS: number
+  prefixCache?: PrefixCacheState
+}
+
+export interface PrefixCacheState {
+  /** Sequence number of the last cache event at the time of the report. */
+  eventSequence: number
+  blocksMax: number
+}
+
+/** Fingerprint of a prompt from its start to the end of one block; equal only for equal prefixes. */
+export type BlockFingerprint = string
+
+export interface CacheEvent {
+  kind: CacheEventKind
+  /** Absent for a cleared cache. */
+  block?: BlockFingerprint
+}
+
+interface ForUpstream { upstreamId: string, incarnation: Incarnation }
+interface ForAttempt { requestId: string, upstreamId: string }
+
+export interface ChooseRequest {
+  requestId: string
+  /** Fingerprints of the prompt's blocks, first block first; empty for a plain service. */
+  blocks: readonly BlockFingerprint[]
+  /** Estimated work of the request: prompt tokens, or 1 for a plain service. */
+  tokens: number
+  deadlineMs: TimestampMs
+  /** Upstreams that must not be chosen, such as those of earlier attempts. */
+  excludedIds: readonly string[]
+}
+
+export type RouterMessage =
+  | ForUpstream & { kind: RouterMessageKind.UpstreamAppeared, failureDomain: string }
+  | ForUpstream & { kind: RouterMessageKind.UpstreamLeft }
+  | ForUpstream & { kind: RouterMessageKind.UpstreamDraining }
+  | ForUpstream & { kind: RouterMessageKind.LoadReported, report: LoadReport }
+  | ForUpstream & { kind: RouterMessageKind.CacheChanged, sequence: number, events: readonly CacheEvent[] }
+  | ForUpstream & { kind: RouterMessageKind.CacheSnapshotReceived, sequence: number, blocks: readonly BlockFingerprint[] }
+  | ChooseRequest & { kind: RouterMessageKind.ChooseRequested }
+  | ForAttempt & { kind: RouterMessageKind.Dispatched, blocks: readonly BlockFingerprint[], tokens: number }
+  | ForAttempt & { kind: RouterMessageKind.FirstTokenSeen }
+  | ForAttempt & { kind: RouterMessageKind.Finished }
+  | ForAttempt & { kind: RouterMessageKind.Failed, cause: FailureCause }
+  | { kind: RouterMessageKind.Tick }
+
+export interface Choice {
+  requestId: string
+  upstreamId: string
+  predictedFirstTokenMs: number
+  /** Whether the predicted first token comes before the deadline. */
+  meetsDeadline: boolean
+  /** One line for operators: what was compared and why this upstream won. */
+  explanation: string
+}
+
+export type RouterEffect =
+  | Choice & { kind: RouterEffectKind.Chosen }
+  | { kind: RouterEffectKind.NoneAvailable, requestId: string, code: ResultCode, explanation: string }
+  | { kind: RouterEffectKind.CacheSnapshotWanted, upstreamId: string }
+  | { kind: RouterEffectKind.Ejected, upstreamId: string, untilMs: TimestampMs, reason: string }
+  | { kind: RouterEffectKind.Reinstated, upstreamId: string }
