Run the entry on the configuration and routing slices

Cause: the entry used a fixed route and least-in-flight choice. Before: one fixed route. Conclusion: the remaining provisional part is agent discovery by direct registration.

--- /dev/null
+++ b/src/configuration/followerTask.ts
@@ -0,0 +1,79 @@
+import { type Core, createLog, createTask, dispatch, type HandlerTable, LogUnavailableError, type Task } from '../core/index.js'
+import type { LogClient, LogPage } from '../platform/index.js'
+import {
+  type FollowerEffect, FollowerEffectKind, type FollowerMessage, FollowerMessageKind, type Snapshot, type StateDocument
+} from './followerTypes.js'
+
+const log = createLog('follower')
+
+const FOLLOWER_TICK_MS = 250
+
+export interface FollowerTaskOptions<Body, Document extends StateDocument, Own extends { kind: string }> {
+  stream: string
+  client: LogClient
+  core: Core<FollowerMessage<Body, Document>, FollowerEffect<Document> | Own>
+  toPage: (page: LogPage) => FollowerMessage<Body, Document>
+  /** Log record of a snapshot. */
+  toSnapshotRecord: (snapshot: Snapshot<Document>) => unknown
+  askPeers: (aboveOffset: number) => void
+  sendState: (peerId: string, document: Document, retainedSinceMs: number | undefined) => void
+  onOwnEffect: (effect: Own) => void
+  /** Called when a call to the log fails. */
+  onLogFailure?: () => void
+}
+
+const FOLLOWER_EFFECT_KINDS: ReadonlySet<string> = new Set(Object.values(FollowerEffectKind))
+
+const isFollowerEffect = <Document extends StateDocument, Own extends { kind: string }>(
+  effect: FollowerEffect<Document> | Own
+): effect is FollowerEffect<Document> => FOLLOWER_EFFECT_KINDS.has(effect.kind)
+
+/**
+ * Runs the reader of one log stream: reads pages, appends snapshots and exchanges states with peers.
+ *
+ * @example
+ * const task = createFollowerTask({ stream: CONFIGURATION_STREAM, client, core: reader, ... })
+ * task.post({ kind: FollowerMessageKind.OffsetSeen, offset: 12 })
+ */
+export const createFollowerTask = <Body, Document extends StateDocument, Own extends { kind: string }>({
+  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onLogFailure
+}: FollowerTaskOptions<Body, Document, Own>): Task<FollowerMessage<Body, Document>> => {
+  const reportFailure = (error: unknown) => {
+    if (!(error instanceof LogUnavailableError)) throw error
+    log('stream %s: %s', stream, error.message)
+    onLogFailure?.()
+  }
+
+  const read = async (fromOffset: number) => {
+    try {
+      task.post(toPage(await client.read(stream, fromOffset)))
+    } catch (error) {
+      reportFailure(error)
+      task.post({ kind: FollowerMessageKind.LogFailed })
+    }
+  }
+
+  const append = async (snapshot: Snapshot<Document>) => {
+    try {
+      await client.append(stream, toSnapshotRecord(snapshot))
+    } catch (error) {
+      reportFailure(error)
+    }
+  }
+
+  const performers: HandlerTable<FollowerEffect<Document>, void> = {
+    [FollowerEffectKind.ReadLog]: ({ fromOffset }) => { read(fromOffset) },
+    [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => askPeers(aboveOffset),
+    [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) => sendState(peerId, document, retainedSinceMs),
+    [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) => { append(snapshot) }
+  }
+
+  const task = createTask<FollowerMessage<Body, Document>, FollowerEffect<Document> | Own>({
+    name: 'follower',
+    core,
+    perform: effect => isFollowerEffect(effect) ? dispatch(performers, effect) : onOwnEffect(effect)
+  })
+  task.tickEvery(FOLLOWER_TICK_MS, () => ({ kind: FollowerMessageKind.Tick }))
+  task.post({ kind: FollowerMessageKind.Tick })
+  return task
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -15,3 +15,4 @@
 export {
   configurationDocumentSchema, parseConfigurationBody, toConfigurationPage, toConfigurationRecord, toPageMessage
 } from './recordSchema.js'
+export { createFollowerTask, type FollowerTaskOptions } from './followerTask.js'
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -1,7 +1,7 @@
 import { type Clock, createLog } from '../../core/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
-import { type UpstreamClient, type UpstreamCall, type UpstreamListener } from '../../platform/index.js'
-import { type RunFrame, UpstreamRequestHeader } from '../../requests/index.js'
+import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../platform/index.js'
+import { type ReportFrame, type RunFrame, UpstreamRequestHeader } from '../../requests/index.js'
 
 const log = createLog('upstream')
 
@@ -9,6 +9,9 @@
 /** Load answers missed in a row after which the upstream counts as down. */
 const LOAD_FAILURES_MAX = 3
 
+const FINISHED_SMOOTHING = 0.3
+const NO_LOAD: UpstreamLoad = { sequence: 0, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0 }
+
 export interface UpstreamTaskOptions {
   client: UpstreamClient
   clock: Clock
@@ -52,23 +55,46 @@
   const cancels = new Map<string, () => void>()
   let failureCount = 0
   let lastCacheSequence = 0
+  let acceptedTokens = 0
+  let finishedPerS = 0
+  let finishedCount = 0
+  let finishedSinceMs = clock.nowMs()
   let reportSequence = 0
   let isPolling = false
 
-  const report = async () => {
-    const load = await client.load()
-    failureCount = 0
-    const sentMs = clock.nowMs()
-    broadcast({
+  const measureFinished = (nowMs: number) => {
+    const seconds = Math.max(nowMs - finishedSinceMs, 1) / 1_000
+    finishedPerS += FINISHED_SMOOTHING * (finishedCount / seconds - finishedPerS)
+    finishedCount = 0
+    finishedSinceMs = nowMs
+  }
+
+  const sendReport = (load: UpstreamLoad, ageMs: number, isUp: boolean) => {
+    const frame: ReportFrame = {
       kind: FrameKind.Report,
       sequence: ++reportSequence,
-      // Ages, not times: the clocks of two hosts differ.
-      ageMs: Math.max(0, sentMs - load.madeAtMs),
+      ageMs,
       queuedTokens: load.queuedTokens,
       runningRequests: load.runningRequests,
+      waitingRequests: load.waitingRequests ?? 0,
+      runningMax: load.runningMax ?? 0,
       tokensPerS: load.tokensPerS,
-      isUp: true
-    })
+      acceptedTokens,
+      finishedPerS,
+      isUp
+    }
+    if (load.cacheEventSequence !== undefined) frame.cacheEventSequence = load.cacheEventSequence
+    if (load.cacheBlocksMax !== undefined) frame.cacheBlocksMax = load.cacheBlocksMax
+    broadcast(frame)
+  }
+
+  const report = async () => {
+    const load = await client.load()
+    failureCount = 0
+    const nowMs = clock.nowMs()
+    measureFinished(nowMs)
+    // An age, not a time: the clocks of two hosts differ.
+    sendReport(load, Math.max(0, nowMs - load.madeAtMs), true)
   }
 
   const forwardCacheEvents = async () => {
@@ -87,7 +113,7 @@
     } catch (error) {
       failureCount += 1
       if (failureCount === LOAD_FAILURES_MAX) log('upstream is down: %s', error instanceof Error ? error.message : error)
-      if (failureCount >= LOAD_FAILURES_MAX) broadcast({ kind: FrameKind.Report, sequence: ++reportSequence, ageMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0, isUp: false })
+      if (failureCount >= LOAD_FAILURES_MAX) sendReport(NO_LOAD, 0, false)
     } finally {
       isPolling = false
     }
@@ -98,9 +124,11 @@
 
   return {
     start: (runId, frame, listener) => {
+      acceptedTokens += Math.max(1, frame.estimatedTokens)
       const cancel = client.run(toUpstreamCall(frame), {
         ...listener,
         onEnd: code => {
+          finishedCount += 1
           cancels.delete(runId)
           listener.onEnd(code)
         }
--- /dev/null
+++ b/src/nodes/entry/configurationFeed.ts
@@ -0,0 +1,100 @@
+import { type Clock, createLog, type Random } from '../../core/index.js'
+import {
+  CONFIGURATION_STREAM, type ConfigurationDocument, configurationDocumentSchema, ConfigurationEffectKind,
+  type ConfigurationMessage, type ConfigurationOwnEffect, ConfigurationRecordKind, createConfigurationReader,
+  createFollowerTask, FollowerMessageKind, toConfigurationPage, toConfigurationRecord
+} from '../../configuration/index.js'
+import { FrameError, type Task } from '../../core/index.js'
+import { FrameKind, type Frame } from '../../links/index.js'
+import type { LogClient } from '../../platform/index.js'
+import type { RowTable } from './rowTable.js'
+
+const log = createLog('configuration')
+
+export interface ConfigurationFeedOptions {
+  client: LogClient
+  clock: Clock
+  random: Random
+  retentionMs: number
+  table: RowTable
+  /** Sends a frame to a few other entries. */
+  sendToPeers: (frame: Frame) => void
+  /** Sends a frame to one entry by its link address. */
+  sendToPeer: (address: string, frame: Frame) => void
+  ownAddress: () => string
+  onRowsChanged: (offset: number) => void
+  onLogFailure: () => void
+}
+
+export interface ConfigurationFeed {
+  /** Handles a peer's request for the state and a peer's answer. */
+  onPeerStateRequest (frame: Frame): void
+  onPeerState (frame: Frame): void
+  noteOffsetSeen (offset: number): void
+  stop (): void
+}
+
+const asText = (value: unknown): string => {
+  if (typeof value !== 'string') throw new FrameError('field is not text')
+  return value
+}
+
+const asOffset = (value: unknown): number => {
+  if (typeof value !== 'number' || !Number.isInteger(value)) throw new FrameError('field is not an offset')
+  return value
+}
+
+/**
+ * Follows the configuration stream into the row table of an entry and exchanges the state with
+ * other entries while the log is out.
+ *
+ * @example
+ * const feed = createConfigurationFeed({ client, clock, random, retentionMs, table, ... })
+ */
+export const createConfigurationFeed = ({
+  client, clock, random, retentionMs, table, sendToPeers, sendToPeer, ownAddress, onRowsChanged, onLogFailure
+}: ConfigurationFeedOptions): ConfigurationFeed => {
+  const onOwnEffect: { [Kind in ConfigurationOwnEffect['kind']]: (effect: Extract<ConfigurationOwnEffect, { kind: Kind }>) => void } = {
+    [ConfigurationEffectKind.RowsAccepted]: ({ offset, versions }) => {
+      table.apply(offset, versions)
+      log('rows are in effect at offset %d', offset)
+      onRowsChanged(offset)
+    },
+    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => log('edit %s got code %d', verdict.editId, verdict.code)
+  }
+
+  const task: Task<ConfigurationMessage> = createFollowerTask({
+    stream: CONFIGURATION_STREAM,
+    client,
+    core: createConfigurationReader({ clock, random, retentionMs }),
+    toPage: toConfigurationPage,
+    toSnapshotRecord: snapshot => toConfigurationRecord({ kind: ConfigurationRecordKind.Snapshot, snapshot }),
+    askPeers: aboveOffset =>
+      sendToPeers({ kind: FrameKind.PeerStateRequest, aboveOffset, replyAddress: ownAddress() }),
+    sendState: (peerAddress, document: ConfigurationDocument, retainedSinceMs) =>
+      sendToPeer(peerAddress, { kind: FrameKind.PeerState, document, retainedSinceMs: retainedSinceMs ?? null }),
+    onOwnEffect: effect => (onOwnEffect[effect.kind] as (effect: ConfigurationOwnEffect) => void)(effect),
+    onLogFailure
+  })
+
+  return {
+    onPeerStateRequest: frame => {
+      task.post({
+        kind: FollowerMessageKind.PeerStateRequested,
+        peerId: asText(frame.replyAddress),
+        aboveOffset: asOffset(frame.aboveOffset)
+      })
+    },
+    onPeerState: frame => {
+      const parsed = configurationDocumentSchema.safeParse(frame.document)
+      if (!parsed.success) throw new FrameError('peer state is not a configuration document')
+      task.post({
+        kind: FollowerMessageKind.PeerStateReceived,
+        document: parsed.data,
+        retainedSinceMs: typeof frame.retainedSinceMs === 'number' ? frame.retainedSinceMs : undefined
+      })
+    },
+    noteOffsetSeen: offset => task.post({ kind: FollowerMessageKind.OffsetSeen, offset }),
+    stop: () => task.stop()
+  }
+}
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -1,60 +1,78 @@
 import {
-  type Clock, createLog, createRequestIds, createTask, dispatch, FrameError, type HandlerTable, type Incarnation, ResultCode,
-  type Task
+  type Clock, createLog, createRequestIds, createTask, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
+  createRandom, ResultCode, type Task
 } from '../../core/index.js'
-import type { RouteRow } from '../../configuration/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, listenForLinks, NodeRole, type PeerIdentity,
   splitAddress
 } from '../../links/index.js'
+import { MetricName } from '../../observe/index.js'
+import { createLogClient } from '../../platform/index.js'
 import {
-  chunkFrameSchema, createRequestCore, endFrameSchema, parseFrame, refusedFrameSchema, REQUEST_TICK_MS,
-  type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind, type ResponseFrame
+  cacheEventsFrameSchema, chunkFrameSchema, createRequestCore, endFrameSchema, parseFrame, refusedFrameSchema,
+  reportFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind,
+  type ResponseFrame
 } from '../../requests/index.js'
+import { createObservability } from '../observability.js'
 import type { EntrySettings } from '../settings.js'
 import { startCallerFront } from './callerFront.js'
-import { createAgentTable } from './agentTable.js'
+import { createConfigurationFeed } from './configurationFeed.js'
+import { createPoolRouters } from './poolRouters.js'
+import { createRequestPorts } from './requestPorts.js'
+import { createRequestSpans } from './requestSpans.js'
+import { createRowTable } from './rowTable.js'
 import type { ResponseSink } from './types.js'
 
 const log = createLog('entry')
 
+const DRAIN_POLL_MS = 50
+const TASK_CAPACITY = 65_536
+/** Entries asked for their state while the log is out. */
+const PEERS_ASKED = 3
+const METRICS_INTERVAL_MS = 5_000
+
 export interface EntryNodeOptions {
   settings: EntrySettings
   incarnation: Incarnation
   clock: Clock
-  findRoute: (path: string, model: string | undefined) => RouteRow | undefined
 }
 
 export interface EntryNode {
   readonly callerAddress: string
   readonly linkAddress: string
+  /** Leaves the address answers, finishes streams and stops. */
   drain (): Promise<void>
+  /** Stops at once, as a crash would. */
   stop (): Promise<void>
 }
 
-const DRAIN_POLL_MS = 50
-
 /**
  * Starts an entry: answers callers, chooses upstreams and relays responses.
  *
  * @example
- * const entry = await startEntryNode({ settings, incarnation, clock, findRoute })
+ * const entry = await startEntryNode({ settings, incarnation, clock })
  */
-export const startEntryNode = async ({ settings, incarnation, clock, findRoute }: EntryNodeOptions): Promise<EntryNode> => {
+export const startEntryNode = async ({ settings, incarnation, clock }: EntryNodeOptions): Promise<EntryNode> => {
   const [linkHost, linkPort] = splitAddress(settings.linkAddress)
   const [callerHost, callerPort] = splitAddress(settings.callerAddress)
-  let linkAddress = settings.linkAddress
-  let callerAddress = settings.callerAddress
+  let { linkAddress, callerAddress } = settings
   let isDraining = false
-  const agents = createAgentTable()
+  const random = createRandom(hash32(incarnation))
+  const { metrics, tracing } = createObservability('baobabdrift-entry', settings)
+  const table = createRowTable()
   const sinks = new Map<string, ResponseSink>()
+  const knownAgents = new Map<string, PeerIdentity>()
 
   const self = (): PeerIdentity => ({
     nodeId: settings.nodeId, incarnation, role: NodeRole.Entry, address: linkAddress, failureDomain: settings.failureDomain
   })
   const keys = () => settings.fleetKeys
 
-  const core = createRequestCore({ clock, ports: agents.ports })
+  const routers = createPoolRouters({
+    clock, random, pool: table.pool, onEjected: () => metrics.record(MetricName.UpstreamsEjectedTotal, 1)
+  })
+  const spans = createRequestSpans(tracing)
+  const core = createRequestCore({ clock, ports: createRequestPorts({ clock, routers, spans, metrics }) })
 
   const finish = (requestId: string, use: (sink: ResponseSink) => void) => {
     const sink = sinks.get(requestId)
@@ -71,36 +89,66 @@
   }
 
   const task: Task<RequestMessage> = createTask({
-    name: 'requests', core, perform: effect => dispatch(performers, effect), capacity: 65_536
+    name: 'requests', core, perform: effect => dispatch(performers, effect), capacity: TASK_CAPACITY
   })
 
   const postResponse = (peer: PeerIdentity, frame: ResponseFrame) =>
     task.post({ kind: RequestMessageKind.FrameReceived, agentId: peer.nodeId, frame })
 
+  const peerAddresses = () => settings.entries.filter(address => address !== linkAddress)
+
+  const feed = createConfigurationFeed({
+    client: createLogClient(settings.logUrl),
+    clock,
+    random,
+    retentionMs: settings.logRetentionMs,
+    table,
+    sendToPeers: frame => random.shuffle(peerAddresses()).slice(0, PEERS_ASKED).forEach(address => pool.send(address, frame)),
+    sendToPeer: (address, frame) => pool.send(address, frame),
+    ownAddress: () => linkAddress,
+    onRowsChanged: offset => metrics.record(MetricName.ConfigurationOffset, offset),
+    onLogFailure: () => metrics.record(MetricName.LogFailuresTotal, 1)
+  })
+
+  const onReport = (peer: PeerIdentity, frame: Frame) => {
+    const report = parseFrame(reportFrameSchema, frame)
+    if (report.isUp) routers.addAgent(peer)
+    else routers.removeAgent(peer.nodeId)
+    routers.noteReport(peer.nodeId, report)
+  }
+
   const frameHandlers: Partial<Record<FrameKind, (peer: PeerIdentity, frame: Frame) => void>> = {
     [FrameKind.Chunk]: (peer, frame) => postResponse(peer, parseFrame(chunkFrameSchema, frame)),
     [FrameKind.End]: (peer, frame) => postResponse(peer, parseFrame(endFrameSchema, frame)),
     [FrameKind.Refused]: (peer, frame) => postResponse(peer, parseFrame(refusedFrameSchema, frame)),
-    [FrameKind.Drain]: peer => agents.setDraining(peer.nodeId)
+    [FrameKind.Report]: onReport,
+    [FrameKind.CacheEvents]: (peer, frame) => routers.noteCacheEvents(peer.nodeId, parseFrame(cacheEventsFrameSchema, frame)),
+    [FrameKind.Drain]: peer => routers.setDraining(peer.nodeId),
+    [FrameKind.PeerStateRequest]: (_peer, frame) => feed.onPeerStateRequest(frame),
+    [FrameKind.PeerState]: (_peer, frame) => feed.onPeerState(frame)
+  }
+
+  const onFrame = ({ link, peer, frame }: Extract<LinkEvent, { kind: LinkEventKind.Frame }>) => {
+    try {
+      frameHandlers[frame.kind]?.(peer, frame)
+    } catch (error) {
+      if (!(error instanceof FrameError)) throw error
+      log('frame of %s refused: %s', peer.nodeId, error.message)
+      link.close()
+    }
   }
 
   const dialedHandlers: HandlerTable<LinkEvent, void> = {
     [LinkEventKind.Ready]: ({ peer }) => {
-      agents.setLinked(peer)
+      if (peer.role !== NodeRole.Agent) return
+      routers.addAgent(peer)
       task.post({ kind: RequestMessageKind.AgentLinked, agentId: peer.nodeId, incarnation: peer.incarnation })
     },
-    [LinkEventKind.Frame]: ({ link, peer, frame }) => {
-      try {
-        frameHandlers[frame.kind]?.(peer, frame)
-      } catch (error) {
-        if (!(error instanceof FrameError)) throw error
-        log('frame of %s refused: %s', peer.nodeId, error.message)
-        link.close()
-      }
-    },
+    [LinkEventKind.Frame]: onFrame,
     [LinkEventKind.Lost]: ({ peer }) => {
-      if (peer === undefined) return
-      agents.setUnlinked(peer.nodeId)
+      metrics.record(MetricName.LinksLostTotal, 1)
+      if (peer?.role !== NodeRole.Agent) return
+      routers.removeAgent(peer.nodeId)
       task.post({ kind: RequestMessageKind.AgentUnlinked, agentId: peer.nodeId })
     }
   }
@@ -109,10 +157,13 @@
   const acceptedHandlers: HandlerTable<LinkEvent, void> = {
     [LinkEventKind.Ready]: ({ peer }) => {
       if (peer.role !== NodeRole.Agent) return
-      agents.add(peer)
-      pool.setWanted(agents.addresses())
+      knownAgents.set(peer.nodeId, peer)
+      pool.setWanted([...knownAgents.values()].map(({ address }) => address))
+    },
+    [LinkEventKind.Frame]: event => {
+      // An agent reports on every link; only the dialed one counts.
+      if (event.peer.role === NodeRole.Entry) onFrame(event)
     },
-    [LinkEventKind.Frame]: () => {},
     [LinkEventKind.Lost]: () => {}
   }
 
@@ -126,10 +177,12 @@
     host: callerHost,
     port: callerPort,
     clock,
-    findRoute,
+    findRoute: table.findRoute,
     nextRequestId: createRequestIds(incarnation),
     addressesFor: () => ({ addresses: [callerAddress], lifetimeMs: settings.addressLifetimeMs }),
-    status: () => ({ nodeId: settings.nodeId, isDraining, liveRequests: core.liveCount }),
+    status: () => ({
+      nodeId: settings.nodeId, incarnation, isDraining, configurationOffset: table.offset, liveRequests: core.liveCount, agents: routers.agentCount
+    }),
     gateway: {
       submit: (request, sink) => {
         sinks.set(request.requestId, sink)
@@ -145,12 +198,21 @@
   })
   callerAddress = `${callerHost}:${front.port}`
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RequestMessageKind.Tick }))
+  const routerTimer = setInterval(routers.tick, 1_000)
+  const metricsTimer = setInterval(() => {
+    metrics.record(MetricName.RequestsLive, core.liveCount)
+    metrics.record(MetricName.FramesDroppedTotal, core.droppedFrameCount)
+  }, METRICS_INTERVAL_MS)
 
   const stop = async () => {
+    clearInterval(routerTimer)
+    clearInterval(metricsTimer)
     task.stop()
+    feed.stop()
     pool.close()
     await front.close()
     await server.close()
+    await Promise.all([metrics.close(), tracing.close()])
   }
 
   const drain = async () => {
@@ -160,5 +222,10 @@
     await stop()
   }
 
-  return { callerAddress, linkAddress, drain, stop }
+  return {
+    get callerAddress () { return callerAddress },
+    get linkAddress () { return linkAddress },
+    drain,
+    stop
+  }
 }
--- /dev/null
+++ b/src/nodes/observability.ts
@@ -0,0 +1,17 @@
+import { createMetrics, createNoMetrics, createNoTracing, createTracing, type Metrics, type Tracing } from '../observe/index.js'
+import type { NodeSettings } from './settings.js'
+
+/** Where a node sends its metrics and spans. */
+export interface Observability {
+  metrics: Metrics
+  tracing: Tracing
+}
+
+/** Creates metrics and tracing as the settings ask for them; absent sections record nothing. */
+export const createObservability = (serviceName: string, settings: NodeSettings): Observability => {
+  const { nodeId, failureDomain, metrics, traces } = settings
+  return {
+    metrics: metrics === undefined ? createNoMetrics() : createMetrics({ ...metrics, nodeId, failureDomain }),
+    tracing: traces === undefined ? createNoTracing() : createTracing({ ...traces, serviceName, nodeId })
+  }
+}
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -29,6 +29,7 @@
 export const entrySettingsSchema = nodeSchema.extend({
   callerAddress: socketAddress.describe('Address that callers connect to'),
   logUrl: url,
+  logRetentionMs: z.number().int().min(60_000).default(86_400_000).describe('How long the log keeps a record'),
   hostListUrl: url.optional(),
   addressLifetimeMs: z.number().int().min(1_000).max(3_600_000).default(30_000),
   drainLimitMs: z.number().int().positive().default(600_000),
--- a/src/platform/createUpstreamClient.ts
+++ b/src/platform/createUpstreamClient.ts
@@ -26,7 +26,13 @@
   madeAtMs: number
   queuedTokens: number
   runningRequests: number
+  waitingRequests?: number
+  /** Most requests that run at once; absent or 0 if unlimited. */
+  runningMax?: number
+  /** Measured work per second: prompt tokens of an engine, requests of a service. */
   tokensPerS: number
+  cacheEventSequence?: number
+  cacheBlocksMax?: number
 }
 
 /** One change of an engine's prefix cache. Sequence numbers may have gaps. */
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -74,7 +74,7 @@
 
   const sendRun = (request: LiveRequest): RequestEffect => {
     const { submitted, agent, attempt } = request
-    ports.onDispatched(submitted, agent, attempt)
+    const traceparent = ports.onDispatched(submitted, agent, attempt) ?? submitted.traceparent
     return {
       kind: RequestEffectKind.SendToAgent,
       agent,
@@ -85,8 +85,9 @@
         remainingMs: Math.max(0, submitted.deadlineAtMs - clock.nowMs()),
         fingerprint: submitted.fingerprint,
         isSuspect: ports.isSuspect(submitted.fingerprint),
+        estimatedTokens: submitted.estimatedTokens,
         request: submitted.request,
-        ...(submitted.traceparent === undefined ? {} : { traceparent: submitted.traceparent })
+        ...(traceparent === undefined ? {} : { traceparent })
       }
     }
   }
@@ -221,6 +222,7 @@
   const resume = (request: LiveRequest): RequestEffect => {
     request.resumeByMs = undefined
     request.gapSinceMs = undefined
+    ports.onResumed(request.submitted, request.agent, request.attempt)
     return {
       kind: RequestEffectKind.SendToAgent,
       agent: request.agent,
--- a/src/requests/frames.ts
+++ b/src/requests/frames.ts
@@ -37,7 +37,9 @@
   attempt: counter,
   remainingMs: z.number().nonnegative(),
   fingerprint: id,
-  isSuspect: z.boolean().default(false),
+  isSuspect: z.boolean(),
+  /** Prompt tokens; 0 for a plain service. */
+  estimatedTokens: z.number().nonnegative(),
   traceparent: z.string().max(256).optional(),
   binding: bindingSchema.optional(),
   request: upstreamRequestSchema
@@ -109,6 +111,13 @@
   queuedTokens: z.number().nonnegative(),
   runningRequests: z.number().nonnegative(),
   tokensPerS: z.number().nonnegative(),
+  waitingRequests: z.number().nonnegative(),
+  /** 0 if unlimited. */
+  runningMax: z.number().nonnegative(),
+  acceptedTokens: z.number().nonnegative(),
+  finishedPerS: z.number().nonnegative(),
+  cacheEventSequence: counter.optional(),
+  cacheBlocksMax: counter.optional(),
   isUp: z.boolean()
 })
 
--- a/src/requests/requestFaults.test.ts
+++ b/src/requests/requestFaults.test.ts
@@ -51,7 +51,8 @@
       },
       takeRetry: () => true,
       isSuspect: () => false,
-      onDispatched: () => {},
+      onDispatched: () => undefined,
+      onResumed: () => {},
       onFirstBytes: () => {},
       onAttemptEnded: () => {},
       onRequestEnded: (_request, code) => results.push(code),
@@ -154,7 +155,7 @@
     bed.restoreLink('agent-1')
     expect(bed.started).toEqual(['agent-2/e-1/1'])
     const late: RunFrame = {
-      kind: FrameKind.Run, requestId: 'e-1', attempt: 0, remainingMs: 20_000, fingerprint: 'f', isSuspect: false, request: submittedOf().request
+      kind: FrameKind.Run, requestId: 'e-1', attempt: 0, remainingMs: 20_000, fingerprint: 'f', isSuspect: false, estimatedTokens: 1, request: submittedOf().request
     }
     bed.toAgent('agent-1', { kind: AgentRunMessageKind.RunRequested, linkId: 'l', frame: late })
     expect(bed.started).toEqual(['agent-2/e-1/1'])
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -47,7 +47,9 @@
   /** Takes one retry from the budgets of the customer and the pool. */
   takeRetry (request: SubmittedRequest): boolean
   isSuspect (fingerprint: string): boolean
-  onDispatched (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
+  /** May return the trace context of the attempt, which then goes to the agent. */
+  onDispatched (request: SubmittedRequest, agent: ChosenAgent, attempt: number): string | undefined
+  onResumed (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
   onFirstBytes (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
   onAttemptEnded (request: SubmittedRequest, agent: ChosenAgent, attempt: number, result: AttemptResult): void
   /** Called once for each admitted request, however it ends. */
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -165,7 +165,11 @@
     madeAtMs: Date.now(),
     queuedTokens: Math.ceil(waiting.reduce((sum, { prompt }) => sum + prompt.length / CHARACTERS_PER_TOKEN, 0)),
     runningRequests: running.size,
-    tokensPerS: prefillTokensPerS
+    waitingRequests: waiting.length,
+    runningMax: batchMax,
+    tokensPerS: prefillTokensPerS,
+    cacheEventSequence: eventSequence,
+    cacheBlocksMax
   }))
 
   app.get<{ Querystring: { after?: string } }>('/cache-events', async request =>
