Let readers report when they reached the end of the log

Cause: a lost append answer and the fence of a restarted agent are settled by a read that began after the question; a page of an earlier read may miss the record. Change: reads carry an id; EndRequested is answered by EndReached once a later read is applied, or by EndFailed during an outage.

--- a/bench/control/configurationWorld.ts
+++ b/bench/control/configurationWorld.ts
@@ -101,9 +101,9 @@
     random.next() < DAMAGE_SHARE ? { ...document, versions: document.versions.slice(0, -1) } : document
 
   const createPerformers = (self: number): HandlerTable<ConfigurationEffect, void> => ({
-    [FollowerEffectKind.ReadLog]: ({ fromOffset }) => post(self, isLogOut
+    [FollowerEffectKind.ReadLog]: ({ readId, fromOffset }) => post(self, isLogOut
       ? { kind: FollowerMessageKind.LogFailed }
-      : { kind: FollowerMessageKind.LogPageRead, ...log.read(fromOffset, random.int(2, 20)) }),
+      : { kind: FollowerMessageKind.LogPageRead, readId, ...log.read(fromOffset, random.int(2, 20)) }),
     [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => {
       for (let to = 0; to < HOST_COUNT; to++) {
         if (to !== self) post(to, { kind: FollowerMessageKind.PeerStateRequested, peerId: String(self), aboveOffset })
@@ -113,6 +113,8 @@
       post(Number(peerId), {
         kind: FollowerMessageKind.PeerStateReceived, document: damageSome(document), retainedSinceMs
       }),
+    [FollowerEffectKind.EndReached]: () => {},
+    [FollowerEffectKind.EndFailed]: () => {},
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) =>
       appendWithFaults({ kind: ConfigurationRecordKind.Snapshot, snapshot }),
     [ConfigurationEffectKind.RowsAccepted]: ({ versions }) => noteRows(hosts[self]!, versions),
--- a/src/configuration/constants.ts
+++ b/src/configuration/constants.ts
@@ -81,6 +81,8 @@
 export const READ_INTERVAL_MS = 2_000
 /** An unanswered read counts as lost. */
 export const READ_TIMEOUT_MS = 5_000
+/** Agents that restart together each ask for one read to the end. */
+export const END_REQUESTS_MAX = 1_024
 export const ASK_PEERS_INTERVAL_MS = 1_000
 /** A snapshot is due at a random point between these shares of the retention time, so that one
  * reader appends it and the others see it first; the rest of the time covers an outage. */
--- a/src/configuration/createConfigurationReader.test.ts
+++ b/src/configuration/createConfigurationReader.test.ts
@@ -40,7 +40,7 @@
       for (let i = 0; i < 20; i++) {
         const read = pending.find(effect => effect.kind === FollowerEffectKind.ReadLog)
         if (read === undefined) return
-        pending = handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(read.fromOffset, 2) })
+        pending = handle({ kind: FollowerMessageKind.LogPageRead, readId: read.readId, ...log.read(read.fromOffset, 2) })
       }
     }
     const state = (): ConfigurationDocument => {
@@ -186,7 +186,7 @@
       const effects = handle({ kind: FollowerMessageKind.Tick })
       for (const effect of effects) {
         if (effect.kind !== FollowerEffectKind.ReadLog) continue
-        handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(effect.fromOffset) })
+        handle({ kind: FollowerMessageKind.LogPageRead, readId: effect.readId, ...log.read(effect.fromOffset) })
       }
       return effects
     })
@@ -197,7 +197,7 @@
       }
       clock.advance(1_000)
     }
-    for (const { handle } of readers) handle({ kind: FollowerMessageKind.LogPageRead, ...log.read(2) })
+    for (const { handle } of readers) handle({ kind: FollowerMessageKind.LogPageRead, readId: 0, ...log.read(2) })
     const dueAgain = tickAll()
     expect(log.nextOffset - 2).toBeGreaterThan(0)
     // 340 readers are due over 1,080 s, so 0.3 of them a second after the first.
@@ -223,6 +223,30 @@
   })
 })
 
+describe('read to the end', () => {
+  it('does not count a page that was read before the request', () => {
+    const { append, log, createReader } = setUp()
+    const reader = createReader()
+    const [read] = reader.handle({ kind: FollowerMessageKind.Tick })
+    if (read?.kind !== FollowerEffectKind.ReadLog) throw new Error('no read')
+    const oldPage = { kind: FollowerMessageKind.LogPageRead as const, readId: read.readId, ...log.read(read.fromOffset) }
+    append(editOf('a', yard(), 0))
+    expect(reader.handle({ kind: FollowerMessageKind.EndRequested, requestId: 'q' })).toEqual([])
+    const [again, ...others] = reader.handle(oldPage)
+    if (again?.kind !== FollowerEffectKind.ReadLog) throw new Error('no second read')
+    expect(others).toEqual([])
+    expect(reader.handle({ kind: FollowerMessageKind.LogPageRead, readId: again.readId, ...log.read(again.fromOffset) }))
+      .toContainEqual({ kind: FollowerEffectKind.EndReached, requestId: 'q' })
+  })
+
+  it('reports a failure while the log is out', () => {
+    const reader = setUp().createReader()
+    reader.handle({ kind: FollowerMessageKind.EndRequested, requestId: 'q' })
+    expect(reader.handle({ kind: FollowerMessageKind.LogFailed }))
+      .toContainEqual({ kind: FollowerEffectKind.EndFailed, requestId: 'q' })
+  })
+})
+
 it('agrees with a reader that keeps every record, over random schedules', () => {
   fc.assert(fc.property(fc.integer({ min: 1, max: 1 << 28 }), seed => {
     expect(runConfigurationWorld({ seed })).toMatchObject({ reverts: 0, splitVerdicts: 0, strandedHosts: 0 })
--- a/src/configuration/createConfigurationReader.ts
+++ b/src/configuration/createConfigurationReader.ts
@@ -61,7 +61,7 @@
  *
  * @example
  * const reader = createConfigurationReader({ clock, random, retentionMs: 86_400_000 })
- * reader.handle(toConfigurationPage(page)) // rows accepted and verdicts
+ * reader.handle(toConfigurationPage(readId, page)) // rows accepted and verdicts
  */
 export const createConfigurationReader = (
   { disabledEditRules = new Set(), ...options }: ConfigurationReaderOptions
--- a/src/configuration/createEditSubmitter.ts
+++ b/src/configuration/createEditSubmitter.ts
@@ -6,7 +6,7 @@
   AppendAnswered = 'append-answered',
   AppendFailed = 'append-failed',
   VerdictReached = 'verdict-reached',
-  /** The reader has applied every record of the log that existed when it was asked. */
+  /** Passes on EndReached of the reader: it has applied every record that existed when it was asked. */
   LogReadToEnd = 'log-read-to-end',
   LogReadFailed = 'log-read-failed',
   Tick = 'tick'
--- a/src/configuration/createLogFollower.ts
+++ b/src/configuration/createLogFollower.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, type TimestampMs } from '../core/index.js'
 import { ASK_PEERS_INTERVAL_MS, FollowerRule, READ_INTERVAL_MS, READ_TIMEOUT_MS } from './constants.js'
+import { createEndRequests } from './endRequests.js'
 import {
   type FollowedRecord, type FollowerEffect, FollowerEffectKind, type FollowerMessage, FollowerMessageKind, type Snapshot,
   type StateDocument, type StreamModel
@@ -45,6 +46,8 @@
   let nextAskMs = clock.nowMs()
   let isLogFailing = false
   let lastDocument: Document | undefined
+  let lastReadId = 0
+  const endRequests = createEndRequests()
 
   const hasGap = () => state.offset + 1 < firstOffset
   const needsPeers = () => hasGap() || (isLogFailing && (state.offset === 0 || seenOffset > state.offset))
@@ -55,7 +58,8 @@
     readSentMs = nowMs
     nextReadMs = nowMs + READ_INTERVAL_MS * (0.75 + 0.5 * random.next())
     const fromOffset = hasGap() ? Math.max(scanOffset, firstOffset) : state.offset + 1
-    return [{ kind: FollowerEffectKind.ReadLog, fromOffset }]
+    lastReadId += 1
+    return [{ kind: FollowerEffectKind.ReadLog, readId: lastReadId, fromOffset }]
   }
 
   const askPeers = (): Effects => {
@@ -116,8 +120,16 @@
     return effects
   }
 
-  const onPage = ({ records, firstOffset: pageFirst, nextOffset: pageNext }: Page): Effects => {
-    readSentMs = undefined
+  const endsFailed = (): Effects =>
+    endRequests.takeAll().map(requestId => ({ kind: FollowerEffectKind.EndFailed, requestId }))
+
+  const endsReached = (): Effects => hasGap()
+    ? []
+    : endRequests.takeReached(state.offset).map(requestId => ({ kind: FollowerEffectKind.EndReached, requestId }))
+
+  const onPage = ({ readId, records, firstOffset: pageFirst, nextOffset: pageNext }: Page): Effects => {
+    if (readId === lastReadId) readSentMs = undefined
+    endRequests.notePage(readId, pageNext)
     isLogFailing = false
     firstOffset = Math.max(firstOffset, pageFirst)
     nextOffset = Math.max(nextOffset, pageNext)
@@ -131,9 +143,9 @@
     }
     effects.push(...applyInOrder(records))
     scanOffset = Math.max(scanOffset, (records.at(-1)?.offset ?? 0) + 1)
-    effects.push(...askPeers())
+    effects.push(...askPeers(), ...endsReached())
     const readOffset = hasGap() ? Math.max(scanOffset, firstOffset) : state.offset + 1
-    if (readOffset < nextOffset) effects.push(...readLog())
+    if (readOffset < nextOffset || endRequests.needsRead()) effects.push(...readLog())
     return effects
   }
 
@@ -148,7 +160,7 @@
   const onLogFailed = (): Effects => {
     readSentMs = undefined
     isLogFailing = true
-    return askPeers()
+    return [...endsFailed(), ...askPeers()]
   }
 
   const appendSnapshot = (): Effects => {
@@ -162,11 +174,9 @@
 
   const onTick = (): Effects => {
     const nowMs = clock.nowMs()
-    if (readSentMs !== undefined && nowMs - readSentMs > READ_TIMEOUT_MS) {
-      readSentMs = undefined
-      isLogFailing = true
-    }
-    return [...(nowMs >= nextReadMs ? readLog() : []), ...askPeers(), ...appendSnapshot()]
+    const isTimedOut = readSentMs !== undefined && nowMs - readSentMs > READ_TIMEOUT_MS
+    const effects = isTimedOut ? onLogFailed() : []
+    return [...effects, ...(nowMs >= nextReadMs ? readLog() : []), ...askPeers(), ...appendSnapshot()]
   }
 
   const handlers: HandlerTable<FollowerMessage<Body, Document>, Effects> = {
@@ -191,6 +201,8 @@
       if (seenOffset <= state.offset) return []
       return isLogFailing ? askPeers() : readLog()
     },
+    [FollowerMessageKind.EndRequested]: ({ requestId }) =>
+      endRequests.add(requestId, lastReadId) ? readLog() : [{ kind: FollowerEffectKind.EndFailed, requestId }],
     [FollowerMessageKind.LogFailed]: onLogFailed,
     [FollowerMessageKind.Tick]: onTick
   }
--- a/src/configuration/followerTypes.ts
+++ b/src/configuration/followerTypes.ts
@@ -40,6 +40,7 @@
   PeerStateReceived = 'peer-state-received',
   PeerStateRequested = 'peer-state-requested',
   OffsetSeen = 'offset-seen',
+  EndRequested = 'end-requested',
   LogFailed = 'log-failed',
   Tick = 'tick'
 }
@@ -47,6 +48,8 @@
 export type FollowerMessage<Body, Document extends StateDocument> =
   | {
     kind: FollowerMessageKind.LogPageRead
+    /** Id of the read that this page answers. */
+    readId: number
     records: ReadonlyArray<FollowedRecord<Body>>
     /** Oldest offset that the log still retains. */
     firstOffset: number
@@ -58,6 +61,8 @@
   | { kind: FollowerMessageKind.PeerStateRequested, peerId: string, aboveOffset: number }
   /** Gossip carries the highest offset that any node has seen. */
   | { kind: FollowerMessageKind.OffsetSeen, offset: number }
+  /** Asks for word once every record that the log holds now is applied. */
+  | { kind: FollowerMessageKind.EndRequested, requestId: string }
   | { kind: FollowerMessageKind.LogFailed }
   | { kind: FollowerMessageKind.Tick }
 
@@ -65,11 +70,13 @@
   ReadLog = 'read-log',
   AskPeers = 'ask-peers',
   SendState = 'send-state',
+  EndReached = 'end-reached',
+  EndFailed = 'end-failed',
   AppendSnapshot = 'append-snapshot'
 }
 
 export type FollowerEffect<Document extends StateDocument> =
-  | { kind: FollowerEffectKind.ReadLog, fromOffset: number }
+  | { kind: FollowerEffectKind.ReadLog, readId: number, fromOffset: number }
   | { kind: FollowerEffectKind.AskPeers, aboveOffset: number }
   | {
     kind: FollowerEffectKind.SendState
@@ -78,4 +85,6 @@
     /** Time from which the log must still retain records; a fresh host schedules its snapshot by it. */
     retainedSinceMs: TimestampMs | undefined
   }
+  | { kind: FollowerEffectKind.EndReached, requestId: string }
+  | { kind: FollowerEffectKind.EndFailed, requestId: string }
   | { kind: FollowerEffectKind.AppendSnapshot, snapshot: Snapshot<Document> }
--- a/src/configuration/recordSchema.ts
+++ b/src/configuration/recordSchema.ts
@@ -93,13 +93,15 @@
 
 /** Converts one log page to a message; `parseBody` is the boundary at which bodies are validated. */
 export const toPageMessage = <Body, Document extends StateDocument>(
+  readId: number,
   { records, firstOffset, nextOffset }: LogPage,
   parseBody: (body: unknown) => Body
 ): FollowerMessage<Body, Document> => {
   const parseRecord = ({ offset, timeMs, body }: LogRecord): FollowedRecord<Body> =>
     ({ offset, timeMs, body: parseBody(body) })
-  return { kind: FollowerMessageKind.LogPageRead, records: records.map(parseRecord), firstOffset, nextOffset }
+  return { kind: FollowerMessageKind.LogPageRead, readId, records: records.map(parseRecord), firstOffset, nextOffset }
 }
 
 /** Converts one page of the configuration stream to a message of its reader. */
-export const toConfigurationPage = (page: LogPage): ConfigurationMessage => toPageMessage(page, parseConfigurationBody)
+export const toConfigurationPage = (readId: number, page: LogPage): ConfigurationMessage =>
+  toPageMessage(readId, page, parseConfigurationBody)
