Apply rows through the command line's session and run a fleet on loopback

Cause: the whole path needs rows from the log and more than one node. Change: configuration session (read, diff, submit, verdict), local fleet for demo, tests and benches.

--- a/src/configuration/followerTask.ts
+++ b/src/configuration/followerTask.ts
@@ -12,12 +12,14 @@
   stream: string
   client: LogClient
   core: Core<FollowerMessage<Body, Document>, FollowerEffect<Document> | Own>
-  toPage: (page: LogPage) => FollowerMessage<Body, Document>
+  toPage: (readId: number, page: LogPage) => FollowerMessage<Body, Document>
   /** Log record of a snapshot. */
   toSnapshotRecord: (snapshot: Snapshot<Document>) => unknown
   askPeers: (aboveOffset: number) => void
   sendState: (peerId: string, document: Document, retainedSinceMs: number | undefined) => void
   onOwnEffect: (effect: Own) => void
+  /** Answer to an EndRequested message: whether every record that the log held then is applied. */
+  onEnd?: (requestId: string, isReached: boolean) => void
   /** Called when a call to the log fails. */
   onLogFailure?: () => void
 }
@@ -36,7 +38,7 @@
  * task.post({ kind: FollowerMessageKind.OffsetSeen, offset: 12 })
  */
 export const createFollowerTask = <Body, Document extends StateDocument, Own extends { kind: string }>({
-  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onLogFailure
+  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onEnd, onLogFailure
 }: FollowerTaskOptions<Body, Document, Own>): Task<FollowerMessage<Body, Document>> => {
   const reportFailure = (error: unknown) => {
     if (!(error instanceof LogUnavailableError)) throw error
@@ -44,9 +46,9 @@
     onLogFailure?.()
   }
 
-  const read = async (fromOffset: number) => {
+  const read = async (readId: number, fromOffset: number) => {
     try {
-      task.post(toPage(await client.read(stream, fromOffset)))
+      task.post(toPage(readId, await client.read(stream, fromOffset)))
     } catch (error) {
       reportFailure(error)
       task.post({ kind: FollowerMessageKind.LogFailed })
@@ -62,9 +64,11 @@
   }
 
   const performers: HandlerTable<FollowerEffect<Document>, void> = {
-    [FollowerEffectKind.ReadLog]: ({ fromOffset }) => { read(fromOffset) },
+    [FollowerEffectKind.ReadLog]: ({ readId, fromOffset }) => { read(readId, fromOffset) },
     [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => askPeers(aboveOffset),
     [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) => sendState(peerId, document, retainedSinceMs),
+    [FollowerEffectKind.EndReached]: ({ requestId }) => onEnd?.(requestId, true),
+    [FollowerEffectKind.EndFailed]: ({ requestId }) => onEnd?.(requestId, false),
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) => { append(snapshot) }
   }
 
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -97,8 +97,9 @@
 
   const peerAddresses = () => settings.entries.filter(address => address !== linkAddress)
 
+  const logClient = createLogClient(settings.logUrl)
   const feed = createConfigurationFeed({
-    client: createLogClient(settings.logUrl),
+    client: logClient,
     clock,
     random,
     retentionMs: settings.logRetentionMs,
@@ -212,7 +213,7 @@
     pool.close()
     await front.close()
     await server.close()
-    await Promise.all([metrics.close(), tracing.close()])
+    await Promise.all([logClient.close(), metrics.close(), tracing.close()])
   }
 
   const drain = async () => {
--- /dev/null
+++ b/src/nodes/localFleet.ts
@@ -0,0 +1,104 @@
+import { parseRows } from '../configuration/index.js'
+import { createConfigurationSession } from '../cli/configurationSession.js'
+import { createSystemClock, ResultCode } from '../core/index.js'
+import { createLogClient } from '../platform/index.js'
+import { type LogStandIn, startLogStandIn } from '../standIns/index.js'
+import { randomBytes } from 'node:crypto'
+import { type AgentNode, startAgentNode } from './agent/createAgentNode.js'
+import { type EntryNode, startEntryNode } from './entry/createEntryNode.js'
+import { type AgentSettings, agentSettingsSchema, type EntrySettings, entrySettingsSchema } from './settings.js'
+
+const FLEET_KEYS = [{ keyId: 'fleet-1', secret: 'a-secret-for-loopback-only' }]
+const FAILURE_DOMAINS = ['tema-a', 'spintex-b', 'kasoa-c']
+const SESSION_TIMEOUT_MS = 5_000
+
+/** A fleet on loopback in one process, for the demo, tests and benches. */
+export interface LocalFleet {
+  readonly log: LogStandIn
+  readonly entries: EntryNode[]
+  readonly agents: AgentNode[]
+  startEntry (change?: Partial<EntrySettings>): Promise<EntryNode>
+  startAgent (change: Pick<AgentSettings, 'pool' | 'upstreamUrl'> & Partial<AgentSettings>): Promise<AgentNode>
+  /** Applies YAML rows through the code of the command line. */
+  applyRows (text: string): Promise<void>
+  /** Resolves when a condition holds; rejects after the time limit. */
+  until (isDone: () => boolean | Promise<boolean>, limitMs?: number): Promise<void>
+  /** Runs at stop, last added first. */
+  onStop (cleanup: () => unknown): void
+  stop (): Promise<void>
+}
+
+const randomIncarnation = () => randomBytes(8).toString('hex')
+const POLL_MS = 20
+
+/**
+ * Starts a log stand-in and returns a fleet to add nodes to.
+ *
+ * @example
+ * const fleet = await startLocalFleet()
+ * await fleet.startEntry()
+ */
+export const startLocalFleet = async (): Promise<LocalFleet> => {
+  const clock = createSystemClock()
+  const log = await startLogStandIn()
+  const entries: EntryNode[] = []
+  const agents: AgentNode[] = []
+  const cleanups: (() => unknown)[] = [log.close]
+  let entryCount = 0
+  let agentCount = 0
+
+  const domainOf = (index: number) => FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
+  const seedAddresses = () => entries.length === 0 ? ['127.0.0.1:1'] : entries.map(({ linkAddress }) => linkAddress)
+
+  const nodeDefaults = (index: number) => ({
+    failureDomain: domainOf(index), region: 'greater-accra', linkAddress: '127.0.0.1:0', entries: seedAddresses(), fleetKeys: FLEET_KEYS
+  })
+
+  return {
+    log,
+    entries,
+    agents,
+    startEntry: async change => {
+      const index = entryCount++
+      const settings = entrySettingsSchema.parse({
+        ...nodeDefaults(index), nodeId: `entry-${index}`, callerAddress: '127.0.0.1:0', logUrl: log.url, ...change
+      })
+      const entry = await startEntryNode({ settings, incarnation: randomIncarnation(), clock })
+      entries.push(entry)
+      cleanups.push(entry.stop)
+      return entry
+    },
+    startAgent: async change => {
+      const index = agentCount++
+      const settings = agentSettingsSchema.parse({ ...nodeDefaults(index), nodeId: `agent-${index}`, ...change })
+      const agent = await startAgentNode({ settings, incarnation: randomIncarnation(), clock })
+      agents.push(agent)
+      cleanups.push(agent.stop)
+      return agent
+    },
+    applyRows: async text => {
+      const client = createLogClient(log.url)
+      const session = createConfigurationSession({ client, clock, timeoutMs: SESSION_TIMEOUT_MS })
+      try {
+        await session.readToEnd()
+        const results = await session.apply(session.diff(parseRows(text), false))
+        const failed = results.find(({ code }) => code !== ResultCode.EditAccepted)
+        if (failed !== undefined) throw new Error(`row ${failed.change.name} got code ${failed.code}`)
+      } finally {
+        session.close()
+        await client.close()
+      }
+    },
+    until: async (isDone, limitMs = 15_000) => {
+      const endMs = clock.nowMs() + limitMs
+      while (!await isDone()) {
+        if (clock.nowMs() > endMs) throw new Error('condition did not hold in time')
+        await new Promise(resolve => setTimeout(resolve, POLL_MS))
+      }
+    },
+    onStop: cleanup => { cleanups.push(cleanup) },
+    stop: async () => {
+      for (const cleanup of cleanups.splice(0).reverse()) await cleanup()
+    }
+  }
+}
