Add the cores of at-most-once calls

Cause: non-repeatable requests may run at most once over all entries and agents. Change: parseIdempotencyKey, createBindingOwner, createKeyedCall and createKeyedRuns with their messages and effects.

--- /dev/null
+++ b/src/once/createBindingOwner.ts
@@ -0,0 +1,264 @@
+import { type Clock, type Core, dispatch, type HandlerTable, ResultCode, type TimestampMs } from '../core/index.js'
+import type { LogPage } from '../platform/index.js'
+import { assessBind } from './assessBind.js'
+import {
+  APPEND_INTERVAL_MS, BATCH_BINDINGS_MAX, BIND_QUEUE_MAX, BIND_WAIT_MAX_MS, BINDINGS_PER_SHARD_MAX,
+  CLOCK_SKEW_MARGIN_MS, LOG_RETRY_MAX_MS, onceStream, PAGE_RECORDS_MAX
+} from './constants.js'
+import { createBindingTable } from './createBindingTable.js'
+import { getDefaultOwnerShard, type OwnerShard, ShardPhase, type WaitingBind } from './ownerShard.js'
+import {
+  OWNER_RULES, type OwnerEffect, OwnerEffectKind, type OwnerMessage, OwnerMessageKind, type OwnerRules
+} from './ownerTypes.js'
+import type { BindingItem } from './types.js'
+
+export interface BindingOwnerOptions {
+  clock: Clock
+  /** Longest `onceWindowMs` of all pools. */
+  windowMs: number
+  bindingsPerShardMax?: number
+  queueMax?: number
+  rules?: Partial<OwnerRules>
+}
+
+/**
+ * Binds idempotency keys to agents for the shards that an entry owns.
+ *
+ * Safety rests on the order of the log alone: two owners of a shard at once, a late append or one
+ * that takes effect twice add records that the reading rule ignores.
+ *
+ * @example
+ * const owner = createBindingOwner({ clock, windowMs: 600_000 })
+ * owner.handle({ kind: OwnerMessageKind.ShardGained, shard: 7 }) // [{ kind: OwnerEffectKind.Read, ... }]
+ */
+export const createBindingOwner = ({
+  clock, windowMs, bindingsPerShardMax: bindingsMax = BINDINGS_PER_SHARD_MAX, queueMax = BIND_QUEUE_MAX, rules: changes
+}: BindingOwnerOptions): Core<OwnerMessage, OwnerEffect> => {
+  const rules = { ...OWNER_RULES, ...changes }
+  const shards = new Map<number, OwnerShard>()
+  let lastTicket = 0
+  let longestWindowMs = windowMs
+
+  const answer = ({ from, request }: WaitingBind, code: ResultCode): OwnerEffect =>
+    ({ kind: OwnerEffectKind.Reply, to: from, reply: { requestId: request.requestId, code } })
+
+  /** Replies where the binding in effect is known and returns the items that remain to be appended. */
+  const settle = (state: OwnerShard, effects: OwnerEffect[]): BindingItem[] => {
+    if (state.phase !== ShardPhase.Ready) return []
+    const items = new Map<string, BindingItem>()
+    for (const [id, { from, request }] of state.waiting) {
+      const { reply, item, readToOffset } = assessBind({
+        table: state.table, request, nowMs: clock.nowMs(), refusesForgottenKeys: rules.refusesForgottenKeys
+      })
+      if (readToOffset !== undefined) state.targetOffset = Math.max(state.targetOffset, readToOffset)
+      if (item !== undefined && items.size < BATCH_BINDINGS_MAX && !items.has(item.scopedKey)) {
+        items.set(item.scopedKey, item)
+      }
+      if (reply === undefined) continue
+      state.waiting.delete(id)
+      effects.push({ kind: OwnerEffectKind.Reply, to: from, reply })
+    }
+    return [...items.values()]
+  }
+
+  const readNext = (state: OwnerShard): OwnerEffect => {
+    const ticket = state.readTicket = ++lastTicket
+    const isSeeking = state.phase === ShardPhase.Seeking
+    const fromOffset = !isSeeking
+      ? state.nextOffset
+      : Number.isFinite(state.seekHigh) ? Math.floor((state.seekLow + state.seekHigh) / 2) : state.seekLow
+    const recordsMax = isSeeking ? 1 : PAGE_RECORDS_MAX
+    return {
+      kind: OwnerEffectKind.Read, shard: state.shard, ticket, stream: onceStream(state.shard), fromOffset, recordsMax
+    }
+  }
+
+  const append = (state: OwnerShard, bindings: BindingItem[]): OwnerEffect => {
+    const ticket = state.appendTicket = ++lastTicket
+    state.appendItems = bindings
+    state.lastAppendMs = clock.nowMs()
+    return {
+      kind: OwnerEffectKind.Append, shard: state.shard, ticket, stream: onceStream(state.shard), record: { bindings }
+    }
+  }
+
+  /** Starts whatever the shard may do now: replies, one read at a time, one append at a time. */
+  const advance = (state: OwnerShard, effects: OwnerEffect[] = []): OwnerEffect[] => {
+    const items = settle(state, effects)
+    const nowMs = clock.nowMs()
+    if (nowMs < state.retryMs || state.readTicket !== undefined) return effects
+    if (state.phase !== ShardPhase.Ready || state.nextOffset <= state.targetOffset) {
+      effects.push(readNext(state))
+      return effects
+    }
+    const mayAppend = state.appendTicket === undefined && nowMs >= state.lastAppendMs + APPEND_INTERVAL_MS
+    if (mayAppend && items.length > 0) effects.push(append(state, items))
+    return effects
+  }
+
+  const noteFailure = (state: OwnerShard) => {
+    state.failureCount += 1
+    state.isLogDown = true
+    state.retryMs = clock.nowMs() + Math.min(LOG_RETRY_MAX_MS, APPEND_INTERVAL_MS * 2 ** Math.min(state.failureCount, 10))
+  }
+
+  const noteSuccess = (state: OwnerShard) => {
+    state.failureCount = 0
+    state.isLogDown = false
+  }
+
+  const windowStartMs = (): TimestampMs => clock.nowMs() - longestWindowMs - 4 * CLOCK_SKEW_MARGIN_MS
+
+  const startReading = (state: OwnerShard, nextOffset: number, page: LogPage) => {
+    state.phase = ShardPhase.Reading
+    state.nextOffset = nextOffset
+    // Everything that precedes the end of the log as it is now must be read before the first bind.
+    state.targetOffset = Math.max(state.targetOffset, page.nextOffset - 1)
+  }
+
+  const onSeekPage = (state: OwnerShard, page: LogPage) => {
+    if (!Number.isFinite(state.seekHigh)) {
+      state.seekLow = page.firstOffset
+      state.seekHigh = page.nextOffset
+      // With one page or less left, reading it costs no more than the bisection.
+      if (page.nextOffset - page.firstOffset <= PAGE_RECORDS_MAX) startReading(state, 1, page)
+      return
+    }
+    const record = page.records[0]
+    if (record !== undefined && record.timeMs < windowStartMs()) state.seekLow = record.offset
+    else state.seekHigh = Math.floor((state.seekLow + state.seekHigh) / 2)
+    if (state.seekHigh - state.seekLow > PAGE_RECORDS_MAX) return
+    // An offset of 1 makes a missing start of the stream show as a gap, as records of the window may be gone.
+    startReading(state, state.seekLow <= page.firstOffset ? 1 : state.seekLow, page)
+  }
+
+  const noteGap = (state: OwnerShard, page: LogPage, effects: OwnerEffect[]) => {
+    const knownSinceMs = page.records[0]?.timeMs ?? clock.nowMs()
+    state.nextOffset = Math.max(state.nextOffset, page.firstOffset)
+    if (knownSinceMs <= windowStartMs()) return
+    state.table.noteGap(knownSinceMs)
+    effects.push({ kind: OwnerEffectKind.RetentionShort, shard: state.shard, floorMs: state.table.floorMs })
+  }
+
+  const onRecords = (state: OwnerShard, page: LogPage, effects: OwnerEffect[]) => {
+    if (page.firstOffset > state.nextOffset) noteGap(state, page, effects)
+    for (const record of page.records) {
+      if (record.offset !== state.nextOffset) continue
+      state.table.apply(record)
+      state.nextOffset += 1
+    }
+    const isAtEnd = state.nextOffset >= page.nextOffset
+    if (isAtEnd) state.targetOffset = Math.min(state.targetOffset, state.nextOffset - 1)
+    if (state.nextOffset > state.targetOffset) state.phase = ShardPhase.Ready
+  }
+
+  const onPageRead = (
+    { shard, ticket, page }: Extract<OwnerMessage, { kind: OwnerMessageKind.PageRead }>
+  ): OwnerEffect[] => {
+    const state = shards.get(shard)
+    if (state === undefined || state.readTicket !== ticket) return []
+    state.readTicket = undefined
+    noteSuccess(state)
+    const effects: OwnerEffect[] = []
+    if (state.phase === ShardPhase.Seeking) onSeekPage(state, page)
+    else onRecords(state, page, effects)
+    return advance(state, effects)
+  }
+
+  const onReadFailed = ({ shard, ticket }: { shard: number, ticket: number }): OwnerEffect[] => {
+    const state = shards.get(shard)
+    if (state === undefined || state.readTicket !== ticket) return []
+    state.readTicket = undefined
+    noteFailure(state)
+    return []
+  }
+
+  const onAppendDone = (
+    { shard, ticket, offset }: Extract<OwnerMessage, { kind: OwnerMessageKind.AppendDone }>
+  ): OwnerEffect[] => {
+    const state = shards.get(shard)
+    if (state === undefined || state.appendTicket !== ticket) return []
+    state.appendTicket = undefined
+    noteSuccess(state)
+    if (!rules.readsBeforeReply) {
+      state.table.apply({ offset, timeMs: clock.nowMs(), body: { bindings: state.appendItems } })
+      state.nextOffset = Math.max(state.nextOffset, offset + 1)
+    }
+    state.targetOffset = Math.max(state.targetOffset, offset)
+    return advance(state)
+  }
+
+  const onAppendFailed = ({ shard, ticket }: { shard: number, ticket: number }): OwnerEffect[] => {
+    const state = shards.get(shard)
+    if (state === undefined || state.appendTicket !== ticket) return []
+    state.appendTicket = undefined
+    noteFailure(state)
+    // The record may be in the log by now; reading its end saves a second append in most cases.
+    state.targetOffset = Math.max(state.targetOffset, state.nextOffset)
+    return []
+  }
+
+  const onBindRequested = (
+    { from, request }: Extract<OwnerMessage, { kind: OwnerMessageKind.BindRequested }>
+  ): OwnerEffect[] => {
+    const waiting = { from, request, expiresMs: clock.nowMs() + BIND_WAIT_MAX_MS }
+    const state = shards.get(request.shard)
+    if (state === undefined) return [answer(waiting, ResultCode.BindingUnavailable)]
+    const earlier = state.waiting.get(request.requestId)
+    if (earlier === undefined && state.waiting.size >= queueMax) return [answer(waiting, ResultCode.BindingUnavailable)]
+    // A repeated request does not extend the wait, so a log outage is reported in time.
+    state.waiting.set(request.requestId, { ...waiting, expiresMs: earlier?.expiresMs ?? waiting.expiresMs })
+    return advance(state)
+  }
+
+  const onShardGained = ({ shard }: { shard: number }): OwnerEffect[] => {
+    if (shards.has(shard)) return []
+    const table = createBindingTable({
+      clock, windowMs: longestWindowMs, bindingsMax, requiresNamedOffset: rules.rebindNamesBinding
+    })
+    const state = getDefaultOwnerShard(shard, table)
+    shards.set(shard, state)
+    return advance(state)
+  }
+
+  const onShardLost = ({ shard }: { shard: number }): OwnerEffect[] => {
+    const state = shards.get(shard)
+    shards.delete(shard)
+    return [...state?.waiting.values() ?? []].map(waiting => answer(waiting, ResultCode.BindingUnavailable))
+  }
+
+  const onTick = (): OwnerEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects: OwnerEffect[] = []
+    for (const state of shards.values()) {
+      state.table.forget()
+      for (const [id, waiting] of state.waiting) {
+        if (nowMs < waiting.expiresMs) continue
+        state.waiting.delete(id)
+        effects.push(answer(waiting, state.isLogDown ? ResultCode.LogUnavailable : ResultCode.BindingUnavailable))
+      }
+      advance(state, effects)
+    }
+    return effects
+  }
+
+  const onWindowChanged = ({ windowMs: changedMs }: { windowMs: number }): OwnerEffect[] => {
+    longestWindowMs = changedMs
+    for (const { table } of shards.values()) table.setWindow(changedMs)
+    return []
+  }
+
+  const handlers: HandlerTable<OwnerMessage, OwnerEffect[]> = {
+    [OwnerMessageKind.ShardGained]: onShardGained,
+    [OwnerMessageKind.ShardLost]: onShardLost,
+    [OwnerMessageKind.BindRequested]: onBindRequested,
+    [OwnerMessageKind.PageRead]: onPageRead,
+    [OwnerMessageKind.ReadFailed]: onReadFailed,
+    [OwnerMessageKind.AppendDone]: onAppendDone,
+    [OwnerMessageKind.AppendFailed]: onAppendFailed,
+    [OwnerMessageKind.WindowChanged]: onWindowChanged,
+    [OwnerMessageKind.Tick]: onTick
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- /dev/null
+++ b/src/once/index.ts
@@ -0,0 +1,10 @@
+/** Calls that run at most once, by idempotency keys bound to agents through the log. */
+export * from './constants.js'
+export { createBindingOwner, type BindingOwnerOptions } from './createBindingOwner.js'
+export { createKeyedCall, type KeyedCallOptions } from './createKeyedCall.js'
+export { createKeyedRuns, type KeyedRunsOptions } from './createKeyedRuns.js'
+export * from './keyedCallTypes.js'
+export * from './keyedRunsTypes.js'
+export * from './ownerTypes.js'
+export { parseIdempotencyKey, type ParsedIdempotencyKey, type ParseIdempotencyKeyOptions } from './parseIdempotencyKey.js'
+export * from './types.js'
--- /dev/null
+++ b/src/once/ownerTypes.ts
@@ -0,0 +1,58 @@
+import type { LogPage } from '../platform/index.js'
+import type { BindingRecord, BindReply, BindRequest } from './types.js'
+
+/** Messages that the owner of shards handles. */
+export enum OwnerMessageKind {
+  ShardGained = 'shard-gained',
+  ShardLost = 'shard-lost',
+  BindRequested = 'bind-requested',
+  PageRead = 'page-read',
+  ReadFailed = 'read-failed',
+  AppendDone = 'append-done',
+  /** The append may have taken effect all the same. */
+  AppendFailed = 'append-failed',
+  /** The longest window of all pools has changed. */
+  WindowChanged = 'window-changed',
+  Tick = 'tick'
+}
+
+/** `ticket` repeats the ticket of the effect that is answered. */
+export type OwnerMessage =
+  | { kind: OwnerMessageKind.ShardGained, shard: number }
+  | { kind: OwnerMessageKind.ShardLost, shard: number }
+  | { kind: OwnerMessageKind.BindRequested, from: string, request: BindRequest }
+  | { kind: OwnerMessageKind.PageRead, shard: number, ticket: number, page: LogPage }
+  | { kind: OwnerMessageKind.ReadFailed, shard: number, ticket: number }
+  | { kind: OwnerMessageKind.AppendDone, shard: number, ticket: number, offset: number }
+  | { kind: OwnerMessageKind.AppendFailed, shard: number, ticket: number }
+  | { kind: OwnerMessageKind.WindowChanged, windowMs: number }
+  | { kind: OwnerMessageKind.Tick }
+
+/** Effects of the owner of shards. */
+export enum OwnerEffectKind {
+  Append = 'append',
+  Read = 'read',
+  Reply = 'reply',
+  /** The log does not retain the whole window; keys older than `floorMs` end as unknown. */
+  RetentionShort = 'retention-short'
+}
+
+export type OwnerEffect =
+  | { kind: OwnerEffectKind.Append, shard: number, ticket: number, stream: string, record: BindingRecord }
+  | { kind: OwnerEffectKind.Read, shard: number, ticket: number, stream: string, fromOffset: number, recordsMax: number }
+  | { kind: OwnerEffectKind.Reply, to: string, reply: BindReply }
+  | { kind: OwnerEffectKind.RetentionShort, shard: number, floorMs: number }
+
+/** Rules that tests switch off to show that a check notices their absence. */
+export interface OwnerRules {
+  /** Replies only after the log was read up to the owner's own record. */
+  readsBeforeReply: boolean
+  /** A rebind counts only if it names the binding in effect. */
+  rebindNamesBinding: boolean
+  /** Keys older than what is surely known are refused. */
+  refusesForgottenKeys: boolean
+}
+
+export const OWNER_RULES: OwnerRules = {
+  readsBeforeReply: true, rebindNamesBinding: true, refusesForgottenKeys: true
+}
