--- /dev/null
+++ b/bench/once/runInWorkers.ts
@@ -0,0 +1,39 @@
+import { Worker } from 'node:worker_threads'
+import { createRandom } from '../../src/core/index.js'
+import { type Counts, getDefaultCounts } from './checks.js'
+import type { WorkerPart } from './scheduleWorker.js'
+
+/** Each thread runs one part with a seed of its own. */
+const THREADS = 4
+
+export interface ScheduleCounts {
+  counts: Counts
+  naive: Counts
+}
+
+const addCounts = (sum: Counts, part: Counts): Counts => {
+  for (const name of Object.keys(sum) as Array<keyof Counts>) sum[name] += part[name]
+  return sum
+}
+
+const runPart = (part: WorkerPart): Promise<ScheduleCounts> => new Promise((resolve, reject) => {
+  const worker = new Worker(new URL('./workerMain.mjs', import.meta.url), { workerData: part })
+  worker.once('message', resolve)
+  worker.once('error', reject)
+})
+
+/** Runs `count` schedules and, under the same seeds, `naiveCount` schedules of the naive version. */
+export const runInWorkers = async (
+  { seed, count, naiveCount }: { seed: number, count: number, naiveCount: number }
+): Promise<ScheduleCounts> => {
+  const random = createRandom(seed)
+  const parts: WorkerPart[] = Array.from({ length: THREADS }, () => ({
+    seed: random.int(0, 0x7fffffff), count: Math.ceil(count / THREADS), naiveCount: Math.ceil(naiveCount / THREADS)
+  }))
+  const sum: ScheduleCounts = { counts: getDefaultCounts(), naive: getDefaultCounts() }
+  for (const result of await Promise.all(parts.map(runPart))) {
+    addCounts(sum.counts, result.counts)
+    addCounts(sum.naive, result.naive)
+  }
+  return sum
+}
--- a/src/once/createBindingTable.ts
+++ b/src/once/createBindingTable.ts
@@ -46,7 +46,9 @@
     }
   }
 
-  const handlers = (offset: number): HandlerTable<BindingItem, void> => ({
+  /** Offset of the record that is being applied. */
+  let offset = 0
+  const handlers: HandlerTable<BindingItem, void> = {
     [BindingKind.Bind]: ({ scopedKey, keyTimeMs, agent, fingerprint }) => {
       if (bindings.has(scopedKey)) return
       bindings.set(scopedKey, { offset, agent, fingerprint })
@@ -58,14 +60,14 @@
       if (requiresNamedOffset && binding.offset !== supersededOffset) return
       bindings.set(scopedKey, { ...binding, offset, agent })
     }
-  })
+  }
 
   return {
     get: scopedKey => bindings.get(scopedKey),
     apply: record => {
       const { bindings: items } = record.body as BindingRecord
-      const table = handlers(record.offset)
-      for (const item of items) if (item.keyTimeMs >= floor.floorMs) dispatch(table, item)
+      offset = record.offset
+      for (const item of items) if (item.keyTimeMs >= floor.floorMs) dispatch(handlers, item)
       trim()
     },
     // A key may be bound up to one margin before its own time, by an owner one margin off the log's clock.
