Run at-most-once calls end to end

Cause: a resent order must not run twice, whichever entry it goes through. Change: shard owner over the log, keyed calls at the entry, keyed runs at the agent, pool rows to agents, frames of the at-most-once slice. Before: a route with repeat atMostOnce was served as any other. Conclusion: owners are chosen among the seed entries until gossip lands.

--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -5,19 +5,24 @@
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, type LinkHandle, listenForLinks, NodeRole,
   type PeerIdentity, splitAddress
 } from '../../links/index.js'
+import { MetricName, SpanName } from '../../observe/index.js'
 import { createUpstreamClient } from '../../platform/index.js'
 import {
   type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns,
-  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, runFrameSchema
+  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema
 } from '../../requests/index.js'
+import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
-import { createUpstreamTask } from './upstreamTask.js'
+import { createKeyedRunsTask } from './keyedRunsTask.js'
+import { createPoolRowHolder } from './poolRowHolder.js'
+import { createUpstreamTask, toUpstreamCall } from './upstreamTask.js'
 
 const log = createLog('agent')
 
 /** Entries that an agent keeps a link to, so that it is announced even while some of them restart. */
 const REGISTRATION_LINKS = 3
 const DRAIN_POLL_MS = 100
+const METRICS_INTERVAL_MS = 5_000
 
 export interface AgentNodeOptions {
   settings: AgentSettings
@@ -59,17 +64,35 @@
     for (const { link } of linksById.values()) link.send(frame)
   }
 
+  const { metrics, tracing } = createObservability('baobabdrift-agent', settings)
+  const poolRow = createPoolRowHolder(row => keyedRuns.setWindow(row.onceWindowMs))
   const client = createUpstreamClient(settings.upstreamUrl)
   const upstream = createUpstreamTask({ client, clock, broadcast })
   const runs = createAgentRuns({ clock })
 
-  const performers: HandlerTable<AgentRunEffect, void> = {
-    [AgentRunEffectKind.StartUpstream]: ({ runId, frame }) => upstream.start(runId, frame, {
+  const startRun = (runId: string, frame: RunFrame) => {
+    const { request, requestId, remainingMs, estimatedTokens } = frame
+    const agentSpan = tracing.startSpan(SpanName.Agent, frame.traceparent, { requestId, agentId: settings.nodeId })
+    const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
+    const call = toUpstreamCall(request, { requestId, timeoutMs: remainingMs, traceparent: engineSpan.traceparent })
+    upstream.start(runId, call, estimatedTokens, {
       onHead: (status, contentType) =>
         task.post({ kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
       onBytes: bytes => task.post({ kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
-      onEnd: code => task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code })
-    }),
+      onEnd: code => {
+        engineSpan.end(code)
+        agentSpan.end(code)
+        task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code })
+      }
+    })
+  }
+
+  const keyedRuns = createKeyedRunsTask({
+    clock, incarnation, upstream, tracing, sendTo: (linkId, frame) => linksById.get(linkId)?.link.send(frame)
+  })
+
+  const performers: HandlerTable<AgentRunEffect, void> = {
+    [AgentRunEffectKind.StartUpstream]: ({ runId, frame }) => startRun(runId, frame),
     [AgentRunEffectKind.CancelUpstream]: ({ runId }) => upstream.cancel(runId),
     [AgentRunEffectKind.SendFrame]: ({ linkId, frame }) => linksById.get(linkId)?.link.send(frame)
   }
@@ -84,12 +107,17 @@
     [FrameKind.Resume]: (linkId, frame) =>
       task.post({ kind: AgentRunMessageKind.ResumeRequested, linkId, frame: parseFrame(resumeFrameSchema, frame) }),
     [FrameKind.Cancel]: (linkId, frame) =>
-      task.post({ kind: AgentRunMessageKind.CancelRequested, linkId, frame: parseFrame(cancelFrameSchema, frame) })
+      task.post({ kind: AgentRunMessageKind.CancelRequested, linkId, frame: parseFrame(cancelFrameSchema, frame) }),
+    [FrameKind.Dispatch]: keyedRuns.onDispatch,
+    [FrameKind.VoidIfUnseen]: keyedRuns.onVoidIfUnseen,
+    [FrameKind.Detach]: keyedRuns.onDetach,
+    [FrameKind.Rows]: (_linkId, frame) => poolRow.offer(frame)
   }
 
   const forgetLink = (linkId: string) => {
     linksById.delete(linkId)
     task.post({ kind: AgentRunMessageKind.LinkLost, linkId })
+    keyedRuns.onLinkLost(linkId)
   }
 
   const onReady = (link: LinkHandle, peer: PeerIdentity) => {
@@ -143,16 +171,24 @@
   registration.setWanted(settings.entries.slice(0, REGISTRATION_LINKS))
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
 
+  const metricsTimer = setInterval(() => {
+    metrics.record(MetricName.RunsLive, runs.activeCount + keyedRuns.activeCount)
+    metrics.record(MetricName.LinksOpen, linksById.size)
+    metrics.record(MetricName.UpstreamUp, upstream.isUp ? 1 : 0)
+  }, METRICS_INTERVAL_MS)
+
   const stop = async () => {
+    clearInterval(metricsTimer)
     task.stop()
+    keyedRuns.stop()
     registration.close()
     await server.close()
-    await upstream.stop()
+    await Promise.all([upstream.stop(), metrics.close(), tracing.close()])
   }
 
   const waitForRuns = async () => {
     const limitMs = clock.nowMs() + settings.drainLimitMs
-    while (runs.activeCount > 0 && clock.nowMs() < limitMs) {
+    while (runs.activeCount + keyedRuns.activeCount > 0 && clock.nowMs() < limitMs) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
     }
   }
@@ -161,6 +197,7 @@
     log('agent %s drains', settings.nodeId)
     isDraining = true
     task.post({ kind: AgentRunMessageKind.DrainStarted })
+    keyedRuns.startDrain()
     broadcast({ kind: FrameKind.Drain })
     await waitForRuns()
     await stop()
--- /dev/null
+++ b/src/nodes/agent/keyedRunsTask.ts
@@ -0,0 +1,107 @@
+import { type Clock, createTask, dispatch, type HandlerTable, type Incarnation, ResultCode, type Task } from '../../core/index.js'
+import { FrameKind, type Frame } from '../../links/index.js'
+import { type HopSpan, SpanName, type Tracing } from '../../observe/index.js'
+import {
+  createKeyedRuns, detachFrameSchema, dispatchFrameSchema, type RunsEffect, RunsEffectKind, type RunsMessage,
+  RunsMessageKind, voidFrameSchema
+} from '../../once/index.js'
+import { parseFrame, REQUEST_TICK_MS } from '../../requests/index.js'
+import { decodeRequest, encodeHead } from '../requestCodec.js'
+import { toUpstreamCall, type UpstreamTask } from './upstreamTask.js'
+
+/** A keyed run is never cancelled by its callers, so the upstream gets a time limit of its own. */
+const KEYED_RUN_TIMEOUT_MS = 600_000
+/** Until the pool's row arrives no key is forgotten. */
+const WINDOW_UNKNOWN_MS = 86_400_000
+const TASK_CAPACITY = 65_536
+
+export interface KeyedRunsTaskOptions {
+  clock: Clock
+  incarnation: Incarnation
+  upstream: UpstreamTask
+  tracing: Tracing
+  sendTo: (linkId: string, frame: Frame) => void
+}
+
+/** Runs keyed calls on the agent's upstream. */
+export interface KeyedRunsTask {
+  onDispatch (linkId: string, frame: Frame): void
+  onVoidIfUnseen (linkId: string, frame: Frame): void
+  onDetach (linkId: string, frame: Frame): void
+  onLinkLost (linkId: string): void
+  setWindow (windowMs: number): void
+  startDrain (): void
+  readonly activeCount: number
+  stop (): void
+}
+
+/**
+ * Creates the task that owns the keyed runs of one agent.
+ *
+ * @example
+ * const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, tracing, sendTo })
+ */
+export const createKeyedRunsTask = (
+  { clock, incarnation, upstream, tracing, sendTo }: KeyedRunsTaskOptions
+): KeyedRunsTask => {
+  const active = new Set<string>()
+
+  const startRun = (runId: string, body: Uint8Array) => {
+    active.add(runId)
+    const { request, traceparent } = decodeRequest(body)
+    const agentSpan = tracing.startSpan(SpanName.Agent, traceparent, { runId })
+    const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
+    const call = toUpstreamCall(request, { requestId: runId, timeoutMs: KEYED_RUN_TIMEOUT_MS, traceparent: engineSpan.traceparent })
+    let httpStatus = 0
+    upstream.start(runId, call, 0, {
+      onHead: (status, contentType) => {
+        httpStatus = status
+        task.post({ kind: RunsMessageKind.UpstreamChunk, runId, bytes: encodeHead({ status, contentType }) })
+      },
+      onBytes: bytes => task.post({ kind: RunsMessageKind.UpstreamChunk, runId, bytes }),
+      onEnd: (code, hasStarted) => {
+        active.delete(runId)
+        endSpans([engineSpan, agentSpan], code)
+        task.post(code === ResultCode.Ok
+          ? { kind: RunsMessageKind.UpstreamEnded, runId, httpStatus }
+          : { kind: RunsMessageKind.UpstreamFailed, runId, code, hasStarted })
+      }
+    })
+  }
+
+  const performers: HandlerTable<RunsEffect, void> = {
+    [RunsEffectKind.StartRun]: ({ runId, body }) => startRun(runId, body),
+    [RunsEffectKind.Reply]: ({ to, reply }) => sendTo(to, { kind: FrameKind.KeyReply, reply })
+  }
+
+  const task: Task<RunsMessage> = createTask({
+    name: 'once',
+    core: createKeyedRuns({ clock, incarnation, windowMs: WINDOW_UNKNOWN_MS }),
+    perform: effect => dispatch(performers, effect),
+    capacity: TASK_CAPACITY
+  })
+  task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RunsMessageKind.Tick }))
+
+  return {
+    onDispatch: (linkId, frame) => {
+      const { dispatch: keyed } = parseFrame(dispatchFrameSchema, frame)
+      // A body that does not decode must not end inside a run that is already bound.
+      decodeRequest(keyed.body)
+      task.post({ kind: RunsMessageKind.Dispatched, from: linkId, frame: keyed })
+    },
+    onVoidIfUnseen: (linkId, frame) => {
+      task.post({ kind: RunsMessageKind.VoidRequested, from: linkId, frame: parseFrame(voidFrameSchema, frame).void })
+    },
+    onDetach: (linkId, frame) => {
+      const { scopedKey, requestId } = parseFrame(detachFrameSchema, frame)
+      task.post({ kind: RunsMessageKind.Detached, from: linkId, scopedKey, requestId })
+    },
+    onLinkLost: linkId => { task.post({ kind: RunsMessageKind.EntryLost, from: linkId }) },
+    setWindow: windowMs => { task.post({ kind: RunsMessageKind.WindowChanged, windowMs }) },
+    startDrain: () => { task.post({ kind: RunsMessageKind.DrainStarted }) },
+    get activeCount () { return active.size },
+    stop: () => task.stop()
+  }
+}
+
+const endSpans = (spans: HopSpan[], code: ResultCode) => spans.forEach(span => span.end(code))
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -1,7 +1,7 @@
 import { type Clock, createLog } from '../../core/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
 import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../platform/index.js'
-import { type ReportFrame, type RunFrame, UpstreamRequestHeader } from '../../requests/index.js'
+import { type ReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
 
 const log = createLog('upstream')
 
@@ -21,19 +21,26 @@
 
 /** Runs calls on the agent's one upstream and reports its load and cache events. */
 export interface UpstreamTask {
-  start (runId: string, frame: RunFrame, listener: UpstreamListener): void
+  start (runId: string, call: UpstreamCall, estimatedTokens: number, listener: UpstreamListener): void
   cancel (runId: string): void
   readonly isUp: boolean
   stop (): Promise<void>
 }
 
-/** Translates a run into the call that the upstream receives. */
-export const toUpstreamCall = ({ request, remainingMs, requestId, traceparent }: RunFrame): UpstreamCall => ({
+/** What a call needs besides the caller's request. */
+export interface CallContext {
+  requestId: string
+  timeoutMs: number
+  traceparent: string | undefined
+}
+
+/** Translates a request into the call that the upstream receives. */
+export const toUpstreamCall = (request: UpstreamRequest, { requestId, timeoutMs, traceparent }: CallContext): UpstreamCall => ({
   method: request.method,
   path: request.path,
   body: request.body,
   isEventStream: request.isEventStream,
-  timeoutMs: Math.max(1, Math.ceil(remainingMs)),
+  timeoutMs: Math.max(1, Math.ceil(timeoutMs)),
   headers: {
     [UpstreamRequestHeader.RequestId]: requestId,
     [UpstreamRequestHeader.Customer]: request.customer,
@@ -49,7 +56,7 @@
  *
  * @example
  * const upstream = createUpstreamTask({ client, clock, broadcast })
- * upstream.start(runId, frame, listener)
+ * upstream.start(runId, call, estimatedTokens, listener)
  */
 export const createUpstreamTask = ({ client, clock, broadcast }: UpstreamTaskOptions): UpstreamTask => {
   const cancels = new Map<string, () => void>()
@@ -123,14 +130,14 @@
   timer.unref()
 
   return {
-    start: (runId, frame, listener) => {
-      acceptedTokens += Math.max(1, frame.estimatedTokens)
-      const cancel = client.run(toUpstreamCall(frame), {
+    start: (runId, call, estimatedTokens, listener) => {
+      acceptedTokens += Math.max(1, estimatedTokens)
+      const cancel = client.run(call, {
         ...listener,
-        onEnd: code => {
+        onEnd: (code, hasStarted) => {
           finishedCount += 1
           cancels.delete(runId)
-          listener.onEnd(code)
+          listener.onEnd(code, hasStarted)
         }
       })
       cancels.set(runId, cancel)
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -2,11 +2,13 @@
   type Clock, createLog, createRequestIds, createTask, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
   createRandom, ResultCode, type Task
 } from '../../core/index.js'
+import { RepeatPolicy } from '../../configuration/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, listenForLinks, NodeRole, type PeerIdentity,
   splitAddress
 } from '../../links/index.js'
 import { MetricName } from '../../observe/index.js'
+import type { BindRequest } from '../../once/index.js'
 import { createLogClient } from '../../platform/index.js'
 import {
   cacheEventsFrameSchema, chunkFrameSchema, createRequestCore, endFrameSchema, parseFrame, refusedFrameSchema,
@@ -17,6 +19,8 @@
 import type { EntrySettings } from '../settings.js'
 import { startCallerFront } from './callerFront.js'
 import { createConfigurationFeed } from './configurationFeed.js'
+import { createKeyedCalls } from './keyedCalls.js'
+import { createOwnerTask, toBoundFrame } from './ownerTask.js'
 import { createPoolRouters } from './poolRouters.js'
 import { createRequestPorts } from './requestPorts.js'
 import { createRequestSpans } from './requestSpans.js'
@@ -30,6 +34,7 @@
 /** Entries asked for their state while the log is out. */
 const PEERS_ASKED = 3
 const METRICS_INTERVAL_MS = 5_000
+const ONCE_WINDOW_DEFAULT_MS = 600_000
 
 export interface EntryNodeOptions {
   settings: EntrySettings
@@ -72,7 +77,8 @@
     clock, random, pool: table.pool, onEjected: () => metrics.record(MetricName.UpstreamsEjectedTotal, 1)
   })
   const spans = createRequestSpans(tracing)
-  const core = createRequestCore({ clock, ports: createRequestPorts({ clock, routers, spans, metrics }) })
+  const ports = createRequestPorts({ clock, routers, spans, metrics })
+  const core = createRequestCore({ clock, ports })
 
   const finish = (requestId: string, use: (sink: ResponseSink) => void) => {
     const sink = sinks.get(requestId)
@@ -107,10 +113,47 @@
     sendToPeers: frame => random.shuffle(peerAddresses()).slice(0, PEERS_ASKED).forEach(address => pool.send(address, frame)),
     sendToPeer: (address, frame) => pool.send(address, frame),
     ownAddress: () => linkAddress,
-    onRowsChanged: offset => metrics.record(MetricName.ConfigurationOffset, offset),
+    onRowsChanged: offset => onRowsChanged(offset),
     onLogFailure: () => metrics.record(MetricName.LogFailuresTotal, 1)
   })
 
+  const owner = createOwnerTask({
+    client: logClient,
+    clock,
+    windowMs: ONCE_WINDOW_DEFAULT_MS,
+    metrics,
+    tracing,
+    reply: (address, reply) => address === linkAddress ? keyedCalls.onBindReply(reply) : pool.send(address, toBoundFrame(reply)),
+    ownAddress: () => linkAddress
+  })
+
+  const askOwner = (request: BindRequest, traceparent: string | undefined) => {
+    const address = owner.ownerOf(request.shard)
+    if (address === undefined || address === linkAddress) owner.bind(linkAddress, request, traceparent)
+    else pool.send(address, { kind: FrameKind.Bind, replyAddress: linkAddress, request, ...(traceparent === undefined ? {} : { traceparent }) })
+  }
+
+  const keyedCalls = createKeyedCalls({
+    clock,
+    ports,
+    windowMsOf: name => table.pool(name)?.onceWindowMs ?? ONCE_WINDOW_DEFAULT_MS,
+    askOwner,
+    sendToAgent: (address, frame) => pool.send(address, frame),
+    traceparentOf: spans.traceparentOf
+  })
+
+  /** Sends each agent the row of its pool. */
+  const sendRow = (peer: PeerIdentity) => {
+    const row = peer.pool === undefined ? undefined : table.pool(peer.pool)
+    if (row !== undefined) pool.send(peer.address, { kind: FrameKind.Rows, offset: table.poolOffset(row.name), row })
+  }
+
+  const onRowsChanged = (offset: number) => {
+    metrics.record(MetricName.ConfigurationOffset, offset)
+    owner.setWindow(Math.max(ONCE_WINDOW_DEFAULT_MS, ...table.pools().map(({ onceWindowMs }) => onceWindowMs)))
+    knownAgents.forEach(sendRow)
+  }
+
   const onReport = (peer: PeerIdentity, frame: Frame) => {
     const report = parseFrame(reportFrameSchema, frame)
     if (report.isUp) routers.addAgent(peer)
@@ -126,7 +169,10 @@
     [FrameKind.CacheEvents]: (peer, frame) => routers.noteCacheEvents(peer.nodeId, parseFrame(cacheEventsFrameSchema, frame)),
     [FrameKind.Drain]: peer => routers.setDraining(peer.nodeId),
     [FrameKind.PeerStateRequest]: (_peer, frame) => feed.onPeerStateRequest(frame),
-    [FrameKind.PeerState]: (_peer, frame) => feed.onPeerState(frame)
+    [FrameKind.PeerState]: (_peer, frame) => feed.onPeerState(frame),
+    [FrameKind.Bind]: (_peer, frame) => owner.onBind(frame),
+    [FrameKind.Bound]: (_peer, frame) => keyedCalls.onBound(frame),
+    [FrameKind.KeyReply]: (peer, frame) => keyedCalls.onKeyReply(peer, frame)
   }
 
   const onFrame = ({ link, peer, frame }: Extract<LinkEvent, { kind: LinkEventKind.Frame }>) => {
@@ -143,6 +189,8 @@
     [LinkEventKind.Ready]: ({ peer }) => {
       if (peer.role !== NodeRole.Agent) return
       routers.addAgent(peer)
+      sendRow(peer)
+      keyedCalls.onAgentLinked(peer)
       task.post({ kind: RequestMessageKind.AgentLinked, agentId: peer.nodeId, incarnation: peer.incarnation })
     },
     [LinkEventKind.Frame]: onFrame,
@@ -150,6 +198,7 @@
       metrics.record(MetricName.LinksLostTotal, 1)
       if (peer?.role !== NodeRole.Agent) return
       routers.removeAgent(peer.nodeId)
+      keyedCalls.onAgentUnlinked(peer)
       task.post({ kind: RequestMessageKind.AgentUnlinked, agentId: peer.nodeId })
     }
   }
@@ -173,6 +222,7 @@
     host: linkHost, port: linkPort, self, keys, clock, emit: event => dispatch(acceptedHandlers, event)
   })
   linkAddress = `${linkHost}:${server.port}`
+  owner.setEntries([...new Set([...settings.entries, linkAddress])])
 
   const front = await startCallerFront({
     host: callerHost,
@@ -182,10 +232,14 @@
     nextRequestId: createRequestIds(incarnation),
     addressesFor: () => ({ addresses: [callerAddress], lifetimeMs: settings.addressLifetimeMs }),
     status: () => ({
-      nodeId: settings.nodeId, incarnation, isDraining, configurationOffset: table.offset, liveRequests: core.liveCount, agents: routers.agentCount
+      nodeId: settings.nodeId, incarnation, isDraining, configurationOffset: table.offset, liveRequests: core.liveCount + keyedCalls.liveCount, agents: routers.agentCount
     }),
     gateway: {
       submit: (request, sink) => {
+        if (request.repeat === RepeatPolicy.AtMostOnce) {
+          keyedCalls.submit(request, sink)
+          return
+        }
         sinks.set(request.requestId, sink)
         if (!task.post({ kind: RequestMessageKind.Submitted, request })) {
           finish(request.requestId, refused => refused.onFail(ResultCode.Overloaded))
@@ -193,6 +247,7 @@
       },
       cancel: requestId => {
         sinks.delete(requestId)
+        keyedCalls.cancel(requestId)
         task.post({ kind: RequestMessageKind.CallerGone, requestId })
       }
     }
@@ -200,13 +255,16 @@
   callerAddress = `${callerHost}:${front.port}`
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RequestMessageKind.Tick }))
   const routerTimer = setInterval(routers.tick, 1_000)
+  const keyedTimer = setInterval(keyedCalls.tick, REQUEST_TICK_MS)
   const metricsTimer = setInterval(() => {
-    metrics.record(MetricName.RequestsLive, core.liveCount)
+    metrics.record(MetricName.RequestsLive, core.liveCount + keyedCalls.liveCount)
     metrics.record(MetricName.FramesDroppedTotal, core.droppedFrameCount)
   }, METRICS_INTERVAL_MS)
 
   const stop = async () => {
     clearInterval(routerTimer)
+    clearInterval(keyedTimer)
+    owner.stop()
     clearInterval(metricsTimer)
     task.stop()
     feed.stop()
@@ -219,7 +277,7 @@
   const drain = async () => {
     isDraining = true
     const limitMs = clock.nowMs() + settings.drainLimitMs
-    while (core.liveCount > 0 && clock.nowMs() < limitMs) await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
+    while (core.liveCount + keyedCalls.liveCount > 0 && clock.nowMs() < limitMs) await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
     await stop()
   }
 
--- /dev/null
+++ b/src/nodes/entry/keyedCalls.ts
@@ -0,0 +1,213 @@
+import { type Clock, describeResult, dispatch, type HandlerTable, type Incarnation, Outcome, ResultCode } from '../../core/index.js'
+import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
+import {
+  type AgentRef, type BindReply, type BindRequest, boundFrameSchema, type CallEffect, CallEffectKind, type CallMessage,
+  CallMessageKind, createKeyedCall, keyReplyFrameSchema, parseIdempotencyKey
+} from '../../once/index.js'
+import { AttemptResult, type ChosenAgent, HOLD_BACK_MAX_BYTES, parseFrame, type RequestPorts, type SubmittedRequest } from '../../requests/index.js'
+import { decodeHead, encodeRequest } from '../requestCodec.js'
+import type { ResponseSink } from './types.js'
+
+interface LiveCall {
+  submitted: SubmittedRequest
+  core: ReturnType<typeof createKeyedCall>
+  sink: ResponseSink
+  /** Code of an admission that refused; the call may then only find an existing binding. */
+  refusal: ResultCode | undefined
+  agent: ChosenAgent | undefined
+  isDispatched: boolean
+  hasHead: boolean
+  isCommitted: boolean
+  head: ReturnType<typeof decodeHead> | undefined
+  held: Uint8Array[]
+  heldBytes: number
+  traceparent: string | undefined
+}
+
+export interface KeyedCallsOptions {
+  clock: Clock
+  ports: RequestPorts
+  windowMsOf: (pool: string) => number
+  /** Asks the owner of a shard. */
+  askOwner: (request: BindRequest, traceparent: string | undefined) => void
+  sendToAgent: (address: string, frame: Frame) => void
+  /** Trace context of the entry's span of a request. */
+  traceparentOf: (request: SubmittedRequest) => string | undefined
+}
+
+/** Calls that run at most once, as one entry drives them. */
+export interface KeyedCalls {
+  submit (submitted: SubmittedRequest, sink: ResponseSink): void
+  cancel (requestId: string): void
+  onBindReply (reply: BindReply): void
+  onBound (frame: Frame): void
+  onKeyReply (peer: PeerIdentity, frame: Frame): void
+  onAgentLinked (peer: PeerIdentity): void
+  onAgentUnlinked (peer: PeerIdentity): void
+  onOwnersChanged (): void
+  tick (): void
+  readonly liveCount: number
+}
+
+/**
+ * Creates the table of keyed calls of one entry: one core per call.
+ *
+ * @example
+ * const calls = createKeyedCalls({ clock, ports, windowMsOf, askOwner, sendToAgent })
+ * calls.submit(request, sink)
+ */
+export const createKeyedCalls = ({ clock, ports, windowMsOf, askOwner, sendToAgent, traceparentOf }: KeyedCallsOptions): KeyedCalls => {
+  const live = new Map<string, LiveCall>()
+  const incarnationByAddress = new Map<string, Incarnation>()
+
+  const flush = (call: LiveCall) => {
+    if (!call.isCommitted && call.head !== undefined) call.sink.onHead(call.head)
+    call.isCommitted = true
+    call.held.splice(0).forEach(bytes => call.sink.onBody(bytes))
+    call.heldBytes = 0
+  }
+
+  const forward = (call: LiveCall, bytes: Uint8Array) => {
+    if (!call.hasHead) {
+      call.hasHead = true
+      call.head = decodeHead(bytes)
+      return
+    }
+    call.held.push(bytes)
+    call.heldBytes += bytes.length
+    if (call.isCommitted || call.heldBytes > HOLD_BACK_MAX_BYTES) flush(call)
+  }
+
+  const finish = (call: LiveCall, code: ResultCode) => {
+    const { submitted, sink, refusal, agent } = call
+    // Without a binding the reason why no agent was offered is the honest answer.
+    const finalCode = refusal !== undefined && code === ResultCode.NoUpstream ? refusal : code
+    live.delete(submitted.requestId)
+    if (agent !== undefined && call.isDispatched) {
+      ports.onAttemptEnded(submitted, agent, 0, finalCode === ResultCode.Ok ? AttemptResult.Finished : resultOf(finalCode))
+    }
+    ports.onRequestEnded(submitted, finalCode)
+    if (finalCode !== ResultCode.Ok) {
+      sink.onFail(finalCode)
+      return
+    }
+    flush(call)
+    sink.onComplete()
+  }
+
+  const choose = (call: LiveCall, excluded: readonly AgentRef[]): AgentRef | undefined => {
+    if (call.refusal !== undefined) return undefined
+    const excludedIncarnations = new Set(excluded.map(({ incarnation }) => incarnation))
+    const excludedIds: string[] = []
+    for (let attempt = 0; attempt <= excluded.length; attempt++) {
+      const agent = ports.choose(call.submitted, excludedIds)
+      if (typeof agent === 'number') return undefined
+      if (!excludedIncarnations.has(agent.incarnation)) {
+        call.agent = agent
+        return { incarnation: agent.incarnation, address: agent.address }
+      }
+      excludedIds.push(agent.agentId)
+    }
+    return undefined
+  }
+
+  const noteDispatch = (call: LiveCall, { incarnation }: AgentRef) => {
+    if (call.isDispatched || call.agent?.incarnation !== incarnation) return
+    call.isDispatched = true
+    ports.onDispatched(call.submitted, call.agent, 0)
+  }
+
+  const performersOf = (call: LiveCall): HandlerTable<CallEffect, void> => ({
+    [CallEffectKind.ChooseAgent]: ({ excluded }) => {
+      const agent = choose(call, excluded)
+      post(call, { kind: CallMessageKind.AgentChosen, ...(agent === undefined ? {} : { agent }) })
+    },
+    [CallEffectKind.AskOwner]: ({ request }) => askOwner(request, call.traceparent),
+    [CallEffectKind.Dispatch]: ({ agent, frame }) => {
+      const known = incarnationByAddress.get(agent.address)
+      if (known !== undefined && known !== agent.incarnation) {
+        post(call, { kind: CallMessageKind.AgentGone, incarnation: agent.incarnation })
+        return
+      }
+      noteDispatch(call, agent)
+      sendToAgent(agent.address, { kind: FrameKind.Dispatch, dispatch: frame })
+    },
+    [CallEffectKind.SendVoid]: ({ agent, frame }) => sendToAgent(agent.address, { kind: FrameKind.VoidIfUnseen, void: frame }),
+    [CallEffectKind.Detach]: ({ agent, scopedKey, requestId }) =>
+      sendToAgent(agent.address, { kind: FrameKind.Detach, scopedKey, requestId }),
+    [CallEffectKind.Forward]: ({ bytes }) => forward(call, bytes),
+    [CallEffectKind.Finish]: ({ code }) => finish(call, code)
+  })
+
+  const post = (call: LiveCall, message: CallMessage) => {
+    const performers = performersOf(call)
+    for (const effect of call.core.handle(message)) dispatch(performers, effect)
+  }
+
+  const postAll = (message: CallMessage) => {
+    for (const call of [...live.values()]) post(call, message)
+  }
+
+  const submit = (submitted: SubmittedRequest, sink: ResponseSink) => {
+    const { requestId, customer, request, fingerprint, deadlineAtMs } = submitted
+    const parsed = parseIdempotencyKey({
+      header: request.idempotencyKey, customer, windowMs: windowMsOf(submitted.pool), nowMs: clock.nowMs()
+    })
+    if (parsed.code !== ResultCode.Ok) {
+      sink.onFail(parsed.code)
+      return
+    }
+    const refusal = ports.admit(submitted)
+    const traceparent = traceparentOf(submitted)
+    const call: LiveCall = {
+      submitted,
+      sink,
+      refusal,
+      agent: undefined,
+      isDispatched: false,
+      hasHead: false,
+      isCommitted: false,
+      head: undefined,
+      held: [],
+      heldBytes: 0,
+      traceparent,
+      core: createKeyedCall({
+        requestId, key: parsed.key, fingerprint, deadlineMs: deadlineAtMs, clock, body: encodeRequest({ request, traceparent })
+      })
+    }
+    live.set(requestId, call)
+    post(call, { kind: CallMessageKind.Started })
+  }
+
+  const withCall = (requestId: string, use: (call: LiveCall) => void) => {
+    const call = live.get(requestId)
+    if (call !== undefined) use(call)
+  }
+
+  return {
+    submit,
+    cancel: requestId => withCall(requestId, call => post(call, { kind: CallMessageKind.CallerGone })),
+    onBindReply: reply => withCall(reply.requestId, call => post(call, { kind: CallMessageKind.BindReplied, reply })),
+    onBound: frame => {
+      const { reply } = parseFrame(boundFrameSchema, frame)
+      withCall(reply.requestId, call => post(call, { kind: CallMessageKind.BindReplied, reply: reply as BindReply }))
+    },
+    onKeyReply: ({ incarnation }, frame) => {
+      const { reply } = parseFrame(keyReplyFrameSchema, frame)
+      withCall(reply.requestId, call =>
+        post(call, { kind: CallMessageKind.AgentReplied, incarnation, reply: reply as never }))
+    },
+    onAgentLinked: ({ address, incarnation }) => {
+      const previous = incarnationByAddress.get(address)
+      incarnationByAddress.set(address, incarnation)
+      if (previous !== undefined && previous !== incarnation) postAll({ kind: CallMessageKind.AgentGone, incarnation: previous })
+    },
+    onAgentUnlinked: ({ incarnation }) => postAll({ kind: CallMessageKind.LinkLost, incarnation }),
+    onOwnersChanged: () => postAll({ kind: CallMessageKind.OwnerChanged }),
+    tick: () => postAll({ kind: CallMessageKind.Tick }),
+    get liveCount () { return live.size }
+  }
+}
+
+const resultOf = (code: ResultCode): AttemptResult =>
+  describeResult(code).outcome === Outcome.NotRun ? AttemptResult.Refused : AttemptResult.Lost
--- a/src/nodes/entry/requestSpans.ts
+++ b/src/nodes/entry/requestSpans.ts
@@ -13,6 +13,7 @@
 /** Spans of the requests and attempts in flight at one entry. */
 export interface RequestSpans {
   startRequest (request: SubmittedRequest): void
+  traceparentOf (request: SubmittedRequest): string | undefined
   startAttempt (request: SubmittedRequest, agent: ChosenAgent, attempt: number): string | undefined
   noteResume (request: SubmittedRequest, attempt: number): void
   endAttempt (request: SubmittedRequest, attempt: number, result: AttemptResult): void
@@ -41,6 +42,7 @@
       const { requestId, route, pool, customer, traceparent } = request
       requests.set(requestId, tracing.startSpan(SpanName.Entry, traceparent, { requestId, route, pool, customer }))
     },
+    traceparentOf: ({ requestId }) => requests.get(requestId)?.traceparent,
     startAttempt: (request, { agentId }, attempt) => {
       const parent = requests.get(request.requestId)?.traceparent
       const span = tracing.startSpan(SpanName.Attempt, parent, { requestId: request.requestId, agentId, attempt })
--- a/src/nodes/localFleet.ts
+++ b/src/nodes/localFleet.ts
@@ -48,7 +48,7 @@
   let agentCount = 0
 
   const domainOf = (index: number) => FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
-  const seedAddresses = () => entries.length === 0 ? ['127.0.0.1:1'] : entries.map(({ linkAddress }) => linkAddress)
+  const seedAddresses = () => entries.map(({ linkAddress }) => linkAddress)
 
   const nodeDefaults = (index: number) => ({
     failureDomain: domainOf(index), region: 'greater-accra', linkAddress: '127.0.0.1:0', entries: seedAddresses(), fleetKeys: FLEET_KEYS
--- /dev/null
+++ b/src/nodes/requestCodec.ts
@@ -0,0 +1,34 @@
+import { Encoder } from 'cbor-x'
+import { z } from 'zod'
+import { FrameError } from '../core/index.js'
+import { type ResponseHead, responseHeadSchema, type UpstreamRequest, upstreamRequestSchema } from '../requests/index.js'
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+
+const tracedRequestSchema = z.object({ request: upstreamRequestSchema, traceparent: z.string().max(256).optional() })
+
+/** A request with the trace context of its call. */
+export interface TracedRequest {
+  request: UpstreamRequest
+  traceparent?: string | undefined
+}
+
+/** Encodes the request of a keyed call; the at-most-once slice carries it as opaque bytes. */
+export const encodeRequest = (traced: TracedRequest): Uint8Array => encoder.encode(traced)
+
+/** Decodes the request of a keyed call; throws FrameError if it is malformed. */
+export const decodeRequest = (bytes: Uint8Array): TracedRequest => {
+  const parsed = tracedRequestSchema.safeParse(encoder.decode(bytes))
+  if (!parsed.success) throw new FrameError('request of a keyed call is malformed')
+  return parsed.data
+}
+
+/** Encodes the head of a keyed response; it is the first chunk of the answer. */
+export const encodeHead = (head: ResponseHead): Uint8Array => encoder.encode(head)
+
+/** Decodes the first chunk of a keyed response; throws FrameError if it is no head. */
+export const decodeHead = (bytes: Uint8Array): ResponseHead => {
+  const parsed = responseHeadSchema.safeParse(encoder.decode(bytes))
+  if (!parsed.success) throw new FrameError('head of a keyed response is malformed')
+  return parsed.data
+}
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -20,13 +20,13 @@
   failureDomain: nodeName,
   region: nodeName,
   linkAddress: socketAddress.describe('TCP address for links; entries gossip on the same UDP port'),
-  entries: z.array(socketAddress).min(1).describe('Link addresses of entries to start from'),
   fleetKeys: z.array(fleetKeySchema).min(1).describe('Accepted keys; the first one signs'),
   metrics: metricsSchema.optional(),
   traces: tracesSchema.optional()
 })
 
 export const entrySettingsSchema = nodeSchema.extend({
+  entries: z.array(socketAddress).default([]).describe('Link addresses of other entries to start from'),
   callerAddress: socketAddress.describe('Address that callers connect to'),
   logUrl: url,
   logRetentionMs: z.number().int().min(60_000).default(86_400_000).describe('How long the log keeps a record'),
@@ -37,6 +37,7 @@
 })
 
 export const agentSettingsSchema = nodeSchema.extend({
+  entries: z.array(socketAddress).min(1).describe('Link addresses of entries to register with'),
   pool: nodeName,
   upstreamUrl: url,
   weightStoreUrl: url.optional(),
--- a/src/nodes/wholePath.test.ts
+++ b/src/nodes/wholePath.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { request } from 'undici'
 import { startEngineStandIn, startServiceStandIn } from '../standIns/index.js'
+import { v7 as createKey } from 'uuid'
 import { startLocalFleet, type LocalFleet } from './localFleet.js'
 
 const rows = readFileSync('examples/kpakpo/rows.yaml', 'utf8')
@@ -46,4 +47,42 @@
     await fleet.startAgent({ pool: 'yard-app', upstreamUrl: service.url })
     await fleet.until(async () => await stockStatus(second.callerAddress) === 200)
   })
+
+  it('runs an order once although it is sent through two entries and the first answer is lost', async () => {
+    const service = await startServiceStandIn()
+    fleet.onStop(service.close)
+    const entries = [await fleet.startEntry(), await fleet.startEntry()]
+    await fleet.startAgent({ pool: 'yard-app', upstreamUrl: service.url })
+    await fleet.startAgent({ pool: 'yard-app', upstreamUrl: service.url })
+    await fleet.applyRows(rows)
+    const order = async (entryIndex: number, key: string | undefined, orderId: string) => {
+      const response = await request(`http://${entries[entryIndex]!.callerAddress}/orders`, {
+        method: 'POST',
+        headers: {
+          'content-type': 'application/json', 'x-customer': 'ama-roofing', ...(key === undefined ? {} : { 'idempotency-key': key })
+        },
+        body: JSON.stringify({ orderId })
+      })
+      return { status: response.statusCode, code: response.headers['x-result-code'], body: await response.body.text() }
+    }
+    await fleet.until(async () => (await order(0, createKey(), 'warm-up-0')).status === 201)
+    await fleet.until(async () => (await order(1, createKey(), 'warm-up-1')).status === 201)
+
+    expect((await order(0, undefined, 'no-key')).code).toBe('1003')
+    const key = createKey()
+    service.faults.delayMs = 200
+    const [first, second] = await Promise.all([order(0, key, 'order-7'), order(1, key, 'order-7')])
+    const third = await order(1, key, 'order-7')
+    expect([first.status, second.status, third.status]).toEqual([201, 201, 201])
+    expect(new Set([first.body, second.body, third.body]).size).toBe(1)
+
+    const lostKey = createKey()
+    service.faults.losesAnswers = true
+    expect((await order(0, lostKey, 'order-8')).code).toBe('3006')
+    service.faults.losesAnswers = false
+    expect((await order(1, lostKey, 'order-8')).code).toBe('3006')
+    expect(service.runsByOrder.get('order-7')).toBe(1)
+    expect(service.runsByOrder.get('order-8')).toBe(1)
+    expect((await order(0, key, 'order-9')).code).toBe('1005')
+  })
 })
--- a/src/platform/createUpstreamClient.ts
+++ b/src/platform/createUpstreamClient.ts
@@ -17,7 +17,8 @@
 export interface UpstreamListener {
   onHead (status: number, contentType: string): void
   onBytes (bytes: Uint8Array): void
-  onEnd (code: ResultCode): void
+  /** `hasStarted` is false only with proof that the upstream received nothing. */
+  onEnd (code: ResultCode, hasStarted: boolean): void
 }
 
 /** Load of an upstream as it reports it. */
@@ -58,6 +59,15 @@
 const EVENT_STREAM_END = 'data: [DONE]'
 const TAIL_BYTES = 32
 const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
+/** Errors of the connection attempt itself: not a byte of the request was sent. */
+const NEVER_CONNECTED_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'])
+const TIMEOUT_CODES: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
+
+const codeOfError = (error: unknown): ResultCode => {
+  if (error instanceof BaobabdriftError) return error.code
+  return TIMEOUT_CODES.has((error as { code?: unknown }).code) ? ResultCode.DeadlineExceeded : ResultCode.UpstreamDied
+}
+
 const isSuccess = (status: number) => status >= 200 && status < 300
 
 /**
@@ -73,10 +83,10 @@
   const run = (call: UpstreamCall, listener: UpstreamListener) => {
     const abort = new AbortController()
     let isEnded = false
-    const end = (code: ResultCode) => {
+    const end = (code: ResultCode, hasStarted = true) => {
       if (isEnded) return
       isEnded = true
-      listener.onEnd(code)
+      listener.onEnd(code, hasStarted)
     }
 
     const relay = async () => {
@@ -103,8 +113,7 @@
     }
 
     relay().catch(error => {
-      const isTimeout = error?.code === 'UND_ERR_HEADERS_TIMEOUT' || error?.code === 'UND_ERR_BODY_TIMEOUT'
-      end(isTimeout ? ResultCode.DeadlineExceeded : error instanceof BaobabdriftError ? error.code : ResultCode.UpstreamDied)
+      end(codeOfError(error), !NEVER_CONNECTED_CODES.has(error?.code))
     })
     return () => abort.abort()
   }
