--- a/src/once/createBindingOwner.ts
+++ b/src/once/createBindingOwner.ts
@@ -36,6 +36,8 @@
 }: BindingOwnerOptions): Core<OwnerMessage, OwnerEffect> => {
   const rules = { ...OWNER_RULES, ...changes }
   const shards = new Map<number, OwnerShard>()
+  /** Kept over a loss of the shard, so that an owner that regains it respects the append budget. */
+  const lastAppendsMs = new Map<number, TimestampMs>()
   let lastTicket = 0
   let longestWindowMs = windowMs
 
@@ -76,7 +78,7 @@
   const append = (state: OwnerShard, bindings: BindingItem[]): OwnerEffect => {
     const ticket = state.appendTicket = ++lastTicket
     state.appendItems = bindings
-    state.lastAppendMs = clock.nowMs()
+    lastAppendsMs.set(state.shard, clock.nowMs())
     return {
       kind: OwnerEffectKind.Append, shard: state.shard, ticket, stream: onceStream(state.shard), record: { bindings }
     }
@@ -91,7 +93,8 @@
       effects.push(readNext(state))
       return effects
     }
-    const mayAppend = state.appendTicket === undefined && nowMs >= state.lastAppendMs + APPEND_INTERVAL_MS
+    const nextAppendMs = (lastAppendsMs.get(state.shard) ?? Number.NEGATIVE_INFINITY) + APPEND_INTERVAL_MS
+    const mayAppend = state.appendTicket === undefined && nowMs >= nextAppendMs
     if (mayAppend && items.length > 0) effects.push(append(state, items))
     return effects
   }
--- a/src/once/ownerShard.ts
+++ b/src/once/ownerShard.ts
@@ -35,7 +35,6 @@
   /** Tickets are compared, so an answer to an operation from before a loss of the shard is ignored. */
   appendTicket?: number
   appendItems: BindingItem[]
-  lastAppendMs: TimestampMs
   retryMs: TimestampMs
   failureCount: number
   /** The last operation on the log failed. */
@@ -52,7 +51,6 @@
   targetOffset: 0,
   waiting: new Map(),
   appendItems: [],
-  lastAppendMs: Number.NEGATIVE_INFINITY,
   retryMs: Number.NEGATIVE_INFINITY,
   failureCount: 0,
   isLogDown: false
