Account expert loads and plan expert maps

Cause: the slice src/expertMaps had no code yet. Change: map data with encoded changes, load account with decayed averages, rank speeds and stragglers, and a planner that runs as a session in slices.

--- /dev/null
+++ b/src/expertMaps/createLoadAccount.ts
@@ -0,0 +1,213 @@
+import { type Core, dispatch, type HandlerTable } from '../core/index.js'
+import {
+  KNOWN_MAPS_MAX, LOAD_HALF_LIFE_STEPS, RANK_SPEED_MIN, RECOVERED_SPEED_RATIO, REPORT_AGE_MAX_STEPS, SPEED_SMOOTHING,
+  STRAGGLER_REPORTS, STRAGGLER_SPEED_RATIO
+} from './constants.js'
+import { hostedItems, isSameMap, itemCountOf, replicasOf } from './expertMap.js'
+import type { ExpertMap, GroupShape, ItemIndex, RankReport } from './types.js'
+
+export enum LoadMessageKind {
+  MapAdopted = 'map-adopted',
+  RankReported = 'rank-reported',
+  SnapshotRequested = 'snapshot-requested'
+}
+
+export type LoadMessage =
+  | { kind: LoadMessageKind.MapAdopted, map: ExpertMap }
+  | { kind: LoadMessageKind.RankReported, report: RankReport }
+  | { kind: LoadMessageKind.SnapshotRequested }
+
+export enum LoadEffectKind {
+  SnapshotReady = 'snapshot-ready',
+  StragglerDetected = 'straggler-detected',
+  StragglerRecovered = 'straggler-recovered',
+  ReportDropped = 'report-dropped'
+}
+
+export enum DropReason {
+  Duplicate = 'duplicate',
+  TooOld = 'too-old',
+  UnknownMap = 'unknown-map',
+  Malformed = 'malformed'
+}
+
+/** What is known about the load of a group. */
+export interface LoadSnapshot {
+  /** Tokens per step by item. */
+  loads: Float64Array
+  /** Speed of each rank relative to the median rank. */
+  speeds: Float64Array
+  /** Share of the ranks that reported within the last REPORT_AGE_MAX_STEPS steps. */
+  coverage: number
+}
+
+export type LoadEffect =
+  | { kind: LoadEffectKind.SnapshotReady, snapshot: LoadSnapshot }
+  | { kind: LoadEffectKind.StragglerDetected, rank: number, speed: number }
+  | { kind: LoadEffectKind.StragglerRecovered, rank: number, speed: number }
+  | { kind: LoadEffectKind.ReportDropped, rank: number, reason: DropReason }
+
+interface RankState {
+  incarnation: string
+  /** The run before this one; its late reports no longer count. */
+  previousIncarnation: string
+  lastStep: number
+  /** Steps of accepted reports that a reordered report may still precede. */
+  seenSteps: Set<number>
+  /** Tokens per ms of computing; 0 until measured. */
+  tokensPerMs: number
+  isStraggler: boolean
+  /** Reports in a row that contradict `isStraggler`. */
+  contradictions: number
+}
+
+interface KnownMap {
+  map: ExpertMap
+  /** Hosted items and shares by rank. */
+  hosted: Map<number, { items: ItemIndex[], shares: number[] }>
+}
+
+/** Reports remembered per rank to find doubles; a report older than all of them is dropped. */
+const SEEN_REPORTS_MAX = 64
+
+const getDefaultRankState = (): RankState => ({
+  incarnation: '',
+  previousIncarnation: '',
+  lastStep: 0,
+  seenSteps: new Set(),
+  tokensPerMs: 0,
+  isStraggler: false,
+  contradictions: 0
+})
+
+const median = (values: number[]): number => {
+  const sorted = values.sort((a, b) => a - b)
+  return sorted[sorted.length >> 1] ?? 0
+}
+
+/**
+ * Accounts the load of a group from the reports of its ranks, which may be late, lost, doubled or
+ * reordered. An average moves only by the share of an expert that reported, so the missing report
+ * of a rank leaves the averages of its experts where they are.
+ *
+ * @example
+ * const account = createLoadAccount({ shape })
+ * account.handle({ kind: LoadMessageKind.MapAdopted, map })
+ * account.handle({ kind: LoadMessageKind.RankReported, report })
+ */
+export const createLoadAccount = ({ shape }: { shape: GroupShape }): Core<LoadMessage, LoadEffect> => {
+  const loads = new Float64Array(itemCountOf(shape))
+  /** Observed weight by item, approaching 1; corrects the bias of an average that started at zero. */
+  const certainty = new Float64Array(loads.length)
+  const ranks = Array.from({ length: shape.ranks }, getDefaultRankState)
+  const knownMaps: KnownMap[] = []
+  let newestStep = 0
+
+  const hostedBy = (known: KnownMap, rank: number) => {
+    const cached = known.hosted.get(rank)
+    if (cached !== undefined) return cached
+    const items = hostedItems(known.map, rank)
+    const shares = items.map(item => replicasOf(known.map, item).find(replica => replica.rank === rank)!.share)
+    known.hosted.set(rank, { items, shares })
+    return { items, shares }
+  }
+
+  const speeds = (): Float64Array => {
+    const typical = median(ranks.map(({ tokensPerMs }) => tokensPerMs).filter(rate => rate > 0))
+    return Float64Array.from(ranks, ({ tokensPerMs }) =>
+      tokensPerMs === 0 || typical === 0 ? 1 : Math.max(RANK_SPEED_MIN, tokensPerMs / typical))
+  }
+
+  const accountTokens = ({ tokens, steps, step }: RankReport, items: ItemIndex[], shares: number[]) => {
+    const age = Math.max(0, newestStep - step)
+    const decay = 0.5 ** (age / LOAD_HALF_LIFE_STEPS)
+    const weight = (1 - 0.5 ** (steps / LOAD_HALF_LIFE_STEPS)) * decay
+    items.forEach((item, i) => {
+      const share = shares[i]!
+      loads[item]! += weight * (tokens[i]! / steps - share * loads[item]!)
+      certainty[item]! += weight * share * (1 - certainty[item]!)
+    })
+  }
+
+  const judgeStraggler = (state: RankState, rank: number, rate: number): LoadEffect[] => {
+    const typical = median(ranks.map(({ tokensPerMs }) => tokensPerMs).filter(value => value > 0))
+    const ratio = typical === 0 ? 1 : rate / typical
+    const contradicts = state.isStraggler ? ratio > RECOVERED_SPEED_RATIO : ratio < STRAGGLER_SPEED_RATIO
+    state.contradictions = contradicts ? state.contradictions + 1 : 0
+    if (state.contradictions < STRAGGLER_REPORTS) return []
+    state.isStraggler = !state.isStraggler
+    state.contradictions = 0
+    // The smoothed speed still contains the time before the change.
+    state.tokensPerMs = rate
+    const kind = state.isStraggler ? LoadEffectKind.StragglerDetected : LoadEffectKind.StragglerRecovered
+    return [{ kind, rank, speed: ratio }]
+  }
+
+  const accountSpeed = (report: RankReport): LoadEffect[] => {
+    const state = ranks[report.rank]!
+    const total = report.tokens.reduce((sum, tokens) => sum + tokens, 0)
+    if (total === 0 || report.durationMs <= 0) return []
+    const rate = total / report.durationMs
+    state.tokensPerMs += (state.tokensPerMs === 0 ? 1 : SPEED_SMOOTHING) * (rate - state.tokensPerMs)
+    return judgeStraggler(state, report.rank, rate)
+  }
+
+  const drop = (rank: number, reason: DropReason): LoadEffect[] =>
+    [{ kind: LoadEffectKind.ReportDropped, rank, reason }]
+
+  const remember = (state: RankState, { incarnation, step }: RankReport) => {
+    if (state.incarnation !== incarnation) {
+      Object.assign(state, getDefaultRankState(), { incarnation, previousIncarnation: state.incarnation })
+    }
+    state.seenSteps.add(step)
+    if (state.seenSteps.size > SEEN_REPORTS_MAX) state.seenSteps.delete(Math.min(...state.seenSteps))
+    state.lastStep = Math.max(state.lastStep, step)
+    newestStep = Math.max(newestStep, step)
+  }
+
+  const isTooOld = (state: RankState, { step, incarnation }: RankReport) =>
+    newestStep - step > REPORT_AGE_MAX_STEPS || incarnation === state.previousIncarnation ||
+    (state.seenSteps.size === SEEN_REPORTS_MAX && incarnation === state.incarnation && step < Math.min(...state.seenSteps))
+
+  const onReport = (report: RankReport): LoadEffect[] => {
+    const { rank, step, steps } = report
+    const state = ranks[rank]
+    if (state === undefined || steps <= 0) return drop(rank, DropReason.Malformed)
+    if (isTooOld(state, report)) return drop(rank, DropReason.TooOld)
+    if (state.incarnation === report.incarnation && state.seenSteps.has(step)) return drop(rank, DropReason.Duplicate)
+    const known = knownMaps.find(({ map }) => isSameMap(map.id, report.mapId))
+    if (known === undefined) return drop(rank, DropReason.UnknownMap)
+    const { items, shares } = hostedBy(known, rank)
+    if (items.length !== report.tokens.length) return drop(rank, DropReason.Malformed)
+    const isInOrder = state.incarnation !== report.incarnation || step > state.lastStep
+    remember(state, report)
+    accountTokens(report, items, shares)
+    // A reordered report says how fast the rank was, not how fast it is.
+    return isInOrder ? accountSpeed(report) : []
+  }
+
+  const onMapAdopted = (map: ExpertMap): LoadEffect[] => {
+    if (knownMaps.some(known => isSameMap(known.map.id, map.id))) return []
+    knownMaps.push({ map, hosted: new Map() })
+    if (knownMaps.length > KNOWN_MAPS_MAX) knownMaps.shift()
+    return []
+  }
+
+  const onSnapshot = (): LoadEffect[] => {
+    const fresh = ranks.filter(({ lastStep }) => lastStep > 0 && newestStep - lastStep <= REPORT_AGE_MAX_STEPS)
+    const snapshot: LoadSnapshot = {
+      loads: loads.map((load, item) => certainty[item]! > 0 ? load / certainty[item]! : 0),
+      speeds: speeds(),
+      coverage: fresh.length / shape.ranks
+    }
+    return [{ kind: LoadEffectKind.SnapshotReady, snapshot }]
+  }
+
+  const handlers: HandlerTable<LoadMessage, LoadEffect[]> = {
+    [LoadMessageKind.MapAdopted]: ({ map }) => onMapAdopted(map),
+    [LoadMessageKind.RankReported]: ({ report }) => onReport(report),
+    [LoadMessageKind.SnapshotRequested]: onSnapshot
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- /dev/null
+++ b/src/expertMaps/expertMap.ts
@@ -0,0 +1,142 @@
+import { fingerprint, FrameError } from '../core/index.js'
+import { SHARE_UNITS, SPARE_SLOT_RATIO, SPARE_SLOTS_MIN } from './constants.js'
+import type { Copy, ExpertMap, GroupShape, ItemIndex, MapId, Replica } from './types.js'
+
+/** Whether two map ids name the same content. */
+export const isSameMap = (a: MapId | undefined, b: MapId | undefined): boolean =>
+  a !== undefined && b !== undefined && a.version === b.version && a.hash === b.hash
+
+/** Experts of all layers of a group. */
+export const itemCountOf = ({ experts, layers }: GroupShape): number => experts * layers
+
+/** Experts that fit in the memory of one rank: an even split and a few spare slots. */
+export const slotsPerRank = (shape: GroupShape): number => {
+  const even = Math.ceil(itemCountOf(shape) / shape.ranks)
+  return even + Math.max(SPARE_SLOTS_MIN, Math.ceil(even * SPARE_SLOT_RATIO))
+}
+
+const writeItem = (bytes: number[], item: ItemIndex, replicas: readonly Replica[]) => {
+  bytes.push(item & 0xff, (item >> 8) & 0xff, (item >> 16) & 0xff, replicas.length)
+  for (const { rank, share } of replicas) bytes.push(rank & 0xff, rank >> 8, Math.round(share * SHARE_UNITS))
+}
+
+const hashOf = (layers: Replica[][][]): string => {
+  const bytes: number[] = []
+  layers.flat().forEach((replicas, item) => writeItem(bytes, item, replicas))
+  return fingerprint(Uint8Array.from(bytes))
+}
+
+/** Creates a map from its replicas and works out its hash. */
+export const createMap = (version: number, layers: Replica[][][]): ExpertMap =>
+  ({ id: { version, hash: hashOf(layers) }, layers })
+
+/**
+ * The map of version 0: experts spread evenly, each on one rank. It depends on the shape alone,
+ * so a new process knows it without a message.
+ *
+ * @example
+ * createInitialMap({ ranks: 4, experts: 16, layers: 8, expertBytes: 44_000_000 }).id.version // 0
+ */
+export const createInitialMap = ({ ranks, experts, layers }: GroupShape): ExpertMap =>
+  createMap(0, Array.from({ length: layers }, (_layer, layer) =>
+    Array.from({ length: experts }, (_expert, expert) => [{ rank: (expert + layer * experts) % ranks, share: 1 }])))
+
+/** Items that a rank hosts, ascending. */
+export const hostedItems = (map: ExpertMap, rank: number): ItemIndex[] => {
+  const items: ItemIndex[] = []
+  let item = 0
+  for (const layer of map.layers) {
+    for (const replicas of layer) {
+      if (replicas.some(replica => replica.rank === rank)) items.push(item)
+      item += 1
+    }
+  }
+  return items
+}
+
+/** Replicas of one item. */
+export const replicasOf = (map: ExpertMap, item: ItemIndex): readonly Replica[] => {
+  const experts = map.layers[0]?.length ?? 1
+  return map.layers[Math.floor(item / experts)]?.[item % experts] ?? []
+}
+
+const isSameReplicas = (a: readonly Replica[], b: readonly Replica[]) =>
+  a === b || (a.length === b.length && a.every(({ rank, share }, i) => rank === b[i]!.rank && share === b[i]!.share))
+
+/**
+ * Encodes the difference of two maps: per changed item its index (3 bytes), the replica count and
+ * three bytes for each replica.
+ */
+export const encodeChanges = (base: ExpertMap, map: ExpertMap): Uint8Array => {
+  const bytes: number[] = []
+  const baseItems = base.layers.flat()
+  map.layers.flat().forEach((replicas, item) => {
+    if (!isSameReplicas(replicas, baseItems[item]!)) writeItem(bytes, item, replicas)
+  })
+  return Uint8Array.from(bytes)
+}
+
+/**
+ * Applies encoded changes to the map they were made for.
+ *
+ * @throws FrameError if the bytes are damaged or the result is not the named map
+ */
+export const applyChanges = (base: ExpertMap, changes: Uint8Array, id: MapId): ExpertMap => {
+  const experts = base.layers[0]?.length ?? 1
+  const layers = base.layers.map(layer => [...layer])
+  let at = 0
+  const read = () => {
+    const value = changes[at++]
+    if (value === undefined) throw new FrameError('map changes are truncated')
+    return value
+  }
+  while (at < changes.length) {
+    const item = read() | read() << 8 | read() << 16
+    const replicas = Array.from({ length: read() }, () =>
+      ({ rank: read() | read() << 8, share: read() / SHARE_UNITS }))
+    const layer = layers[Math.floor(item / experts)]
+    if (layer === undefined) throw new FrameError(`map changes name item ${item}`)
+    layer[item % experts] = replicas
+  }
+  const map = createMap(id.version, layers)
+  if (map.id.hash !== id.hash) throw new FrameError(`map ${id.version} has hash ${map.id.hash}, expected ${id.hash}`)
+  return map
+}
+
+/** Weights that must be copied to change from one map to another. */
+export const copiesBetween = (base: ExpertMap, map: ExpertMap): Copy[] => {
+  const copies: Copy[] = []
+  const baseItems = base.layers.flat()
+  map.layers.flat().forEach((replicas, item) => {
+    const before = baseItems[item]!
+    if (replicas === before) return
+    for (const { rank } of replicas) {
+      if (!before.some(replica => replica.rank === rank)) copies.push({ item, toRank: rank })
+    }
+  })
+  return copies
+}
+
+/** Tokens that each rank computes under a map. */
+export const rankLoads = (map: ExpertMap, loads: ArrayLike<number>, ranks: number): Float64Array => {
+  const totals = new Float64Array(ranks)
+  let item = 0
+  for (const layer of map.layers) {
+    for (const replicas of layer) {
+      for (const { rank, share } of replicas) totals[rank]! += share * loads[item]!
+      item += 1
+    }
+  }
+  return totals
+}
+
+/** Slowest over mean of the step times of the ranks; 1 without any load. */
+export const skewOf = (times: ArrayLike<number>): number => {
+  let max = 0
+  let sum = 0
+  for (let rank = 0; rank < times.length; rank++) {
+    max = Math.max(max, times[rank]!)
+    sum += times[rank]!
+  }
+  return sum === 0 ? 1 : max * times.length / sum
+}
--- /dev/null
+++ b/src/expertMaps/planSearch.ts
@@ -0,0 +1,102 @@
+import {
+  PLAN_COPIES_MAX, PLAN_ITEMS_PER_UNIT, PLAN_STEPS_MAX, SKEW_GOAL_RATIO, SKEW_START_RATIO
+} from './constants.js'
+import { copiesBetween, createMap, itemCountOf } from './expertMap.js'
+import { copyCost } from './objective.js'
+import { createPlanState, type PlanState } from './planState.js'
+import { relieve, retireReplica } from './planSteps.js'
+import type { Copy, ExpertMap, GroupShape, PlanWeights, Replica } from './types.js'
+
+export interface PlanInput {
+  shape: GroupShape
+  weights: PlanWeights
+  base: ExpertMap
+  loads: Float64Array
+  speeds: Float64Array
+  /** Asked once the skew of the base map is known; false ends the plan without a search. */
+  shouldSearch: (skew: number) => boolean
+}
+
+export interface PlanOutcome {
+  skewBefore: number
+  skewAfter: number
+  copies: Copy[]
+  /** Gain in skew and cost of the copies, both in units of the objective. */
+  gain: number
+  cost: number
+  /** Slots freed by dropping replicas, without a copy. */
+  retiredCount: number
+  /** Whether the search ended because no rank had a free slot or a fitting expert. */
+  isStuck: boolean
+  /** Absent if nothing changes. */
+  map?: ExpertMap
+}
+
+const skewIn = (state: PlanState): number =>
+  state.idealTime === 0 ? 1 : state.timeOf(state.slowestRank()) / state.idealTime
+
+const toLayers = (replicas: ReadonlyArray<readonly Replica[]>, experts: number): Replica[][][] => {
+  const layers: Replica[][][] = []
+  for (let at = 0; at < replicas.length; at += experts) layers.push(replicas.slice(at, at + experts) as Replica[][])
+  return layers
+}
+
+/**
+ * Searches a better map from the current one and yields after each unit of work, so that the
+ * caller decides how many units run in one slice.
+ *
+ * The slowest rank is relieved again and again; the sequence is then cut where the objective was
+ * lowest. A high `moveWeight` thus cuts early, and no weight changes the order of the steps.
+ */
+export function * searchPlan (input: PlanInput): Generator<void, PlanOutcome> {
+  const { shape, weights, base, loads, speeds, shouldSearch } = input
+  const state = createPlanState({ shape, base, loads, speeds })
+  const itemCount = itemCountOf(shape)
+  for (let item = 0; item < itemCount; item++) {
+    state.index(item)
+    if (item % PLAN_ITEMS_PER_UNIT === PLAN_ITEMS_PER_UNIT - 1) yield
+  }
+  const skewBefore = skewIn(state)
+  const unchanged: PlanOutcome =
+    { skewBefore, skewAfter: skewBefore, copies: [], gain: 0, cost: 0, retiredCount: 0, isStuck: false }
+  if (!shouldSearch(skewBefore)) return unchanged
+
+  let retiredCount = 0
+  for (let rank = 0; rank < shape.ranks; rank++) {
+    if (retireReplica(state, rank)) retiredCount += 1
+    yield
+  }
+
+  const perCopy = copyCost(shape, weights)
+  const start = { position: state.position, value: weights.skewWeight * skewIn(state) }
+  let best = start
+  let isStuck = false
+  for (let step = 0; step < PLAN_STEPS_MAX && state.copies < PLAN_COPIES_MAX; step++) {
+    const from = state.slowestRank()
+    if (state.timeOf(from) <= state.idealTime * SKEW_GOAL_RATIO) break
+    if (relieve(state, from) === undefined) {
+      isStuck = skewIn(state) > SKEW_START_RATIO
+      break
+    }
+    const value = weights.skewWeight * skewIn(state) + perCopy * state.copies
+    if (value < best.value) best = { position: state.position, value }
+    yield
+  }
+  state.undoTo(best.position)
+  if (state.position === 0) return { ...unchanged, isStuck }
+  yield
+  const map = createMap(base.id.version + 1, toLayers(state.replicas, shape.experts))
+  yield
+  const copies = copiesBetween(base, map)
+  const skewAfter = skewIn(state)
+  return {
+    skewBefore,
+    skewAfter,
+    copies,
+    gain: weights.skewWeight * (skewBefore - skewAfter),
+    cost: perCopy * copies.length,
+    retiredCount,
+    isStuck,
+    map
+  }
+}
--- /dev/null
+++ b/src/expertMaps/planState.ts
@@ -0,0 +1,118 @@
+import { STAGING_SLOTS_MIN } from './constants.js'
+import { slotsPerRank } from './expertMap.js'
+import { idealTimeOf } from './objective.js'
+import type { ExpertMap, GroupShape, ItemIndex, Replica } from './types.js'
+
+/** Replicas of one item before a change, to undo it. */
+interface JournalEntry {
+  item: ItemIndex
+  before: readonly Replica[]
+}
+
+/** A map under construction with the loads, times and memory of its ranks. */
+export interface PlanState {
+  readonly loads: Float64Array
+  readonly speeds: Float64Array
+  readonly rankLoads: Float64Array
+  readonly idealTime: number
+  readonly replicas: Array<readonly Replica[]>
+  /** Items by rank, unordered. */
+  readonly hosted: ItemIndex[][]
+  /** Copies that the change from the base map needs. */
+  readonly copies: number
+  /** Number of changes so far; a position to return to. */
+  readonly position: number
+  /** Takes one item of the base map into account. */
+  index (item: ItemIndex): void
+  timeOf (rank: number): number
+  slowestRank (): number
+  /** Tokens that a rank computes for an item. */
+  partOf (item: ItemIndex, rank: number): number
+  /** Whether a rank can stage one more item next to everything it hosts before and after the switch. */
+  canStage (rank: number): boolean
+  /** Whether the finished map leaves the rank room to stage later changes. */
+  hasRoom (rank: number): boolean
+  set (item: ItemIndex, replicas: readonly Replica[]): void
+  undoTo (position: number): void
+}
+
+const hosts = (replicas: readonly Replica[], rank: number) => replicas.some(replica => replica.rank === rank)
+
+/** Creates the state of one plan; every item must be indexed before the search. */
+export const createPlanState = (
+  { shape, base, loads, speeds }: { shape: GroupShape, base: ExpertMap, loads: Float64Array, speeds: Float64Array }
+): PlanState => {
+  const baseItems: Array<readonly Replica[]> = base.layers.flat()
+  const replicas = [...baseItems]
+  const rankTotals = new Float64Array(shape.ranks)
+  const hosted: ItemIndex[][] = Array.from({ length: shape.ranks }, () => [])
+  /** Items hosted before or after the switch: old weights stay until the new map is in use. */
+  const occupied = new Int32Array(shape.ranks)
+  const slots = slotsPerRank(shape)
+  const journal: JournalEntry[] = []
+  let copies = 0
+
+  const remove = (item: ItemIndex, { rank, share }: Replica) => {
+    rankTotals[rank]! -= share * loads[item]!
+    const items = hosted[rank]!
+    const at = items.indexOf(item)
+    items[at] = items[items.length - 1]!
+    items.pop()
+    if (hosts(baseItems[item]!, rank)) return
+    occupied[rank]! -= 1
+    copies -= 1
+  }
+
+  const add = (item: ItemIndex, { rank, share }: Replica) => {
+    rankTotals[rank]! += share * loads[item]!
+    hosted[rank]!.push(item)
+    if (hosts(baseItems[item]!, rank)) return
+    occupied[rank]! += 1
+    copies += 1
+  }
+
+  const replace = (item: ItemIndex, next: readonly Replica[]) => {
+    replicas[item]!.forEach(replica => remove(item, replica))
+    next.forEach(replica => add(item, replica))
+    replicas[item] = next
+  }
+
+  const timeOf = (rank: number) => rankTotals[rank]! / speeds[rank]!
+
+  return {
+    loads,
+    speeds,
+    rankLoads: rankTotals,
+    idealTime: idealTimeOf(loads, speeds),
+    replicas,
+    hosted,
+    get copies () { return copies },
+    get position () { return journal.length },
+    index: item => {
+      for (const { rank, share } of baseItems[item]!) {
+        rankTotals[rank]! += share * loads[item]!
+        hosted[rank]!.push(item)
+        occupied[rank]! += 1
+      }
+    },
+    timeOf,
+    slowestRank: () => {
+      let slowest = 0
+      for (let rank = 1; rank < shape.ranks; rank++) if (timeOf(rank) > timeOf(slowest)) slowest = rank
+      return slowest
+    },
+    partOf: (item, rank) => (replicas[item]!.find(replica => replica.rank === rank)?.share ?? 0) * loads[item]!,
+    canStage: rank => occupied[rank]! < slots,
+    hasRoom: rank => hosted[rank]!.length < slots - STAGING_SLOTS_MIN,
+    set: (item, next) => {
+      journal.push({ item, before: replicas[item]! })
+      replace(item, next)
+    },
+    undoTo: position => {
+      while (journal.length > position) {
+        const { item, before } = journal.pop()!
+        replace(item, before)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/expertMaps/planSteps.ts
@@ -0,0 +1,165 @@
+import { SHARE_UNITS } from './constants.js'
+import type { PlanState } from './planState.js'
+import type { ItemIndex, Replica } from './types.js'
+
+/** How one search step relieved the slowest rank. */
+export enum PlanStepKind {
+  Shift = 'shift',
+  Copy = 'copy',
+  Swap = 'swap',
+  Retire = 'retire'
+}
+
+/** A step that relieves less than this share of a perfect rank's load is not worth a change. */
+const RELIEF_MIN_RATIO = 0.001
+/** A move may overshoot the wanted relief a little, because it frees the slot that a replica would keep. */
+const OVERSHOOT_RATIO = 1.1
+/** Below this part of the wanted relief a replica of a hotter expert saves further copies. */
+const WHOLE_MOVE_RATIO = 0.7
+
+const inOrder = (replicas: Replica[]): Replica[] =>
+  replicas.filter(({ share }) => share > 0).sort((a, b) => a.rank - b.rank)
+
+/** Moves tokens of an item between two ranks; `to` becomes a host and a host without tokens is dropped. */
+const shiftShare = (replicas: readonly Replica[], from: number, to: number, share: number): Replica[] => {
+  const available = Math.round((replicas.find(({ rank }) => rank === from)?.share ?? 0) * SHARE_UNITS)
+  const units = Math.min(available, Math.max(1, Math.round(share * SHARE_UNITS)))
+  const next = replicas.map(replica => replica.rank === from
+    ? { rank: from, share: (available - units) / SHARE_UNITS }
+    : replica)
+  const target = next.findIndex(({ rank }) => rank === to)
+  const added = units / SHARE_UNITS
+  if (target < 0) return inOrder([...next, { rank: to, share: added }])
+  next[target] = { rank: to, share: (Math.round(next[target]!.share * SHARE_UNITS) + units) / SHARE_UNITS }
+  return inOrder(next)
+}
+
+/** Tokens to move from a slow to a fast rank so that neither passes the perfect split. */
+const wantedRelief = (state: PlanState, from: number, to: number): number => Math.min(
+  state.rankLoads[from]! - state.idealTime * state.speeds[from]!,
+  state.idealTime * state.speeds[to]! - state.rankLoads[to]!
+)
+
+const reliefMin = (state: PlanState, from: number) => RELIEF_MIN_RATIO * state.idealTime * state.speeds[from]!
+
+const move = (state: PlanState, item: ItemIndex, from: number, to: number, tokens: number) => {
+  state.set(item, shiftShare(state.replicas[item]!, from, to, tokens / state.loads[item]!))
+}
+
+/** Shifts tokens between hosts that already have the expert; copies nothing. */
+const tryShift = (state: PlanState, from: number): boolean => {
+  let best = { item: -1, to: -1, relief: reliefMin(state, from) }
+  for (const item of state.hosted[from]!) {
+    const replicas = state.replicas[item]!
+    if (replicas.length < 2) continue
+    for (const { rank: to } of replicas) {
+      if (to === from) continue
+      const relief = Math.min(wantedRelief(state, from, to), state.partOf(item, from))
+      if (relief > best.relief) best = { item, to, relief }
+    }
+  }
+  if (best.item < 0) return false
+  move(state, best.item, from, best.to, best.relief)
+  return true
+}
+
+const leastLoaded = (state: PlanState, accepts: (rank: number) => boolean): number => {
+  let found = -1
+  let headroom = 0
+  for (let rank = 0; rank < state.speeds.length; rank++) {
+    const free = state.idealTime * state.speeds[rank]! - state.rankLoads[rank]!
+    if (free <= headroom || !accepts(rank)) continue
+    found = rank
+    headroom = free
+  }
+  return found
+}
+
+/** Hottest item of a rank, and the hottest one that is at most `limit` tokens. */
+const hottestItems = (state: PlanState, from: number, to: number, limit: number) => {
+  let hottest = -1
+  let fitting = -1
+  let hottestPart = 0
+  let fittingPart = 0
+  for (const item of state.hosted[from]!) {
+    const part = state.partOf(item, from)
+    if (part <= fittingPart && part <= hottestPart) continue
+    if (state.replicas[item]!.some(({ rank }) => rank === to)) continue
+    if (part > hottestPart) {
+      hottest = item
+      hottestPart = part
+    }
+    if (part > fittingPart && part <= limit) {
+      fitting = item
+      fittingPart = part
+    }
+  }
+  return { hottest, fitting, hottestPart, fittingPart }
+}
+
+/** Copies one expert to the rank with the most headroom: whole if it fits, else as a replica. */
+const tryCopy = (state: PlanState, from: number): boolean => {
+  const to = leastLoaded(state, rank => rank !== from && state.canStage(rank) && state.hasRoom(rank))
+  if (to < 0) return false
+  const wanted = wantedRelief(state, from, to)
+  if (wanted < reliefMin(state, from)) return false
+  const { hottest, fitting, hottestPart, fittingPart } = hottestItems(state, from, to, wanted * OVERSHOOT_RATIO)
+  if (hottest < 0) return false
+  if (fitting >= 0 && fittingPart >= Math.min(wanted * WHOLE_MOVE_RATIO, hottestPart)) {
+    move(state, fitting, from, to, fittingPart)
+  } else {
+    move(state, hottest, from, to, Math.min(wanted, hottestPart))
+  }
+  return true
+}
+
+/** Exchanges a hot expert for a colder one when the receiver has no slot to keep another. */
+const trySwap = (state: PlanState, from: number): boolean => {
+  if (!state.canStage(from)) return false
+  const to = leastLoaded(state, rank => rank !== from && state.canStage(rank))
+  if (to < 0) return false
+  const wanted = wantedRelief(state, from, to)
+  const { hottest, hottestPart } = hottestItems(state, from, to, wanted)
+  if (wanted < reliefMin(state, from) || hottest < 0) return false
+  let best = { item: -1, distance: wanted - reliefMin(state, from) }
+  for (const item of state.hosted[to]!) {
+    const distance = Math.abs(hottestPart - state.partOf(item, to) - wanted)
+    if (distance >= best.distance || state.replicas[item]!.some(({ rank }) => rank === from)) continue
+    best = { item, distance }
+  }
+  if (best.item < 0) return false
+  const returned = state.partOf(best.item, to)
+  move(state, hottest, from, to, hottestPart)
+  move(state, best.item, to, from, returned)
+  return true
+}
+
+const STEP_TABLE: ReadonlyArray<readonly [PlanStepKind, (state: PlanState, from: number) => boolean]> = [
+  [PlanStepKind.Shift, tryShift],
+  [PlanStepKind.Copy, tryCopy],
+  [PlanStepKind.Swap, trySwap]
+]
+
+/** Relieves a rank by the cheapest step that applies; undefined if none does. */
+export const relieve = (state: PlanState, from: number): PlanStepKind | undefined =>
+  STEP_TABLE.find(([, attempt]) => attempt(state, from))?.[0]
+
+/**
+ * Drops the coldest replica of a rank whose slots are used up, if another host takes its tokens
+ * without passing the perfect split. The slot is free after the switch.
+ */
+export const retireReplica = (state: PlanState, rank: number): boolean => {
+  if (state.hasRoom(rank)) return false
+  let best = { item: -1, to: -1, part: Number.POSITIVE_INFINITY }
+  for (const item of state.hosted[rank]!) {
+    const part = state.partOf(item, rank)
+    if (state.replicas[item]!.length < 2 || part >= best.part) continue
+    for (const { rank: to } of state.replicas[item]!) {
+      if (to === rank || state.rankLoads[to]! + part > state.idealTime * state.speeds[to]!) continue
+      best = { item, to, part }
+    }
+  }
+  if (best.item < 0) return false
+  move(state, best.item, rank, best.to, Math.max(best.part, state.loads[best.item]! / SHARE_UNITS))
+  return true
+}
--- /dev/null
+++ b/src/expertMaps/types.ts
@@ -0,0 +1,60 @@
+import type { Incarnation } from '../core/index.js'
+
+/** Size of a group of ranks, from the `group` of its pool row. */
+export interface GroupShape {
+  ranks: number
+  experts: number
+  layers: number
+  expertBytes: number
+}
+
+/** One rank that hosts an expert, with its share of the tokens for that expert. */
+export interface Replica {
+  rank: number
+  /** Multiple of 1 / SHARE_UNITS; the shares of an expert sum to 1. */
+  share: number
+}
+
+/** Identity of a map. Version 0 is the map that every process derives from the group shape alone. */
+export interface MapId {
+  version: number
+  /** Fingerprint of the content, 16 hexadecimal digits. */
+  hash: string
+}
+
+/** Hosts of all experts: `layers[layer][expert]` lists the replicas, ascending by rank. */
+export interface ExpertMap {
+  id: MapId
+  layers: Replica[][][]
+}
+
+/** One expert in one layer, flattened: `layer * experts + expert`. */
+export type ItemIndex = number
+
+/** Weights of one expert that a rank must receive before it can use a map. */
+export interface Copy {
+  item: ItemIndex
+  toRank: number
+}
+
+/** A run of steps as one rank saw it. */
+export interface RankReport {
+  rank: number
+  incarnation: Incarnation
+  /** Last step of the run; identifies the report together with rank and incarnation. */
+  step: number
+  /** Number of steps in the run. */
+  steps: number
+  /** Time the rank computed, without waiting for other ranks. */
+  durationMs: number
+  mapId: MapId
+  /** Tokens by hosted expert, in ascending order of item. */
+  tokens: number[]
+}
+
+/** Weights that the operator set for a pool. */
+export interface PlanWeights {
+  skewWeight: number
+  moveWeight: number
+  movesAtOnceMax: number
+}
