Switch expert maps by ballots

Cause: a step number alone leaves ranks on different maps after one late message. Change: createSwitchCoordinator and createSwitchRank with prepare, stage, hold and release, a successor on silence, a stop-and-resume round for restarted ranks, and a lock-step simulation of a group in bench/maps.

--- /dev/null
+++ b/bench/maps/switchSimulation.ts
@@ -0,0 +1,196 @@
+import { type Core, createRandom, type Random } from '../../src/core/index.js'
+import {
+  ALL_SWITCH_RULES, type CoordinatorEffect, CoordinatorEffectKind, type CoordinatorMessage, CoordinatorMessageKind,
+  createSwitchCoordinator, createSwitchRank, type ExpertMap, type GroupShape,
+  type RankBoundMessage, type RankEffect, RankEffectKind, type RankMessage, RankMessageKind, SwitchOutcome,
+  type SwitchMessage, type SwitchRules, WeightEffectKind
+} from '../../src/expertMaps/index.js'
+import { createEventQueue, createFakeNetwork, type EventQueue, type NetworkFaults } from '../harness/index.js'
+import { createLockStepEngine } from './lockStepEngine.js'
+
+/** How the weight store answers. */
+export enum StoreBehaviour {
+  Ready = 'ready',
+  Slow = 'slow',
+  Refusing = 'refusing'
+}
+
+export interface SimulationOptions {
+  seed: number
+  shape: GroupShape
+  network: NetworkFaults
+  rules?: SwitchRules
+  store?: StoreBehaviour
+  stepMs?: number
+  copyMs?: number
+  movesAtOnceMax?: number
+  /** Replaces the cores, for the naive switch. */
+  createCores?: (options: CoreOptions) => ProcessCores
+  /** Sees every message before it is sent; false drops it. */
+  onSend?: (message: SwitchMessage, from: number, to: number) => boolean
+}
+
+export interface CoreOptions {
+  rank: number
+  incarnation: string
+  queue: EventQueue
+  random: Random
+  shape: GroupShape
+  rules: SwitchRules
+  movesAtOnceMax: number
+}
+
+export interface ProcessCores {
+  rank: Core<RankMessage, RankEffect>
+  coordinator: Core<CoordinatorMessage, CoordinatorEffect>
+}
+
+interface Process {
+  incarnation: string
+  cores: ProcessCores
+  isUp: boolean
+  /** The coordinator handles nothing before this time; its messages wait. */
+  pausedUntilMs: number
+}
+
+const TICK_MS = 250
+const STORE_MS: Record<StoreBehaviour, number> =
+  { [StoreBehaviour.Ready]: 20, [StoreBehaviour.Slow]: 700, [StoreBehaviour.Refusing]: 5 }
+
+const createProtocolCores = ({ rank, incarnation, queue, random, shape, rules, movesAtOnceMax }: CoreOptions): ProcessCores => ({
+  rank: createSwitchRank({ shape, rank, incarnation, clock: queue.clock, rules }),
+  coordinator: createSwitchCoordinator({ shape, rank, incarnation, movesAtOnceMax, clock: queue.clock, random, rules })
+})
+
+/** One group of ranks in lock-step with its switch cores, on virtual time with seeded faults. */
+export const createSwitchSimulation = (options: SimulationOptions) => {
+  const {
+    seed, shape, network: faults, rules = ALL_SWITCH_RULES, stepMs = 64, copyMs = 40, movesAtOnceMax = 2,
+    createCores = createProtocolCores, onSend = () => true
+  } = options
+  const random = createRandom(seed)
+  const queue = createEventQueue()
+  const network = createFakeNetwork<() => void>(queue, random, faults)
+  let store = options.store ?? StoreBehaviour.Ready
+  const outcomes: SwitchOutcome[] = []
+  const activated: ExpertMap[] = []
+
+  const start = (rank: number, run: number): Process => {
+    const incarnation = `r${rank}-${run}`
+    const cores = createCores({ rank, incarnation, queue, random, shape, rules, movesAtOnceMax })
+    return { incarnation, cores, isUp: true, pausedUntilMs: 0 }
+  }
+  const processes = Array.from({ length: shape.ranks }, (_process, rank) => start(rank, 1))
+
+  const engine = createLockStepEngine({
+    ranks: shape.ranks,
+    stepMs,
+    queue,
+    requestStep: (rank, step) => toRank(rank, { kind: RankMessageKind.StepRequested, step })
+  })
+
+  const transmit = (from: number, to: number, message: SwitchMessage, deliver: () => void) => {
+    if (onSend(message, from, to)) network.send(`p${from}`, `p${to}`, deliver)
+  }
+
+  const finishLoad = (rank: number, item: number, delayMs: number, isDone: () => boolean, retryAfterMs?: number) => {
+    const process = processes[rank]!
+    queue.after(delayMs, () => {
+      if (processes[rank] !== process || !process.isUp) return
+      toRank(rank, { kind: RankMessageKind.LoadFinished, item, isDone: isDone(), retryAfterMs })
+    })
+  }
+
+  const performRank: { [Kind in RankEffect['kind']]: (rank: number, effect: Extract<RankEffect, { kind: Kind }>) => void } = {
+    [RankEffectKind.SendToCoordinator]: (rank, { to, message }) =>
+      transmit(rank, to, message, () => toCoordinator(to, { kind: CoordinatorMessageKind.SwitchReceived, from: rank, message })),
+    [RankEffectKind.StepAllowed]: (rank, { step, map }) => engine.begin(rank, step, map.id.hash),
+    [RankEffectKind.ResumeAt]: (rank, { step }) => engine.resume(rank, step),
+    [RankEffectKind.MapActivated]: (rank, { map }) => { activated[rank] = map },
+    [RankEffectKind.CoordinatorSuspected]: (rank, effect) =>
+      toCoordinator(rank, { kind: CoordinatorMessageKind.CoordinatorSuspected, rank: effect.rank }),
+    [WeightEffectKind.CopyFromPeer]: (rank, { item, fromRank }) =>
+      finishLoad(rank, item, copyMs, () => processes[fromRank]!.isUp),
+    [WeightEffectKind.LoadFromStore]: (rank, { item }) =>
+      finishLoad(rank, item, STORE_MS[store], () => store !== StoreBehaviour.Refusing, 500),
+    [WeightEffectKind.DropWeights]: () => {}
+  }
+
+  const toRank = (rank: number, message: RankMessage) => {
+    const process = processes[rank]!
+    if (!process.isUp) return
+    for (const effect of process.cores.rank.handle(message)) {
+      const perform = performRank[effect.kind] as (rank: number, effect: RankEffect) => void
+      perform(rank, effect)
+    }
+  }
+
+  const performCoordinator = (rank: number, effect: CoordinatorEffect) => {
+    if (effect.kind === CoordinatorEffectKind.SwitchEnded) {
+      outcomes.push(effect.outcome)
+      return
+    }
+    const { to, message } = effect as { to: number, message: RankBoundMessage }
+    transmit(rank, to, message, () => toRank(to, { kind: RankMessageKind.SwitchReceived, from: rank, message }))
+  }
+
+  const toCoordinator = (rank: number, message: CoordinatorMessage) => {
+    const process = processes[rank]!
+    if (!process.isUp) return
+    if (process.pausedUntilMs > queue.clock.nowMs()) {
+      // A tick repeats; everything else waits until the pause ends.
+      if (message.kind === CoordinatorMessageKind.Tick) return
+      queue.after(process.pausedUntilMs - queue.clock.nowMs(), () => {
+        if (processes[rank] === process) toCoordinator(rank, message)
+      })
+      return
+    }
+    for (const effect of process.cores.coordinator.handle(message)) performCoordinator(rank, effect)
+  }
+
+  processes.forEach((_process, rank) => {
+    network.join(`p${rank}`, deliver => deliver())
+    queue.after(1 + rank, () => toRank(rank, { kind: RankMessageKind.Tick }))
+    queue.after(random.next() * TICK_MS, () => {
+      queue.every(TICK_MS, () => {
+        toRank(rank, { kind: RankMessageKind.Tick })
+        toCoordinator(rank, { kind: CoordinatorMessageKind.Tick })
+      })
+    })
+    engine.resume(rank, 1)
+  })
+
+  let runs = 1
+  return {
+    queue,
+    random,
+    engine,
+    outcomes,
+    faults,
+    /** Map that each rank used last. */
+    activated,
+    setStore: (behaviour: StoreBehaviour) => { store = behaviour },
+    request: (rank: number, base: ExpertMap, map: ExpertMap) =>
+      toCoordinator(rank, { kind: CoordinatorMessageKind.SwitchRequested, base, map }),
+    setLive: (rank: number, ranks: number[]) => {
+      toRank(rank, { kind: RankMessageKind.LiveRanksChanged, ranks })
+      toCoordinator(rank, { kind: CoordinatorMessageKind.LiveRanksChanged, ranks })
+    },
+    pauseCoordinator: (rank: number, durationMs: number) => {
+      processes[rank]!.pausedUntilMs = queue.clock.nowMs() + durationMs
+    },
+    crash: (rank: number, downMs: number) => {
+      processes[rank]!.isUp = false
+      engine.crash(rank)
+      queue.after(downMs, () => {
+        if (processes[rank]!.isUp) return
+        runs += 1
+        processes[rank] = start(rank, runs)
+        engine.resume(rank, 1)
+        toRank(rank, { kind: RankMessageKind.Tick })
+      })
+    }
+  }
+}
+
+export type SwitchSimulation = ReturnType<typeof createSwitchSimulation>
--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -66,3 +66,7 @@
 export const STORE_RETRY_MS = 1_000
 /** Wait of a coordinator that met a higher ballot, multiplied by a random factor from 1 to 2. */
 export const BALLOT_RETRY_MS = 2_000
+/** Interval at which a rank without a map asks for a round. */
+export const RANK_STARTED_INTERVAL_MS = 1_000
+/** Interval of questions for progress, which also tell blocked ranks that the coordinator lives. */
+export const POLL_INTERVAL_MS = 1_000
--- /dev/null
+++ b/src/expertMaps/createSwitchCoordinator.ts
@@ -0,0 +1,298 @@
+import { type Core, dispatch, type HandlerTable } from '../core/index.js'
+import {
+  BALLOT_RETRY_MS, HOLD_MARGIN_STEPS, POLL_INTERVAL_MS, RESEND_INTERVAL_MS
+} from './constants.js'
+import { applyChanges, copiesBetween, createInitialMap, isSameMap } from './expertMap.js'
+import { judgeRound, RoundKind } from './judgeRound.js'
+import { createLeadership } from './leadership.js'
+import { createStagePacer } from './stagePacer.js'
+import { phaseMessage, stageMessage } from './roundMessages.js'
+import {
+  CoordinatorEffectKind, type CoordinatorEffect, type CoordinatorMessage, CoordinatorMessageKind,
+  type SwitchCoordinatorOptions, SwitchOutcome
+} from './coordinatorTypes.js'
+import {
+  canStage, createRound, enterPhase, freshStep, isForRound, isOverdue, isRestart, type Member, noteStep, Phase,
+  quietMembers, type Round
+} from './round.js'
+import {
+  ALL_SWITCH_RULES, type CoordinatorBoundMessage, type RankBoundMessage, ReleaseChoice,
+  StageProgress, SwitchKind
+} from './switchTypes.js'
+import type { ExpertMap, MapId } from './types.js'
+
+type Handlers = { [Kind in CoordinatorBoundMessage['kind']]: (member: Member, message: Extract<CoordinatorBoundMessage, { kind: Kind }>) => CoordinatorEffect[] }
+
+/**
+ * Switches the map of a group in rounds: prepare, stage, hold, release. Every phase needs the answer
+ * of every rank. It acts only while its rank leads, or to end a round that it began.
+ *
+ * @example
+ * const coordinator = createSwitchCoordinator({ shape, rank: 0, incarnation, movesAtOnceMax: 2, clock, random })
+ * coordinator.handle({ kind: CoordinatorMessageKind.SwitchRequested, base, map })
+ */
+export const createSwitchCoordinator = (options: SwitchCoordinatorOptions): Core<CoordinatorMessage, CoordinatorEffect> => {
+  const { shape, rank: ownRank, incarnation, movesAtOnceMax, clock, random, rules = ALL_SWITCH_RULES } = options
+  const initialMap = createInitialMap(shape)
+  const leadership = createLeadership({ ranks: shape.ranks, clock })
+  let knownMap: ExpertMap = initialMap
+  let counter = 0
+  let round: Round | undefined
+  let pending: { base: ExpertMap, map: ExpertMap } | undefined
+  /** Whether the ranks may be left in the middle of a round. */
+  let needsRound = false
+  let retryMs = Number.NEGATIVE_INFINITY
+  const pacer = createStagePacer({ clock })
+
+  /** Maps that changes may refer to, the best base first. */
+  const knownMaps = () => [knownMap, initialMap]
+
+  const send = (member: Member, message: RankBoundMessage): CoordinatorEffect => {
+    member.sentMs = clock.nowMs()
+    return { kind: CoordinatorEffectKind.SendToRank, to: member.rank, message }
+  }
+
+  const sendToAll = (active: Round): CoordinatorEffect[] =>
+    active.members.filter(({ isAcked }) => !isAcked).map(member => send(member, phaseMessage(active, member, knownMaps())))
+
+  const enter = (active: Round, phase: Phase): CoordinatorEffect[] => {
+    enterPhase(active, phase, clock.nowMs())
+    return sendToAll(active)
+  }
+
+  const beginRound = (): CoordinatorEffect[] => {
+    counter += 1
+    needsRound = false
+    round = createRound({ counter, incarnation }, shape.ranks, clock.nowMs())
+    return sendToAll(round)
+  }
+
+  const endSwitch = (outcome: SwitchOutcome, map: ExpertMap): CoordinatorEffect[] => {
+    if (pending === undefined) return []
+    pending = undefined
+    return [{ kind: CoordinatorEffectKind.SwitchEnded, outcome, map }]
+  }
+
+  const startStaging = (active: Round, target: ExpertMap): CoordinatorEffect[] => {
+    active.target = target
+    const receivers = new Set(copiesBetween(knownMap, target).map(({ toRank }) => toRank))
+    enterPhase(active, Phase.Staging, clock.nowMs())
+    for (const member of active.members) member.hasCopies = receivers.has(member.rank)
+    return pumpStaging(active)
+  }
+
+  /** Sends as many stage messages as the limits on bytes and copies allow. */
+  const pumpStaging = (active: Round): CoordinatorEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects: CoordinatorEffect[] = []
+    for (const member of active.members) {
+      if (member.isAcked || !canStage(active, member, movesAtOnceMax)) continue
+      const isPoll = member.progress === StageProgress.Copying
+      if (nowMs - member.sentMs < (isPoll ? POLL_INTERVAL_MS : RESEND_INTERVAL_MS)) continue
+      if (!isPoll && !pacer.mayStage()) continue
+      const message = stageMessage(active, member, knownMaps(), !isPoll)
+      pacer.spend(message.changes?.bytes.length ?? 0)
+      effects.push(send(member, message))
+    }
+    return effects
+  }
+
+  const startHolding = (active: Round, step: number): CoordinatorEffect[] => {
+    active.step = isRestart(active) ? null : step + HOLD_MARGIN_STEPS
+    return enter(active, Phase.Holding)
+  }
+
+  const startReleasing = (active: Round, choice?: ReleaseChoice): CoordinatorEffect[] => {
+    active.choice = choice
+    if (choice === ReleaseChoice.Restart) active.step = freshStep(active)
+    return enter(active, Phase.Releasing)
+  }
+
+  const startSwitch = (active: Round, newest: MapId): CoordinatorEffect[] => {
+    if (pending === undefined) return abandon()
+    const { base, map } = pending
+    if (isSameMap(map.id, newest)) return [...abandon(), ...endSwitch(SwitchOutcome.Done, map)]
+    if (!isSameMap(base.id, newest)) return [...abandon(), ...endSwitch(SwitchOutcome.Outdated, map)]
+    knownMap = base
+    return startStaging(active, map)
+  }
+
+  /** Asks one rank only, because a whole map has some 10 KB. */
+  const startFetching = (active: Round, newest: MapId): CoordinatorEffect[] => {
+    enterPhase(active, Phase.Fetching, clock.nowMs())
+    const source = active.members.find(({ view }) => isSameMap(view?.latest ?? undefined, newest))
+    for (const member of active.members) member.isAcked = member !== source
+    return sendToAll(active)
+  }
+
+  const startRestart = (active: Round, newest: MapId | undefined): CoordinatorEffect[] => {
+    const known = [initialMap, knownMap].find(map => newest === undefined || isSameMap(map.id, newest))
+    return known === undefined ? startFetching(active, newest!) : startStaging(active, known)
+  }
+
+  const abandon = (): CoordinatorEffect[] => {
+    round = undefined
+    return []
+  }
+
+  const judgedHandlers: Record<RoundKind, (active: Round, newest: MapId | undefined) => CoordinatorEffect[]> = {
+    [RoundKind.Clean]: (active, newest) => startSwitch(active, newest!),
+    [RoundKind.RollBack]: active => startReleasing(active, ReleaseChoice.Keep),
+    [RoundKind.Finish]: active => startReleasing(active),
+    [RoundKind.Restart]: startRestart
+  }
+
+  const judge = (active: Round): CoordinatorEffect[] => {
+    const views = active.members.map(({ view }) => view).filter(view => view !== undefined)
+    const judgement = judgeRound(views)
+    active.judgement = judgement
+    return judgedHandlers[judgement.kind](active, judgement.newest)
+  }
+
+  const finishRound = (active: Round): CoordinatorEffect[] => {
+    round = undefined
+    const { choice, target } = active
+    if (target === undefined || choice === ReleaseChoice.Restart) {
+      // A requested switch waits for a round of its own after the ranks are in order again.
+      if (target !== undefined) knownMap = target
+      return []
+    }
+    if (choice === ReleaseChoice.Keep) return endSwitch(SwitchOutcome.RolledBack, target)
+    knownMap = target
+    return endSwitch(SwitchOutcome.Done, target)
+  }
+
+  const enoughAcks = (active: Round, isUnanimous: boolean): boolean =>
+    isUnanimous ? active.members.every(({ isAcked }) => isAcked) : active.members.some(({ isAcked }) => isAcked)
+
+  const completePhase: Record<Phase, (active: Round) => CoordinatorEffect[]> = {
+    [Phase.Preparing]: active => enoughAcks(active, rules.asksAllRanks) ? judge(active) : [],
+    [Phase.Fetching]: () => [],
+    [Phase.Staging]: active => enoughAcks(active, true) ? startHolding(active, freshStep(active)) : pumpStaging(active),
+    [Phase.Holding]: active => enoughAcks(active, rules.needsAllHolds)
+      ? startReleasing(active, isRestart(active) ? ReleaseChoice.Restart : ReleaseChoice.Adopt)
+      : [],
+    [Phase.Releasing]: active => enoughAcks(active, true) ? finishRound(active) : []
+  }
+
+  const acknowledge = (member: Member, phase: Phase): CoordinatorEffect[] => {
+    if (round?.phase !== phase) return []
+    member.isAcked = true
+    return completePhase[phase](round)
+  }
+
+  const onPrepared: Handlers[SwitchKind.Prepared] = (member, { view }) => {
+    // A restart between two answers makes what this round knows of the rank void.
+    if (member.view !== undefined && member.view.incarnation !== view.incarnation) return beginRound()
+    if (round?.phase !== Phase.Preparing) return []
+    member.view = { ...view }
+    return acknowledge(member, Phase.Preparing)
+  }
+
+  const onRefused: Handlers[SwitchKind.Refused] = (_member, { promised }) => {
+    counter = Math.max(counter, promised.counter)
+    needsRound = true
+    // A coordinator that has just started only has to learn the counter; others let the higher ballot finish.
+    const waitMs = round?.phase === Phase.Preparing ? RESEND_INTERVAL_MS : BALLOT_RETRY_MS
+    retryMs = clock.nowMs() + waitMs * (1 + random.next())
+    return abandon()
+  }
+
+  const onStaged: Handlers[SwitchKind.Staged] = (member, { mapId, progress, nextStep }) => {
+    noteStep(member, nextStep)
+    if (round?.phase !== Phase.Staging || !isSameMap(round.target?.id, mapId)) return []
+    member.needsVersionZero ||= progress === StageProgress.BaseUnknown
+    member.progress = progress
+    if (progress !== StageProgress.Done) return []
+    return acknowledge(member, Phase.Staging)
+  }
+
+  const onHeld: Handlers[SwitchKind.Held] = (member, { step, nextStep }) => {
+    noteStep(member, nextStep)
+    if (round?.phase !== Phase.Holding || round.step !== step) return []
+    member.isHeld = true
+    return acknowledge(member, Phase.Holding)
+  }
+
+  const onHoldMissed: Handlers[SwitchKind.HoldMissed] = (member, { step, nextStep }) => {
+    noteStep(member, nextStep)
+    if (round === undefined || round.phase !== Phase.Holding || round.step !== step) return []
+    return startHolding(round, freshStep(round) + HOLD_MARGIN_STEPS)
+  }
+
+  const onReleased: Handlers[SwitchKind.Released] = member => {
+    if (round?.phase === Phase.Releasing) member.isHeld = false
+    return acknowledge(member, Phase.Releasing)
+  }
+
+  const onMapBody: Handlers[SwitchKind.MapBody] = (_member, { mapId, bytes }) => {
+    if (round?.phase !== Phase.Fetching || !isSameMap(round.judgement?.newest, mapId)) return []
+    knownMap = applyChanges(initialMap, bytes, mapId)
+    return startStaging(round, knownMap)
+  }
+
+  const onRankStarted: Handlers[SwitchKind.RankStarted] = (member, message) => {
+    if (member.view === undefined || member.view.incarnation === message.incarnation) return []
+    return beginRound()
+  }
+
+  const switchHandlers: Handlers = {
+    [SwitchKind.Prepared]: onPrepared,
+    [SwitchKind.Refused]: onRefused,
+    [SwitchKind.Staged]: onStaged,
+    [SwitchKind.Held]: onHeld,
+    [SwitchKind.HoldMissed]: onHoldMissed,
+    [SwitchKind.Released]: onReleased,
+    [SwitchKind.MapBody]: onMapBody,
+    [SwitchKind.RankStarted]: onRankStarted
+  }
+
+  const onSwitch = (from: number, message: CoordinatorBoundMessage): CoordinatorEffect[] => {
+    const handler = switchHandlers[message.kind] as (member: Member, message: CoordinatorBoundMessage) => CoordinatorEffect[]
+    if (message.kind === SwitchKind.RankStarted && round === undefined) {
+      needsRound = true
+      return []
+    }
+    const member = round?.members[from]
+    if (member === undefined || round === undefined || !isForRound(round, member, message)) return []
+    return handler(member, message)
+  }
+
+  /** Resends to ranks that have not answered; blocked ranks also learn that the coordinator lives. */
+  const resend = (active: Round): CoordinatorEffect[] => {
+    const resent = quietMembers(active, clock.nowMs()).map(member => send(member, active.phase === Phase.Staging
+      ? stageMessage(active, member, knownMaps(), false)
+      : phaseMessage(active, member, knownMaps())))
+    return active.phase === Phase.Staging ? [...resent, ...pumpStaging(active)] : resent
+  }
+
+  const onTick = (): CoordinatorEffect[] => {
+    const nowMs = clock.nowMs()
+    if (round === undefined) {
+      const isDue = (pending !== undefined || needsRound) && nowMs >= retryMs
+      return isDue && leadership.leader() === ownRank ? beginRound() : []
+    }
+    return isOverdue(round, nowMs) ? startReleasing(round, ReleaseChoice.Keep) : resend(round)
+  }
+
+  const handlers: HandlerTable<CoordinatorMessage, CoordinatorEffect[]> = {
+    [CoordinatorMessageKind.SwitchReceived]: ({ from, message }) => onSwitch(from, message),
+    [CoordinatorMessageKind.SwitchRequested]: ({ base, map }) => {
+      pending = { base, map }
+      return onTick()
+    },
+    [CoordinatorMessageKind.LiveRanksChanged]: ({ ranks }) => {
+      leadership.setLive(ranks)
+      needsRound ||= leadership.leader() === ownRank
+      return []
+    },
+    [CoordinatorMessageKind.CoordinatorSuspected]: ({ rank }) => {
+      leadership.suspect(rank)
+      needsRound ||= leadership.leader() === ownRank
+      return []
+    },
+    [CoordinatorMessageKind.Tick]: onTick
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- /dev/null
+++ b/src/expertMaps/createSwitchRank.ts
@@ -0,0 +1,275 @@
+import { type Clock, type Core, dispatch, type HandlerTable, type Incarnation } from '../core/index.js'
+import { COORDINATOR_SILENCE_MS, RANK_STARTED_INTERVAL_MS } from './constants.js'
+import { applyChanges, createInitialMap, encodeChanges, isSameMap } from './expertMap.js'
+import { createLeadership } from './leadership.js'
+import {
+  ALL_SWITCH_RULES, type Ballot, compareBallots, type CoordinatorBoundMessage, type Hold, type MapChanges,
+  type RankBoundMessage, type RankView, ReleaseChoice, StageProgress, SwitchKind, type SwitchRules
+} from './switchTypes.js'
+import type { ExpertMap, GroupShape, ItemIndex, MapId } from './types.js'
+import { createWeightStaging, type WeightEffect } from './weightStaging.js'
+
+export enum RankMessageKind {
+  SwitchReceived = 'switch-received',
+  /** The engine is ready to begin a step; it waits until the step is allowed. */
+  StepRequested = 'step-requested',
+  /** A copy or load ended; a store that refuses may name a time to wait. */
+  LoadFinished = 'load-finished',
+  LiveRanksChanged = 'live-ranks-changed',
+  Tick = 'tick'
+}
+
+export type RankMessage =
+  | { kind: RankMessageKind.SwitchReceived, from: number, message: RankBoundMessage }
+  | { kind: RankMessageKind.StepRequested, step: number }
+  | { kind: RankMessageKind.LoadFinished, item: ItemIndex, isDone: boolean, retryAfterMs?: number }
+  | { kind: RankMessageKind.LiveRanksChanged, ranks: readonly number[] }
+  | { kind: RankMessageKind.Tick }
+
+export enum RankEffectKind {
+  SendToCoordinator = 'send-to-coordinator',
+  StepAllowed = 'step-allowed',
+  /** The engine abandons the step under way and requests the given one. */
+  ResumeAt = 'resume-at',
+  MapActivated = 'map-activated',
+  /** For the coordinator core of this process. */
+  CoordinatorSuspected = 'coordinator-suspected'
+}
+
+export type RankEffect =
+  | { kind: RankEffectKind.SendToCoordinator, to: number, message: CoordinatorBoundMessage }
+  | { kind: RankEffectKind.StepAllowed, step: number, map: ExpertMap }
+  | { kind: RankEffectKind.ResumeAt, step: number }
+  | { kind: RankEffectKind.MapActivated, map: ExpertMap }
+  | { kind: RankEffectKind.CoordinatorSuspected, rank: number }
+  | WeightEffect
+
+export interface SwitchRankOptions {
+  shape: GroupShape
+  rank: number
+  incarnation: Incarnation
+  clock: Clock
+  rules?: SwitchRules
+}
+
+interface Held extends Hold {
+  ballot: Ballot
+  map: ExpertMap
+}
+
+type Handlers = { [Kind in RankBoundMessage['kind']]: (from: number, message: Extract<RankBoundMessage, { kind: Kind }>) => RankEffect[] }
+
+/**
+ * Decides for one rank which step may run with which map. The rank starts without a map and runs no
+ * step until a round of the coordinator has placed it.
+ *
+ * @example
+ * const switchRank = createSwitchRank({ shape, rank: 3, incarnation, clock })
+ * switchRank.handle({ kind: RankMessageKind.StepRequested, step: 1 }) // [] until the first release
+ */
+export const createSwitchRank = (
+  { shape, rank, incarnation, clock, rules = ALL_SWITCH_RULES }: SwitchRankOptions
+): Core<RankMessage, RankEffect> => {
+  const initialMap = createInitialMap(shape)
+  const staging = createWeightStaging({ rank, clock })
+  const leadership = createLeadership({ ranks: shape.ranks, clock })
+  let promised: Ballot | undefined
+  /** Whether the promised ballot has released this rank; later copies of its messages have no effect. */
+  let isClosed = false
+  let current: ExpertMap | undefined
+  let grant: { map: ExpertMap, step: number } | undefined
+  let held: Held | undefined
+  let nextStep = 1
+  let requestedStep: number | undefined
+  let heardMs = clock.nowMs()
+  let announcedMs = Number.NEGATIVE_INFINITY
+
+  const latest = () => grant?.map ?? current
+  const maps = () => [current, grant?.map].filter(map => map !== undefined)
+
+  const view = (): RankView => ({
+    incarnation,
+    nextStep,
+    latest: latest()?.id ?? null,
+    held: held === undefined ? null : { mapId: held.mapId, step: held.step }
+  })
+
+  const reply = (to: number, message: CoordinatorBoundMessage): RankEffect =>
+    ({ kind: RankEffectKind.SendToCoordinator, to, message })
+
+  const activateGrant = (step: number): RankEffect[] => {
+    if (grant === undefined || step < grant.step) return []
+    current = grant.map
+    grant = undefined
+    // A map staged for the next switch still needs its weights.
+    const dropped = staging.stagedMap === undefined ? staging.settle([current]) : []
+    return [{ kind: RankEffectKind.MapActivated, map: current }, ...dropped]
+  }
+
+  const isStepHeld = (step: number) => held !== undefined && (held.step === null || step >= held.step)
+
+  /** Allows the requested step as soon as a map is placed and no hold covers it. */
+  const allowStep = (): RankEffect[] => {
+    const step = requestedStep
+    if (step === undefined || latest() === undefined || isStepHeld(step)) return []
+    const activated = activateGrant(step)
+    if (current === undefined) return []
+    requestedStep = undefined
+    nextStep = step + 1
+    return [...activated, { kind: RankEffectKind.StepAllowed, step, map: current }]
+  }
+
+  const baseOf = (id: MapId): ExpertMap | undefined =>
+    [initialMap, ...maps(), staging.stagedMap].find(map => isSameMap(map?.id, id))
+
+  const mapFrom = (changes: MapChanges, id: MapId): ExpertMap | undefined => {
+    const base = baseOf(changes.base)
+    return base === undefined ? undefined : applyChanges(base, changes.bytes, id)
+  }
+
+  const onPrepare: Handlers[SwitchKind.Prepare] = (from, { ballot }) => {
+    if (promised === undefined || compareBallots(ballot, promised) > 0) {
+      promised = ballot
+      isClosed = false
+    }
+    return [reply(from, { kind: SwitchKind.Prepared, ballot, view: view() })]
+  }
+
+  const stagedReply = (from: number, ballot: Ballot, mapId: MapId, progress: StageProgress) =>
+    reply(from, { kind: SwitchKind.Staged, ballot, incarnation, mapId, progress, nextStep })
+
+  const stageProgress = (mapId: MapId) =>
+    staging.isComplete(mapId) ? StageProgress.Done : StageProgress.Copying
+
+  const onStage: Handlers[SwitchKind.Stage] = (from, { ballot, mapId, changes, hasPeers }) => {
+    if (isSameMap(staging.stagedMap?.id, mapId)) return [stagedReply(from, ballot, mapId, stageProgress(mapId))]
+    if (changes === undefined) return [stagedReply(from, ballot, mapId, StageProgress.Unknown)]
+    const map = mapFrom(changes, mapId)
+    if (map === undefined) return [stagedReply(from, ballot, mapId, StageProgress.BaseUnknown)]
+    const effects = staging.begin(map, current ?? map, hasPeers)
+    return [...effects, stagedReply(from, ballot, mapId, stageProgress(mapId))]
+  }
+
+  const onHold: Handlers[SwitchKind.Hold] = (from, { ballot, mapId, step }) => {
+    if (!staging.isComplete(mapId)) return [stagedReply(from, ballot, mapId, StageProgress.Unknown)]
+    if (step !== null && step < nextStep) {
+      return [reply(from, { kind: SwitchKind.HoldMissed, ballot, incarnation, step, nextStep })]
+    }
+    // A reordered hold of the same ballot must not move the hold back.
+    const isLater = held === undefined || compareBallots(held.ballot, ballot) < 0 ||
+      (held.step !== null && step !== null && step > held.step)
+    if (isLater) held = { ballot, mapId, step, map: staging.stagedMap! }
+    const accepted: RankEffect = reply(from, { kind: SwitchKind.Held, ballot, incarnation, step: held!.step, nextStep })
+    return [accepted, ...allowStep()]
+  }
+
+  const adopt = (mapId: MapId, step: number): boolean => {
+    if (isSameMap(latest()?.id, mapId)) return true
+    const isMatch = held !== undefined && isSameMap(held.mapId, mapId) && held.step === step
+    if (!isMatch && rules.needsAllHolds) return false
+    const map = held?.map ?? staging.stagedMap
+    if (map === undefined || !isSameMap(map.id, mapId)) return false
+    grant = { map, step }
+    return true
+  }
+
+  const restart = (mapId: MapId, step: number): boolean => {
+    if (held === undefined || held.step !== null || !isSameMap(held.mapId, mapId)) return false
+    current = held.map
+    grant = undefined
+    nextStep = step
+    requestedStep = undefined
+    return true
+  }
+
+  const release: Record<ReleaseChoice, (mapId: MapId, step: number) => boolean> = {
+    [ReleaseChoice.Adopt]: adopt,
+    [ReleaseChoice.Keep]: mapId => isSameMap(latest()?.id, mapId),
+    [ReleaseChoice.Restart]: restart
+  }
+
+  const onRelease: Handlers[SwitchKind.Release] = (from, { ballot, choice, mapId, step }) => {
+    if (!release[choice](mapId, step)) return []
+    held = undefined
+    isClosed = true
+    const effects: RankEffect[] = [reply(from, { kind: SwitchKind.Released, ballot, incarnation })]
+    if (choice === ReleaseChoice.Restart) {
+      effects.push({ kind: RankEffectKind.MapActivated, map: current! }, { kind: RankEffectKind.ResumeAt, step })
+    }
+    return [...effects, ...staging.settle(maps()), ...allowStep()]
+  }
+
+  const onMapRequest: Handlers[SwitchKind.MapRequest] = (from, { ballot, mapId }) => {
+    const map = maps().find(known => isSameMap(known.id, mapId))
+    if (map === undefined) return []
+    return [reply(from, { kind: SwitchKind.MapBody, ballot, mapId, bytes: encodeChanges(initialMap, map) })]
+  }
+
+  const rankHandlers: Handlers = {
+    [SwitchKind.Prepare]: onPrepare,
+    [SwitchKind.Stage]: onStage,
+    [SwitchKind.Hold]: onHold,
+    [SwitchKind.Release]: onRelease,
+    [SwitchKind.MapRequest]: onMapRequest
+  }
+
+  /** Whether a message belongs to the promised ballot and to this run of the process. */
+  const isCurrent = (message: RankBoundMessage): boolean => {
+    if (message.kind === SwitchKind.Prepare || message.kind === SwitchKind.MapRequest) return true
+    if (rules.checksIncarnation && message.incarnation !== incarnation) return false
+    return !rules.checksBallot || (promised !== undefined && compareBallots(message.ballot, promised) === 0)
+  }
+
+  const onSwitch = (from: number, message: RankBoundMessage): RankEffect[] => {
+    const order = promised === undefined ? 1 : compareBallots(message.ballot, promised)
+    if (rules.checksBallot && order < 0) {
+      return [reply(from, { kind: SwitchKind.Refused, ballot: message.ballot, promised: promised! })]
+    }
+    heardMs = clock.nowMs()
+    if (!isCurrent(message)) return []
+    if (isClosed && message.kind === SwitchKind.Release) {
+      return [reply(from, { kind: SwitchKind.Released, ballot: message.ballot, incarnation })]
+    }
+    const isLateCopy = isClosed && (message.kind === SwitchKind.Stage || message.kind === SwitchKind.Hold)
+    if (isLateCopy && rules.checksBallot) return []
+    const handler = rankHandlers[message.kind] as (from: number, message: RankBoundMessage) => RankEffect[]
+    return handler(from, message)
+  }
+
+  /** A rank that is blocked until some coordinator acts. */
+  const isWaiting = () => held !== undefined || latest() === undefined
+
+  const announce = (): RankEffect[] => {
+    const nowMs = clock.nowMs()
+    if (latest() !== undefined || nowMs - announcedMs < RANK_STARTED_INTERVAL_MS) return []
+    announcedMs = nowMs
+    return [reply(leadership.leader(), { kind: SwitchKind.RankStarted, incarnation })]
+  }
+
+  const suspect = (): RankEffect[] => {
+    const nowMs = clock.nowMs()
+    if (!isWaiting()) heardMs = nowMs
+    if (nowMs - heardMs < COORDINATOR_SILENCE_MS) return []
+    heardMs = nowMs
+    const silent = leadership.leader()
+    leadership.suspect(silent)
+    return [{ kind: RankEffectKind.CoordinatorSuspected, rank: silent }]
+  }
+
+  const handlers: HandlerTable<RankMessage, RankEffect[]> = {
+    [RankMessageKind.SwitchReceived]: ({ from, message }) => onSwitch(from, message),
+    [RankMessageKind.StepRequested]: ({ step }) => {
+      if (step < nextStep) return []
+      requestedStep = step
+      return allowStep()
+    },
+    [RankMessageKind.LoadFinished]: ({ item, isDone, retryAfterMs }) => staging.finished(item, isDone, retryAfterMs),
+    [RankMessageKind.LiveRanksChanged]: ({ ranks }) => {
+      leadership.setLive(ranks)
+      return []
+    },
+    [RankMessageKind.Tick]: () => [...staging.tick(), ...suspect(), ...announce()]
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- a/src/expertMaps/index.ts
+++ b/src/expertMaps/index.ts
@@ -1,7 +1,12 @@
 /** Expert maps of a group of ranks: load accounting, planning and switching. */
 export * from './constants.js'
+export * from './coordinatorTypes.js'
 export * from './createLoadAccount.js'
 export * from './createPlanner.js'
+export * from './createSwitchCoordinator.js'
+export * from './createSwitchRank.js'
 export * from './expertMap.js'
 export * from './objective.js'
+export * from './switchTypes.js'
 export * from './types.js'
+export { type WeightEffect, WeightEffectKind } from './weightStaging.js'
--- /dev/null
+++ b/src/expertMaps/judgeRound.ts
@@ -0,0 +1,42 @@
+import { isSameMap } from './expertMap.js'
+import type { RankView } from './switchTypes.js'
+import type { MapId } from './types.js'
+
+/** What the states of all ranks ask for. */
+export enum RoundKind {
+  /** Nothing is left of an earlier round; a new map may be staged. */
+  Clean = 'clean',
+  /** No rank was released to a new map: held ranks go on with the old one. */
+  RollBack = 'roll-back',
+  /** Some rank was released to a new map: the others follow. */
+  Finish = 'finish',
+  /** Some rank has no map: all ranks stop and resume at a step that none has begun. */
+  Restart = 'restart'
+}
+
+export interface Judgement {
+  kind: RoundKind
+  /** The newest map that any rank was released to; undefined at the start of a group. */
+  newest?: MapId
+}
+
+/**
+ * Judges the states of all ranks of a group.
+ *
+ * Between two rounds ranks were released to at most two maps of successive versions, because a
+ * release to a new map needs the hold of every rank, and a round ends only when all have it.
+ */
+export const judgeRound = (views: readonly RankView[]): Judgement => {
+  const placed = views.map(({ latest }) => latest).filter(id => id !== null)
+  const newest = placed.reduce<MapId | undefined>((best, id) =>
+    best === undefined || id.version > best.version ? id : best, undefined)
+  const isStopped = views.some(({ held }) => held !== null && held.step === null)
+  if (newest === undefined || placed.length < views.length || isStopped) return { kind: RoundKind.Restart, newest }
+
+  const behind = views.filter(({ latest }) => !isSameMap(latest!, newest))
+  if (behind.length === 0) {
+    return { kind: views.some(({ held }) => held !== null) ? RoundKind.RollBack : RoundKind.Clean, newest }
+  }
+  const canFollow = behind.every(({ held }) => isSameMap(held?.mapId, newest))
+  return { kind: canFollow ? RoundKind.Finish : RoundKind.Restart, newest }
+}
--- /dev/null
+++ b/src/expertMaps/leadership.ts
@@ -0,0 +1,25 @@
+import type { Clock, TimestampMs } from '../core/index.js'
+import { SUSPICION_MS } from './constants.js'
+
+/** One process's opinion on who coordinates the group; opinions may differ, ballots keep that safe. */
+export interface Leadership {
+  /** The lowest live rank that is not suspected. */
+  leader (): number
+  setLive (ranks: readonly number[]): void
+  /** Passes a rank over for SUSPICION_MS. */
+  suspect (rank: number): void
+}
+
+/** Creates an opinion in which all ranks are live. */
+export const createLeadership = ({ ranks, clock }: { ranks: number, clock: Clock }): Leadership => {
+  let live: readonly number[] = Array.from({ length: ranks }, (_rank, rank) => rank)
+  const suspectedUntilMs = new Map<number, TimestampMs>()
+
+  const isSuspected = (rank: number) => (suspectedUntilMs.get(rank) ?? 0) > clock.nowMs()
+
+  return {
+    leader: () => live.find(rank => !isSuspected(rank)) ?? live[0] ?? 0,
+    setLive: next => { live = [...next].sort((a, b) => a - b) },
+    suspect: rank => { suspectedUntilMs.set(rank, clock.nowMs() + SUSPICION_MS) }
+  }
+}
--- /dev/null
+++ b/src/expertMaps/round.ts
@@ -0,0 +1,127 @@
+import type { TimestampMs } from '../core/index.js'
+import { HOLD_LIMIT_MS, POLL_INTERVAL_MS, RESEND_INTERVAL_MS, STAGE_LIMIT_MS } from './constants.js'
+import { isSameMap } from './expertMap.js'
+import { type Judgement, RoundKind } from './judgeRound.js'
+import {
+  type Ballot, compareBallots, type CoordinatorBoundMessage, type RankView, ReleaseChoice, StageProgress, SwitchKind
+} from './switchTypes.js'
+import type { ExpertMap } from './types.js'
+
+/** Phase of a round of the coordinator. */
+export enum Phase {
+  Preparing = 'preparing',
+  /** Waiting for the content of a map that only ranks know. */
+  Fetching = 'fetching',
+  Staging = 'staging',
+  Holding = 'holding',
+  Releasing = 'releasing'
+}
+
+/** What a round knows of one rank. */
+export interface Member {
+  rank: number
+  view?: RankView
+  /** Undefined until the rank answered a stage message. */
+  progress?: StageProgress
+  needsVersionZero: boolean
+  /** Whether the rank loads weights for the staged map. */
+  hasCopies: boolean
+  /** Whether the rank answered the message of this phase. */
+  isAcked: boolean
+  isHeld: boolean
+  sentMs: TimestampMs
+}
+
+export interface Round {
+  ballot: Ballot
+  phase: Phase
+  phaseMs: TimestampMs
+  members: Member[]
+  judgement?: Judgement
+  target?: ExpertMap
+  /** Encoded changes to the target by the hash of their base. */
+  encoded: Map<string, Uint8Array>
+  choice?: ReleaseChoice
+  /** Step of the hold, or of the restart once all ranks are stopped. */
+  step: number | null
+}
+
+/** Creates a round that has not asked any rank yet. */
+export const createRound = (ballot: Ballot, ranks: number, nowMs: TimestampMs): Round => ({
+  ballot,
+  phase: Phase.Preparing,
+  phaseMs: nowMs,
+  members: Array.from({ length: ranks }, (_member, rank) =>
+    ({ rank, needsVersionZero: false, hasCopies: false, isAcked: false, isHeld: false, sentMs: Number.NEGATIVE_INFINITY })),
+  encoded: new Map(),
+  step: null
+})
+
+/** Enters a phase in which no rank has answered. */
+export const enterPhase = (round: Round, phase: Phase, nowMs: TimestampMs) => {
+  round.phase = phase
+  round.phaseMs = nowMs
+  for (const member of round.members) {
+    member.isAcked = false
+    member.sentMs = Number.NEGATIVE_INFINITY
+  }
+}
+
+/** Lowest step that no rank is known to have begun. */
+export const freshStep = ({ members }: Round): number =>
+  members.reduce((step, { view }) => Math.max(step, view?.nextStep ?? 1), 1)
+
+/** Release of one rank: in a finished round those that were released already only go on. */
+export const releaseFor = (round: Round, { view }: Member) => {
+  const mapId = round.target?.id ?? round.judgement?.newest ?? { version: 0, hash: '' }
+  if (round.choice !== undefined) {
+    const kept = round.judgement?.newest ?? mapId
+    return { choice: round.choice, mapId: round.choice === ReleaseChoice.Keep ? kept : mapId, step: round.step ?? 0 }
+  }
+  const isBehind = !isSameMap(view?.latest ?? undefined, mapId)
+  return { choice: isBehind ? ReleaseChoice.Adopt : ReleaseChoice.Keep, mapId, step: view?.held?.step ?? 0 }
+}
+
+/** Whether a rank is blocked and would suspect a silent coordinator. */
+const isBlocked = ({ view, isHeld }: Member): boolean =>
+  isHeld || (view !== undefined && (view.latest === null || view.held !== null))
+
+/** Ranks that load weights now. */
+const copyingCount = ({ members }: Round): number =>
+  members.filter(({ hasCopies, progress, sentMs }) =>
+    hasCopies && progress !== StageProgress.Done && sentMs > Number.NEGATIVE_INFINITY).length
+
+/** Whether the round places ranks that have no map; the group stands still meanwhile. */
+export const isRestart = ({ judgement }: Round): boolean => judgement?.kind === RoundKind.Restart
+
+/** Whether a rank may begin to stage. Copies are limited only while they slow down steps. */
+export const canStage = (round: Round, { hasCopies, progress }: Member, movesAtOnceMax: number): boolean =>
+  isRestart(round) || !hasCopies || progress !== undefined || copyingCount(round) < movesAtOnceMax
+
+/** Takes note that a rank has begun the steps before `nextStep`. */
+export const noteStep = ({ view }: Member, nextStep: number) => {
+  if (view !== undefined) view.nextStep = Math.max(view.nextStep, nextStep)
+}
+
+/** Whether an answer belongs to the ballot of the round and to the known run of the rank. */
+export const isForRound = (round: Round, { view }: Member, message: CoordinatorBoundMessage): boolean => {
+  if (message.kind === SwitchKind.RankStarted) return true
+  if (compareBallots(message.ballot, round.ballot) !== 0) return false
+  return !('incarnation' in message) || view?.incarnation === message.incarnation
+}
+
+const TIME_LIMITS: Partial<Record<Phase, number>> =
+  { [Phase.Staging]: STAGE_LIMIT_MS, [Phase.Holding]: HOLD_LIMIT_MS }
+
+/** Whether a phase takes so long that the group goes on with its map. */
+export const isOverdue = (round: Round, nowMs: TimestampMs): boolean => {
+  const limitMs = TIME_LIMITS[round.phase]
+  return limitMs !== undefined && nowMs - round.phaseMs > limitMs && !isRestart(round)
+}
+
+/** Ranks that must hear from the coordinator again; the pace of stage messages is decided elsewhere. */
+export const quietMembers = (round: Round, nowMs: TimestampMs): Member[] => round.members.filter(member => {
+  const quietMs = nowMs - member.sentMs
+  if (member.isAcked) return isBlocked(member) && quietMs >= POLL_INTERVAL_MS
+  return round.phase !== Phase.Staging && quietMs >= RESEND_INTERVAL_MS
+})
