Run fault schedules over the switch and a naive one

Cause: the safety of the switch had not been measured. Change: seeded schedules with loss, delay, copies, crashes, pauses, second coordinators and a slow or refusing store; a rank tells the end of staging at once.

--- /dev/null
+++ b/bench/maps/faultSchedule.ts
@@ -0,0 +1,144 @@
+import { createRandom, type Random } from '../../src/core/index.js'
+import {
+  createInitialMap, createMap, type ExpertMap, type GroupShape, type SwitchRules
+} from '../../src/expertMaps/index.js'
+import type { NetworkFaults } from '../harness/index.js'
+import { createNaiveCores } from './naiveSwitch.js'
+import { createSwitchSimulation, StoreBehaviour, type SwitchSimulation } from './switchSimulation.js'
+
+export interface ScheduleResult {
+  mixedSteps: number
+  /** Whether all ranks ran steps again after the faults ended. */
+  isRunning: boolean
+  /** Whether the last step used a map other than the first one. */
+  hasSwitched: boolean
+  completedSteps: number
+}
+
+const SHAPE: GroupShape = { ranks: 3, experts: 3, layers: 1, expertBytes: 1_000 }
+/** Faults stop here; the group must then recover by itself. */
+const FAULTS_END_MS = 6_000
+const LIMIT_MS = 40_000
+const CALM_STEPS = 4
+
+const emptyNetwork = (): NetworkFaults => ({ delayMinMs: 1, delayMaxMs: 4, lossRatio: 0, duplicateRatio: 0 })
+
+/** Moves one expert, chosen by `turn`, to the next rank. */
+export const nextMapOf = (map: ExpertMap, shape: GroupShape, turn: number): ExpertMap =>
+  createMap(map.id.version + 1, map.layers.map((layer, index) => index > 0
+    ? layer
+    : layer.map((replicas, expert) => expert === turn % shape.experts
+      ? [{ rank: (replicas[0]!.rank + 1) % shape.ranks, share: 1 }]
+      : replicas)))
+
+type Fault = (sim: SwitchSimulation, random: Random) => void
+
+const randomRank = (random: Random) => random.int(0, SHAPE.ranks - 1)
+
+const requestFrom = (sim: SwitchSimulation, rank: number, turn: number) => {
+  const base = sim.activated[rank]
+  if (base !== undefined) sim.request(rank, base, nextMapOf(base, SHAPE, turn))
+}
+
+/** Faults that a schedule draws from; each may be drawn several times. */
+const FAULT_TABLE: Record<string, Fault> = {
+  crash: (sim, random) => sim.crash(randomRank(random), random.int(50, 2_000)),
+  crashLeader: (sim, random) => sim.crash(0, random.int(50, 2_000)),
+  pauseLeader: (sim, random) => sim.pauseCoordinator(0, random.int(100, 4_000)),
+  pauseAny: (sim, random) => sim.pauseCoordinator(randomRank(random), random.int(100, 4_000)),
+  secondLeader: (sim, random) => {
+    const rank = random.int(1, SHAPE.ranks - 1)
+    sim.setLive(rank, [rank])
+    requestFrom(sim, rank, random.int(0, SHAPE.experts - 1))
+  },
+  healOpinion: (sim) => {
+    for (let rank = 0; rank < SHAPE.ranks; rank++) sim.setLive(rank, [0, 1, 2])
+  },
+  slowStore: sim => sim.setStore(StoreBehaviour.Slow),
+  refusingStore: sim => sim.setStore(StoreBehaviour.Refusing)
+}
+const FAULT_NAMES = Object.keys(FAULT_TABLE)
+
+const heal = (sim: SwitchSimulation) => {
+  Object.assign(sim.faults, emptyNetwork())
+  sim.setStore(StoreBehaviour.Ready)
+  for (let rank = 0; rank < SHAPE.ranks; rank++) sim.setLive(rank, [0, 1, 2])
+}
+
+/**
+ * Runs one group through a start, two or three requested switches and random faults, heals it and
+ * waits until it runs steps again. The same seed gives the same faults to the naive switch.
+ */
+export const runFaultSchedule = (
+  { seed, rules, isNaive = false }: { seed: number, rules?: SwitchRules, isNaive?: boolean }
+): ScheduleResult => {
+  const random = createRandom(seed)
+  const delayMaxMs = random.pick([4, 40, 300, 900])
+  const faults: NetworkFaults =
+    { delayMinMs: 1, delayMaxMs, lossRatio: random.pick([0, 0.05, 0.2]), duplicateRatio: random.pick([0, 0.1, 0.3]) }
+  const network = random.next() < 0.7 ? emptyNetwork() : faults
+  const sim = createSwitchSimulation({
+    seed: random.int(1, 1 << 30), shape: SHAPE, network, rules, copyMs: 5, createCores: isNaive ? createNaiveCores : undefined
+  })
+  sim.queue.after(random.int(500, 2_500), () => Object.assign(network, faults))
+  const requests = random.int(2, 3)
+  for (let turn = 0; turn < requests; turn++) {
+    const rank = random.next() < 0.8 ? 0 : randomRank(random)
+    sim.queue.after(random.int(1_500, FAULTS_END_MS - 500), () => requestFrom(sim, rank, turn))
+  }
+  const faultCount = random.int(0, 5)
+  for (let i = 0; i < faultCount; i++) {
+    const fault = FAULT_TABLE[random.pick(FAULT_NAMES)]!
+    const faultRandom = createRandom(random.int(1, 1 << 30))
+    sim.queue.after(random.int(300, FAULTS_END_MS), () => fault(sim, faultRandom))
+  }
+  sim.queue.runUntil(FAULTS_END_MS)
+  heal(sim)
+  const healedAt = sim.engine.completedSteps
+  // A paused coordinator may come back with a switch of its own as long as four seconds after the heal.
+  sim.queue.runUntil(FAULTS_END_MS + 1_000)
+  while (sim.engine.completedSteps < healedAt + CALM_STEPS && sim.queue.clock.nowMs() < LIMIT_MS) {
+    sim.queue.runUntil(sim.queue.clock.nowMs() + 500)
+  }
+  const { engine } = sim
+  return {
+    mixedSteps: engine.mixedSteps,
+    isRunning: engine.completedSteps >= healedAt + CALM_STEPS,
+    hasSwitched: engine.lastHash !== undefined && engine.lastHash !== createInitialMap(SHAPE).id.hash,
+    completedSteps: engine.completedSteps
+  }
+}
+
+export interface ScheduleRange {
+  firstSeed: number
+  size: number
+}
+
+export interface ScheduleCounts {
+  mixedSteps: number
+  stuck: number
+  switched: number
+  steps: number
+  naiveMixedSteps: number
+  /** Schedules in which the naive switch mixed maps at least once. */
+  naiveMixed: number
+  naiveStuck: number
+}
+
+/** Runs consecutive seeds with the protocol and with the naive switch. */
+export const countSchedules = ({ firstSeed, size }: ScheduleRange): ScheduleCounts => {
+  const counts: ScheduleCounts =
+    { mixedSteps: 0, stuck: 0, switched: 0, steps: 0, naiveMixedSteps: 0, naiveMixed: 0, naiveStuck: 0 }
+  for (let seed = firstSeed; seed < firstSeed + size; seed++) {
+    const own = runFaultSchedule({ seed })
+    const naive = runFaultSchedule({ seed, isNaive: true })
+    counts.mixedSteps += own.mixedSteps
+    counts.stuck += Number(!own.isRunning)
+    counts.switched += Number(own.hasSwitched)
+    counts.steps += own.completedSteps
+    counts.naiveMixedSteps += naive.mixedSteps
+    counts.naiveMixed += Number(naive.mixedSteps > 0)
+    counts.naiveStuck += Number(!naive.isRunning)
+  }
+  return counts
+}
--- /dev/null
+++ b/bench/maps/naiveSwitch.ts
@@ -0,0 +1,54 @@
+import {
+  CoordinatorEffectKind, CoordinatorMessageKind, createInitialMap, encodeChanges, applyChanges, type ExpertMap,
+  RankEffectKind, RankMessageKind, ReleaseChoice, SwitchKind, SwitchOutcome, HOLD_MARGIN_STEPS
+} from '../../src/expertMaps/index.js'
+import type { CoreOptions, ProcessCores } from './switchSimulation.js'
+
+/**
+ * A switch that gives a step number only: the coordinator sends the map and the step once, and each
+ * rank changes at that step if it knows of it by then. A rank starts with the map of version 0.
+ */
+export const createNaiveCores = ({ shape, incarnation }: CoreOptions): ProcessCores => {
+  const initialMap = createInitialMap(shape)
+  let current: ExpertMap = initialMap
+  let staged: ExpertMap | undefined
+  let fromStep: number | undefined
+  /** The naive coordinator reads the step from the rank on its own host. */
+  let nextStep = 1
+
+  return {
+    rank: {
+      handle: message => {
+        if (message.kind === RankMessageKind.StepRequested) {
+          if (staged !== undefined && fromStep !== undefined && message.step >= fromStep) {
+            current = staged
+            fromStep = undefined
+          }
+          nextStep = message.step + 1
+          return [{ kind: RankEffectKind.MapActivated, map: current }, { kind: RankEffectKind.StepAllowed, step: message.step, map: current }]
+        }
+        if (message.kind !== RankMessageKind.SwitchReceived) return []
+        const received = message.message
+        if (received.kind === SwitchKind.Stage && received.changes !== undefined) {
+          staged = applyChanges(initialMap, received.changes.bytes, received.mapId)
+        }
+        if (received.kind === SwitchKind.Release && received.mapId.version > current.id.version) fromStep = received.step
+        return []
+      }
+    },
+    coordinator: {
+      handle: message => {
+        if (message.kind !== CoordinatorMessageKind.SwitchRequested) return []
+        const { map } = message
+        const address = { ballot: { counter: 1, incarnation }, incarnation, mapId: map.id }
+        const changes = { base: initialMap.id, bytes: encodeChanges(initialMap, map) }
+        const step = nextStep + HOLD_MARGIN_STEPS
+        const sends = Array.from({ length: shape.ranks }, (_rank, to) => [
+          { kind: SwitchKind.Stage as const, ...address, changes, hasPeers: true },
+          { kind: SwitchKind.Release as const, ...address, choice: ReleaseChoice.Adopt, step }
+        ].map(sent => ({ kind: CoordinatorEffectKind.SendToRank as const, to, message: sent }))).flat()
+        return [...sends, { kind: CoordinatorEffectKind.SwitchEnded, outcome: SwitchOutcome.Done, map }]
+      }
+    }
+  }
+}
--- a/src/expertMaps/createSwitchCoordinator.ts
+++ b/src/expertMaps/createSwitchCoordinator.ts
@@ -144,7 +144,7 @@
 
   const judge = (active: Round): CoordinatorEffect[] => {
     const views = active.members.map(({ view }) => view).filter(view => view !== undefined)
-    const judgement = judgeRound(views)
+    const judgement = judgeRound(views, rules.followsReleased)
     active.judgement = judgement
     return judgedHandlers[judgement.kind](active, judgement.newest)
   }
@@ -166,7 +166,7 @@
     isUnanimous ? active.members.every(({ isAcked }) => isAcked) : active.members.some(({ isAcked }) => isAcked)
 
   const completePhase: Record<Phase, (active: Round) => CoordinatorEffect[]> = {
-    [Phase.Preparing]: active => enoughAcks(active, rules.asksAllRanks) ? judge(active) : [],
+    [Phase.Preparing]: active => enoughAcks(active, true) ? judge(active) : [],
     [Phase.Fetching]: () => [],
     [Phase.Staging]: active => enoughAcks(active, true) ? startHolding(active, freshStep(active)) : pumpStaging(active),
     [Phase.Holding]: active => enoughAcks(active, rules.needsAllHolds)
--- a/src/expertMaps/createSwitchRank.ts
+++ b/src/expertMaps/createSwitchRank.ts
@@ -82,6 +82,8 @@
   let nextStep = 1
   let requestedStep: number | undefined
   let heardMs = clock.nowMs()
+  /** Stage order whose completion has not been told yet. */
+  let stageOrder: { from: number, ballot: Ballot, mapId: MapId } | undefined
   let announcedMs = Number.NEGATIVE_INFINITY
 
   const latest = () => grant?.map ?? current
@@ -147,9 +149,19 @@
     const map = mapFrom(changes, mapId)
     if (map === undefined) return [stagedReply(from, ballot, mapId, StageProgress.BaseUnknown)]
     const effects = staging.begin(map, current ?? map, hasPeers)
+    stageOrder = { from, ballot, mapId }
     return [...effects, stagedReply(from, ballot, mapId, stageProgress(mapId))]
   }
 
+  /** Tells the end of staging at once; if the message is lost, the coordinator asks. */
+  const onLoadFinished = (item: ItemIndex, isDone: boolean, retryAfterMs?: number): RankEffect[] => {
+    const effects = staging.finished(item, isDone, retryAfterMs)
+    if (stageOrder === undefined || !staging.isComplete(stageOrder.mapId)) return effects
+    const { from, ballot, mapId } = stageOrder
+    stageOrder = undefined
+    return [...effects, stagedReply(from, ballot, mapId, StageProgress.Done)]
+  }
+
   const onHold: Handlers[SwitchKind.Hold] = (from, { ballot, mapId, step }) => {
     if (!staging.isComplete(mapId)) return [stagedReply(from, ballot, mapId, StageProgress.Unknown)]
     if (step !== null && step < nextStep) {
@@ -263,7 +275,7 @@
       requestedStep = step
       return allowStep()
     },
-    [RankMessageKind.LoadFinished]: ({ item, isDone, retryAfterMs }) => staging.finished(item, isDone, retryAfterMs),
+    [RankMessageKind.LoadFinished]: ({ item, isDone, retryAfterMs }) => onLoadFinished(item, isDone, retryAfterMs),
     [RankMessageKind.LiveRanksChanged]: ({ ranks }) => {
       leadership.setLive(ranks)
       return []
--- a/src/expertMaps/judgeRound.ts
+++ b/src/expertMaps/judgeRound.ts
@@ -25,8 +25,9 @@
  *
  * Between two rounds ranks were released to at most two maps of successive versions, because a
  * release to a new map needs the hold of every rank, and a round ends only when all have it.
+ * `followsReleased` is switched off only by tests.
  */
-export const judgeRound = (views: readonly RankView[]): Judgement => {
+export const judgeRound = (views: readonly RankView[], followsReleased = true): Judgement => {
   const placed = views.map(({ latest }) => latest).filter(id => id !== null)
   const newest = placed.reduce<MapId | undefined>((best, id) =>
     best === undefined || id.version > best.version ? id : best, undefined)
@@ -37,6 +38,7 @@
   if (behind.length === 0) {
     return { kind: views.some(({ held }) => held !== null) ? RoundKind.RollBack : RoundKind.Clean, newest }
   }
+  if (!followsReleased) return { kind: RoundKind.RollBack, newest: behind[0]!.latest! }
   const canFollow = behind.every(({ held }) => isSameMap(held?.mapId, newest))
   return { kind: canFollow ? RoundKind.Finish : RoundKind.Restart, newest }
 }
--- a/src/expertMaps/switchTypes.ts
+++ b/src/expertMaps/switchTypes.ts
@@ -121,9 +121,9 @@
   checksIncarnation: boolean
   /** A release waits until all ranks hold. */
   needsAllHolds: boolean
-  /** A round asks all ranks for their state before it decides. */
-  asksAllRanks: boolean
+  /** A successor finishes a switch to which any rank was released. */
+  followsReleased: boolean
 }
 
 export const ALL_SWITCH_RULES: SwitchRules =
-  { checksBallot: true, checksIncarnation: true, needsAllHolds: true, asksAllRanks: true }
+  { checksBallot: true, checksIncarnation: true, needsAllHolds: true, followsReleased: true }
