--- /dev/null
+++ b/src/demo/callerClient.ts
@@ -0,0 +1,102 @@
+import { Agent, request } from 'undici'
+import { createHash } from 'node:crypto'
+import type { Clock, Random } from '../core/index.js'
+
+/** What a caller saw of one request. */
+export interface CallerResult {
+  status: number
+  code: number
+  outcome: string
+  body: string
+  firstByteMs: number
+  totalMs: number
+  /** Whether the response ended as docs/callers.md describes a whole one. */
+  isWhole: boolean
+}
+
+export interface CallerRequest {
+  method: 'GET' | 'POST'
+  path: string
+  customer: string
+  body?: unknown
+  idempotencyKey?: string
+  isEventStream?: boolean
+  traceparent?: string
+}
+
+/** A program of a customer: it asks for addresses, keeps them for their lifetime and sends requests. */
+export interface CallerClient {
+  /** Fetches addresses through a known one. */
+  refreshAddresses (throughAddress: string, customer: string): Promise<string[]>
+  addresses (): readonly string[]
+  send (address: string, callerRequest: CallerRequest): Promise<CallerResult>
+  pickAddress (): string
+  close (): Promise<void>
+}
+
+const CONNECTION_LOST = { status: 0, code: 0, outcome: 'unknown', isWhole: false }
+
+/** Short digest of a response for comparisons. */
+export const digestOf = (body: string): string => createHash('sha256').update(body).digest('hex').slice(0, 8)
+
+/**
+ * Creates a caller.
+ *
+ * @example
+ * const caller = createCallerClient({ clock, random })
+ * await caller.refreshAddresses('127.0.0.1:8101', 'ama-roofing')
+ * const result = await caller.send(caller.pickAddress(), { method: 'GET', path: '/stock/ridge-cap', customer: 'ama-roofing' })
+ */
+export const createCallerClient = ({ clock, random }: { clock: Clock, random: Random }): CallerClient => {
+  const dispatcher = new Agent({ connections: 64, pipelining: 1 })
+  let known: string[] = []
+
+  const send = async (address: string, callerRequest: CallerRequest): Promise<CallerResult> => {
+    const { method, path, customer, body, idempotencyKey, isEventStream, traceparent } = callerRequest
+    const startedMs = clock.nowMs()
+    let firstByteMs = 0
+    let text = ''
+    try {
+      const response = await request(`http://${address}${path}`, {
+        method,
+        dispatcher,
+        headers: {
+          'x-customer': customer,
+          'content-type': 'application/json',
+          ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+          ...(traceparent === undefined ? {} : { traceparent })
+        },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) })
+      })
+      for await (const bytes of response.body) {
+        if (text === '') firstByteMs = clock.nowMs() - startedMs
+        text += String(bytes)
+      }
+      const code = Number(response.headers['x-result-code'] ?? 0)
+      const isStreamWhole = isEventStream !== true || text.trimEnd().endsWith('data: [DONE]')
+      return {
+        status: response.statusCode,
+        code,
+        outcome: String(response.headers['x-outcome'] ?? (isStreamWhole ? 'ran' : 'unknown')),
+        body: text,
+        firstByteMs,
+        totalMs: clock.nowMs() - startedMs,
+        isWhole: response.statusCode < 300 && isStreamWhole
+      }
+    } catch {
+      return { ...CONNECTION_LOST, body: text, firstByteMs, totalMs: clock.nowMs() - startedMs }
+    }
+  }
+
+  return {
+    refreshAddresses: async (throughAddress, customer) => {
+      const { body } = await send(throughAddress, { method: 'GET', path: '/v1/addresses', customer })
+      known = (JSON.parse(body) as { addresses: string[] }).addresses
+      return known
+    },
+    addresses: () => known,
+    send,
+    pickAddress: () => random.pick(known),
+    close: () => dispatcher.destroy()
+  }
+}
--- /dev/null
+++ b/src/demo/traffic.ts
@@ -0,0 +1,87 @@
+import { v7 as createKey } from 'uuid'
+import type { Random } from '../core/index.js'
+import type { CallerClient, CallerRequest, CallerResult } from './callerClient.js'
+
+/** Kinds of traffic in the demo. */
+export enum TrafficKind {
+  Model = 'model requests (streams)',
+  Lookup = 'lookups (idempotent)',
+  Order = 'orders (at most once)'
+}
+
+export interface Sent {
+  kind: TrafficKind
+  callerRequest: CallerRequest
+  results: CallerResult[]
+  orderId?: string
+}
+
+const KPAKPO_CUSTOMERS = ['ama-roofing', 'st-peters-building-committee', 'ridgeline-hardware']
+const FELLESLY_CUSTOMERS = ['oslo-parks', 'nordmarka-booking', 'fjord-shelters']
+const PREFIXES = ['You price roof panels from sketches. ', 'You advise on sheet gauge. ', 'You list cut lengths per ridge. ']
+const PREFIX_REPEATS = 12
+const TOKENS_MIN = 8
+const TOKENS_MAX = 24
+
+const modelRequest = (random: Random): CallerRequest => {
+  const isKpakpo = random.next() < 0.5
+  const prefix = random.pick(PREFIXES).repeat(PREFIX_REPEATS)
+  const prompt = `${prefix}Ridge of ${random.int(4, 30)} m, pitch ${random.int(5, 35)} degrees.`
+  const common = { max_tokens: random.int(TOKENS_MIN, TOKENS_MAX), stream: true }
+  return isKpakpo
+    ? { method: 'POST', path: '/v1/completions', customer: random.pick(KPAKPO_CUSTOMERS), isEventStream: true, body: { model: 'quote-model', prompt, ...common } }
+    : {
+        method: 'POST',
+        path: '/v1/chat/completions',
+        customer: random.pick(FELLESLY_CUSTOMERS),
+        isEventStream: true,
+        body: { model: 'assistant', messages: [{ role: 'user', content: prompt }], ...common }
+      }
+}
+
+const lookupRequest = (random: Random): CallerRequest => random.next() < 0.5
+  ? { method: 'GET', path: `/stock/coil-${random.int(1, 9)}`, customer: random.pick(KPAKPO_CUSTOMERS) }
+  : { method: 'GET', path: `/shelters/shelter-${random.int(1, 9)}`, customer: random.pick(FELLESLY_CUSTOMERS) }
+
+const orderRequest = (random: Random, orderId: string): CallerRequest => {
+  const isKpakpo = random.next() < 0.5
+  return {
+    method: 'POST',
+    path: isKpakpo ? '/orders' : '/bookings',
+    customer: random.pick(isKpakpo ? KPAKPO_CUSTOMERS : FELLESLY_CUSTOMERS),
+    idempotencyKey: createKey(),
+    body: { orderId }
+  }
+}
+
+/** Creates one random request of a kind; order ids are unique. */
+export const createTraffic = (random: Random) => {
+  let orderCount = 0
+  const creators: Record<TrafficKind, () => Sent> = {
+    [TrafficKind.Model]: () => ({ kind: TrafficKind.Model, callerRequest: modelRequest(random), results: [] }),
+    [TrafficKind.Lookup]: () => ({ kind: TrafficKind.Lookup, callerRequest: lookupRequest(random), results: [] }),
+    [TrafficKind.Order]: () => {
+      const orderId = `order-${orderCount++}`
+      return { kind: TrafficKind.Order, callerRequest: orderRequest(random, orderId), results: [], orderId }
+    }
+  }
+  return { create: (kind: TrafficKind) => creators[kind]() }
+}
+
+const RESENDS_MAX = 4
+const RESEND_DELAY_MS = 150
+
+/**
+ * Sends a request as docs/callers.md advises: resends what did not run, and any idempotent or
+ * keyed request whose outcome is unknown, through another address.
+ */
+export const sendAsAdvised = async (caller: CallerClient, sent: Sent): Promise<void> => {
+  const addresses = caller.addresses()
+  const start = addresses.indexOf(caller.pickAddress())
+  for (let attempt = 0; attempt <= RESENDS_MAX; attempt++) {
+    const result = await caller.send(addresses[(start + attempt) % addresses.length]!, sent.callerRequest)
+    sent.results.push(result)
+    if (result.isWhole) return
+    await new Promise(resolve => setTimeout(resolve, RESEND_DELAY_MS))
+  }
+}
--- /dev/null
+++ b/src/programs/programs.test.ts
@@ -0,0 +1,91 @@
+import { type ChildProcess, execFile, spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { promisify } from 'node:util'
+import { afterEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { stringify } from 'yaml'
+import { startLocalFleet } from '../nodes/localFleet.js'
+import { startEngineStandIn } from '../standIns/index.js'
+
+const folder = mkdtempSync(join(tmpdir(), 'baobabdrift-'))
+const cleanups: (() => unknown)[] = []
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup()
+})
+
+const writeSettings = (name: string, settings: unknown): string => {
+  const path = join(folder, name)
+  writeFileSync(path, stringify(settings))
+  return path
+}
+
+const freeAddress = async (): Promise<string> => {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return `127.0.0.1:${port}`
+}
+
+const start = async (program: string, settingsPath: string): Promise<ChildProcess> => {
+  const child = spawn(process.execPath, [`dist/src/programs/${program}.js`, '--settings', settingsPath], { stdio: ['ignore', 'pipe', 'inherit'] })
+  cleanups.push(() => child.kill('SIGKILL'))
+  await once(child.stdout!, 'data')
+  return child
+}
+
+describe('programs as they ship', () => {
+  it('serve a request through an entry and an agent, and drain on SIGTERM', async () => {
+    const fleet = await startLocalFleet()
+    cleanups.push(fleet.stop)
+    const engine = await startEngineStandIn({ tokenIntervalMs: 20 })
+    cleanups.push(engine.close)
+    await fleet.applyRows(readFileSync('examples/kpakpo/rows.yaml', 'utf8'))
+    const [callerAddress, entryLink, agentLink] = [await freeAddress(), await freeAddress(), await freeAddress()]
+    const common = {
+      failureDomain: 'tema-a', region: 'greater-accra', entries: [entryLink], fleetKeys: [{ keyId: 'k1', secret: 'sixteen-characters-at-least' }]
+    }
+    const entry = await start('entry', writeSettings('entry.yaml', {
+      ...common, nodeId: 'entry-1', callerAddress, linkAddress: entryLink, logUrl: fleet.log.url, addressLifetimeMs: 1_000
+    }))
+    const agent = await start('agent', writeSettings('agent.yaml', {
+      ...common, nodeId: 'agent-1', linkAddress: agentLink, pool: 'quote-workers', upstreamUrl: engine.url
+    }))
+
+    const complete = async (tokens: number) => {
+      const response = await request(`http://${callerAddress}/v1/completions`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'x-customer': 'ama-roofing' },
+        body: JSON.stringify({ model: 'quote-model', prompt: 'ridge 12 m', max_tokens: tokens, stream: true })
+      })
+      return response.body.text()
+    }
+    await fleet.until(async () => (await complete(1)).includes('[DONE]'))
+
+    const streaming = complete(50)
+    await new Promise(resolve => setTimeout(resolve, 200))
+    const exits = [once(entry, 'exit'), once(agent, 'exit')]
+    entry.kill('SIGTERM')
+    agent.kill('SIGTERM')
+    expect((await streaming).match(/^data: /gm)).toHaveLength(51)
+    expect((await Promise.all(exits)).map(([code]) => code)).toEqual([0, 0])
+  })
+
+  it.each([
+    ['entry', { nodeId: '', linkAddress: 'here', extra: 1 }, ['nodeId', 'linkAddress', 'extra', 'failureDomain', 'region', 'callerAddress', 'logUrl', 'fleetKeys']],
+    ['agent', { nodeId: 'a', group: { name: 'g', rank: -1 } }, ['group.rank', 'failureDomain', 'region', 'entries', 'fleetKeys', 'linkAddress', 'pool', 'upstreamUrl']]
+  ])('%s reports every fault of its settings at once and exits with 2', async (program, settings, paths) => {
+    const path = writeSettings(`bad-${program}.yaml`, settings)
+    const run = promisify(execFile)(process.execPath, [`dist/src/programs/${program}.js`, '--settings', path])
+    const failure: { code: number, stderr: string } = await run.then(() => ({ code: 0, stderr: '' }), error => error)
+    const { code, stderr } = failure
+    expect(code).toBe(2)
+    const faults = stderr.trim().split('\n').map((line: string) => line.split(': ')[1])
+    expect(faults.sort()).toEqual([...paths].sort())
+  })
+})
--- a/src/standIns/serviceStandIn.ts
+++ b/src/standIns/serviceStandIn.ts
@@ -1,4 +1,4 @@
-import fastify from 'fastify'
+import fastify, { type FastifyReply, type FastifyRequest } from 'fastify'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
 
 export interface ServiceStandIn extends StandInServer {
@@ -13,8 +13,9 @@
 }
 
 /**
- * Starts a stand-in of a plain booking service. `POST /orders {orderId}` books without any
- * protection of its own against doubled calls; `GET /stock/:item` is idempotent.
+ * Starts a stand-in of a plain booking service. `POST /orders {orderId}` and `POST /bookings {orderId}`
+ * book without any protection of their own against doubled calls; `GET /stock/:item` and
+ * `GET /shelters/:item` are idempotent.
  *
  * @example
  * const service = await startServiceStandIn()
@@ -28,7 +29,7 @@
   let sequence = 0
   const app = fastify({ forceCloseConnections: true })
 
-  app.post<{ Body: { orderId: string } }>('/orders', async (request, reply) => {
+  const book = async (request: FastifyRequest<{ Body: { orderId: string } }>, reply: FastifyReply) => {
     running += 1
     try {
       const { orderId } = request.body
@@ -43,12 +44,17 @@
     } finally {
       running -= 1
     }
-  })
+  }
 
-  app.get<{ Params: { item: string } }>('/stock/:item', async request => {
+  const lookUp = async ({ params: { item } }: FastifyRequest<{ Params: { item: string } }>) => {
     lookupCount += 1
-    return { item: request.params.item, lengthsInStock: 12 }
-  })
+    return { item, available: 12 }
+  }
+
+  app.post('/orders', book)
+  app.post('/bookings', book)
+  app.get('/stock/:item', lookUp)
+  app.get('/shelters/:item', lookUp)
 
   app.get('/load', async () => ({
     sequence: ++sequence, madeAtMs: Date.now(), queuedTokens: 0, runningRequests: running, tokensPerS: 1_000
