Add the orders slice: lease, fencing gate and placement

Cause: one process at a time may plan what engines run, holders are paused and resume, and some engines ignore the fencing token. Change: the lease reader voids records by log order on the same follower as the configuration; the holder decides when to claim, renew and append; the gate sends one order at a time, checks the token before each, and settles lost answers by asking the engine; planPlacement spreads roles over failure domains by controlled rounding. Conclusion: a new agent confirms the fence by a read to the end of the lease stream before its first order to an engine that ignores tokens.

--- a/bench/control/configurationWorld.ts
+++ b/bench/control/configurationWorld.ts
@@ -113,6 +113,7 @@
       post(Number(peerId), {
         kind: FollowerMessageKind.PeerStateReceived, document: damageSome(document), retainedSinceMs
       }),
+    [FollowerEffectKind.CaughtUp]: () => {},
     [FollowerEffectKind.EndReached]: () => {},
     [FollowerEffectKind.EndFailed]: () => {},
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) =>
--- /dev/null
+++ b/bench/control/leaseWorld.ts
@@ -0,0 +1,342 @@
+import { EngineRole, FollowerEffectKind, FollowerMessageKind, type FollowerRule } from '../../src/configuration/index.js'
+import { createManualClock, createRandom, dispatch, type HandlerTable, hash32 } from '../../src/core/index.js'
+import {
+  createLeaseHolder, createLeaseReader, createOrderGate, type EngineAssignment, type Fence, type GateEffect, GateEffectKind,
+  type GateMessage, GateMessageKind, type GateRule, type HolderEffect, HolderEffectKind, type HolderMessage,
+  HolderMessageKind, type LeaseBody, type LeaseEffect, LeaseEffectKind, type LeaseMessage, LeaseRecordKind, type LeaseRule,
+  nextOrder, type PoolAssignment
+} from '../../src/orders/index.js'
+import { createFakeEngine, type FakeEngine } from './fakeEngine.js'
+import { createFakeLog } from './fakeLog.js'
+import { assignmentKeyOf, replayLeasesNaively } from './naiveLeases.js'
+
+export interface LeaseWorldOptions {
+  seed: number
+  steps?: number
+  /** Whether all faults end after the last step; needed for `unsettledEngines`. */
+  settles?: boolean
+  disabledRules?: ReadonlySet<FollowerRule>
+  disabledLeaseRules?: ReadonlySet<LeaseRule>
+  disabledGateRules?: ReadonlySet<GateRule>
+}
+
+export interface LeaseFindings {
+  /** Assignments that went back to an earlier one at some reader. */
+  reverts: number
+  /** Claims and assignments that took effect at some reader but not in the naive replay. */
+  splitVerdicts: number
+  /** Orders with a token that was superseded at their engine or known to be so at their agent. */
+  supersededOrders: number
+  orders: number
+  claims: number
+  /** Engines that do not run their assignment after all faults have ended. */
+  unsettledEngines: number
+}
+
+interface Entry {
+  incarnation: number
+  reader: ReturnType<typeof createLeaseReader>
+  holder: ReturnType<typeof createLeaseHolder>
+  claimOffset: number
+  assignment: PoolAssignment | undefined
+  /** A paused entry reads nothing; once it resumes, it acts on what it knew. */
+  isPaused: boolean
+  caughtUpMs: number
+}
+
+interface Agent {
+  incarnation: number
+  gate: ReturnType<typeof createOrderGate>
+  engine: FakeEngine
+  knownToken: number
+}
+
+const ENTRY_COUNT = 3
+/** The first engine ignores fencing tokens. */
+const CHECKS_FENCE = [false, true]
+const POOL = 'quotes'
+const RETENTION_MS = 120_000
+const MODELS = ['quote-7b', 'quote-13b']
+const ADAPTERS = [[], ['roof'], ['roof', 'shed']]
+const SETTLE_ROUNDS = 40
+
+/** Runs one random schedule of claims, assignments, pauses, restarts, retention, losses and duplicates. */
+export const runLeaseWorld = (
+  { seed, steps = 60, settles = false, disabledRules, disabledLeaseRules, disabledGateRules }: LeaseWorldOptions
+): LeaseFindings => {
+  // Small seeds give createRandom nearly equal first numbers; a hash spreads them.
+  const random = createRandom(hash32(`leases/${seed}`))
+  const clock = createManualClock(1_000_000)
+  const log = createFakeLog<LeaseBody>()
+  const findings = { reverts: 0, splitVerdicts: 0, supersededOrders: 0, orders: 0 }
+  const seenClaims = new Set<number>()
+  const seenAssignments = new Set<string>()
+  const lateAppends: LeaseBody[] = []
+  let inFlight: Array<() => void> = []
+  let isLogOut = false
+  let isSettling = false
+  let orderCount = 0
+
+  const createEntry = (incarnation: number): Entry => ({
+    incarnation,
+    reader: createLeaseReader({
+      clock, random: createRandom(random.int(0, 1 << 30)), retentionMs: RETENTION_MS, disabledRules, disabledLeaseRules
+    }),
+    holder: createLeaseHolder({ self: `entry-${incarnation}`, clock, random: createRandom(random.int(0, 1 << 30)) }),
+    claimOffset: 0,
+    assignment: undefined,
+    isPaused: false,
+    caughtUpMs: 0
+  })
+  const createGate = (index: number) => createOrderGate({
+    checksFence: CHECKS_FENCE[index]!, clock, createOrderId: () => `o${orderCount++}`, disabledRules: disabledGateRules
+  })
+  const entries = Array.from({ length: ENTRY_COUNT }, (_, i) => createEntry(i))
+  const agents = CHECKS_FENCE.map((checksFence, i): Agent => ({
+    incarnation: 0,
+    gate: createGate(i),
+    engine: createFakeEngine({ random, checksFence, answer: message => answerFromEngine(i, message) }),
+    knownToken: 0
+  }))
+
+  const postToEntry = (to: number, message: LeaseMessage) => {
+    const { incarnation } = entries[to]!
+    const run = () => {
+      const entry = entries[to]!
+      if (entry.incarnation !== incarnation) return
+      if (entry.isPaused) inFlight.push(run)
+      else handleAtEntry(to, message)
+    }
+    inFlight.push(run)
+  }
+  const postToAgent = (to: number, message: GateMessage) => {
+    const { incarnation } = agents[to]!
+    inFlight.push(() => { if (agents[to]!.incarnation === incarnation) handleAtGate(to, message) })
+  }
+
+  const appendWithFaults = (body: LeaseBody) => {
+    const draw = random.next()
+    if (isLogOut || (draw > 0.8 && !isSettling)) lateAppends.push(body)
+    if (!isLogOut && (draw < 0.9 || isSettling)) log.append(body, clock.nowMs())
+  }
+
+  const fenceOf = ({ claimOffset, sequence }: PoolAssignment): Fence => ({ token: claimOffset, sequence })
+
+  const forward = (assignment: PoolAssignment) => {
+    assignment.placements.forEach((placement, index) => postToAgent(index, {
+      kind: GateMessageKind.AssignmentReceived, fence: fenceOf(assignment), desired: placement
+    }))
+  }
+
+  const noteAssignment = (entry: Entry, assignment: PoolAssignment) => {
+    const old = entry.assignment
+    const isBack = old !== undefined && (assignment.claimOffset < old.claimOffset ||
+      (assignment.claimOffset === old.claimOffset && assignment.sequence < old.sequence))
+    if (isBack) findings.reverts += 1
+    seenAssignments.add(assignmentKeyOf(assignment))
+    entry.assignment = assignment
+    forward(assignment)
+  }
+
+  const handleAtHolder = (self: number, message: HolderMessage) => {
+    for (const effect of entries[self]!.holder.handle(message)) dispatch(holderPerformers, effect)
+  }
+
+  const holderPerformers: HandlerTable<HolderEffect, void> = {
+    [HolderEffectKind.AppendRecord]: ({ record }) => appendWithFaults(record),
+    [HolderEffectKind.HoldingChanged]: () => {}
+  }
+
+  const createReaderPerformers = (self: number): HandlerTable<LeaseEffect, void> => ({
+    [FollowerEffectKind.ReadLog]: ({ readId, fromOffset }) => postToEntry(self, isLogOut
+      ? { kind: FollowerMessageKind.LogFailed }
+      : { kind: FollowerMessageKind.LogPageRead, readId, ...log.read(fromOffset, random.int(2, 20)) }),
+    [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => {
+      for (let to = 0; to < ENTRY_COUNT; to++) {
+        if (to !== self) postToEntry(to, { kind: FollowerMessageKind.PeerStateRequested, peerId: String(self), aboveOffset })
+      }
+    },
+    [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) =>
+      postToEntry(Number(peerId), { kind: FollowerMessageKind.PeerStateReceived, document, retainedSinceMs }),
+    [FollowerEffectKind.CaughtUp]: () => {
+      entries[self]!.caughtUpMs = clock.nowMs()
+      handleAtHolder(self, { kind: HolderMessageKind.LogRead })
+    },
+    [FollowerEffectKind.EndReached]: ({ requestId }) =>
+      postToAgent(Number(requestId), { kind: GateMessageKind.FenceConfirmed, token: entries[self]!.claimOffset }),
+    [FollowerEffectKind.EndFailed]: () => {},
+    [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) => appendWithFaults({ kind: LeaseRecordKind.Snapshot, snapshot }),
+    [LeaseEffectKind.ClaimInEffect]: ({ claim }) => {
+      seenClaims.add(claim.offset)
+      entries[self]!.claimOffset = claim.offset
+      handleAtHolder(self, { kind: HolderMessageKind.ClaimInEffect, claim })
+      for (let to = 0; to < agents.length; to++) postToAgent(to, { kind: GateMessageKind.FenceSeen, token: claim.offset })
+    },
+    [LeaseEffectKind.HolderSeen]: () => handleAtHolder(self, { kind: HolderMessageKind.HolderSeen }),
+    [LeaseEffectKind.AssignmentAccepted]: ({ assignment }) => {
+      handleAtHolder(self, { kind: HolderMessageKind.AssignmentAccepted, assignment })
+      noteAssignment(entries[self]!, assignment)
+    },
+    [LeaseEffectKind.RecordVoided]: () => {}
+  })
+  const readerPerformers = entries.map((_, i) => createReaderPerformers(i))
+
+  const handleAtEntry = (self: number, message: LeaseMessage) => {
+    for (const effect of entries[self]!.reader.handle(message)) dispatch(readerPerformers[self]!, effect)
+  }
+
+  const createGatePerformers = (self: number): HandlerTable<GateEffect, void> => ({
+    [GateEffectKind.SendOrder]: ({ orderId, token, order }) => {
+      findings.orders += 1
+      if (token < agents[self]!.knownToken) findings.supersededOrders += 1
+      agents[self]!.engine.sendOrder({ orderId, token, order })
+    },
+    [GateEffectKind.QueryEngine]: () => agents[self]!.engine.query(),
+    [GateEffectKind.ConfirmFence]: () =>
+      postToEntry(random.int(0, ENTRY_COUNT - 1), { kind: FollowerMessageKind.EndRequested, requestId: String(self) }),
+    [GateEffectKind.AssignmentSettled]: () => {}
+  })
+  const gatePerformers = agents.map((_, i) => createGatePerformers(i))
+
+  const tokenOf: Partial<Record<GateMessageKind, (message: GateMessage) => number>> = {
+    [GateMessageKind.AssignmentReceived]: message => 'fence' in message ? message.fence.token : 0,
+    [GateMessageKind.FenceSeen]: message => 'token' in message ? message.token : 0,
+    [GateMessageKind.FenceConfirmed]: message => 'token' in message ? message.token : 0
+  }
+
+  const handleAtGate = (self: number, message: GateMessage) => {
+    const agent = agents[self]!
+    agent.knownToken = Math.max(agent.knownToken, tokenOf[message.kind]?.(message) ?? 0)
+    for (const effect of agent.gate.handle(message)) dispatch(gatePerformers[self]!, effect)
+  }
+
+  const answerFromEngine = (self: number, message: GateMessage) => {
+    if (random.next() < 0.9 || isSettling) handleAtGate(self, message)
+    else loseConnection(self)
+  }
+
+  const loseConnection = (self: number) => {
+    for (const orderId of agents[self]!.engine.breakConnection()) {
+      handleAtGate(self, { kind: GateMessageKind.OrderAnswerLost, orderId })
+    }
+    handleAtGate(self, { kind: GateMessageKind.EngineQueryFailed })
+  }
+
+  const anyEntry = () => random.int(0, ENTRY_COUNT - 1)
+  const anyAgent = () => random.int(0, agents.length - 1)
+
+  const tickEntry = (self: number) => {
+    handleAtEntry(self, { kind: FollowerMessageKind.Tick })
+    handleAtHolder(self, { kind: HolderMessageKind.Tick })
+  }
+
+  const deliver = () => {
+    if (inFlight.length === 0) return
+    const index = random.int(0, inFlight.length - 1)
+    const run = inFlight[index]!
+    const draw = random.next()
+    if (draw > 0.1) inFlight.splice(index, 1)
+    if (draw < 0.9) run()
+  }
+
+  const wantPlacements = () => {
+    const desired = (): EngineAssignment =>
+      ({ role: EngineRole.Mixed, model: random.pick(MODELS), adapters: random.pick(ADAPTERS) })
+    const placements = agents.map((_, i) => ({ agentId: `agent-${i}`, ...desired() }))
+    // Every entry plans, but only the holder's assignments count.
+    for (let self = 0; self < ENTRY_COUNT; self++) {
+      handleAtHolder(self, { kind: HolderMessageKind.PlacementsWanted, pool: POOL, placements })
+    }
+  }
+
+  /** A claimant may judge silence wrongly at any time; only the log decides. */
+  const claimEarly = () => {
+    const { incarnation, claimOffset } = random.pick(entries)
+    appendWithFaults({ kind: LeaseRecordKind.Claim, holder: `entry-${incarnation}`, supersedes: claimOffset })
+  }
+
+  const resend = () => {
+    const { assignment } = random.pick(entries)
+    if (assignment !== undefined) forward(assignment)
+  }
+
+  const restartAgent = () => {
+    const self = anyAgent()
+    agents[self]!.engine.breakConnection()
+    agents[self] = { ...agents[self]!, incarnation: agents[self]!.incarnation + 1, gate: createGate(self), knownToken: 0 }
+  }
+
+  const appendLate = () => {
+    if (isLogOut || lateAppends.length === 0) return
+    log.append(lateAppends.splice(random.int(0, lateAppends.length - 1), 1)[0]!, clock.nowMs())
+  }
+
+  const expire = () => {
+    const limitMs = clock.nowMs() - RETENTION_MS
+    const kept = log.history.findIndex(({ timeMs }) => timeMs >= limitMs)
+    log.expireBelow(random.next() < 0.1 ? random.int(1, log.nextOffset) : kept === -1 ? 1 : kept + 1)
+  }
+
+  const tick = () => {
+    clock.advance(random.int(100, 2_000))
+    tickEntry(anyEntry())
+  }
+
+  const tickAgent = () => handleAtGate(anyAgent(), { kind: GateMessageKind.Tick })
+
+  const restartEntry = () => {
+    const self = anyEntry()
+    entries[self] = createEntry(entries[self]!.incarnation + ENTRY_COUNT)
+  }
+
+  /** One round of undisturbed operation: everyone ticks, messages arrive in order, engines work. */
+  const runCalmly = () => {
+    clock.advance(random.int(1_000, 2_500))
+    for (let self = 0; self < ENTRY_COUNT; self++) if (!entries[self]!.isPaused) tickEntry(self)
+    for (let self = 0; self < agents.length; self++) handleAtGate(self, { kind: GateMessageKind.Tick })
+    for (let i = 0; i < 6 && inFlight.length > 0; i++) {
+      const batch = inFlight
+      inFlight = []
+      for (const run of batch) run()
+    }
+    for (const { engine } of agents) for (let i = 0; i < 3; i++) engine.step()
+  }
+
+  const actions: Array<[weight: number, action: () => void]> = [
+    [8, runCalmly], [12, deliver], [4, tick], [2, tickAgent], [6, () => random.pick(agents).engine.step()],
+    [3, wantPlacements], [3, claimEarly], [3, resend], [2, appendLate], [2, () => loseConnection(anyAgent())],
+    [2, () => { random.pick(entries).isPaused = true }], [1, () => { random.pick(entries).isPaused = false }],
+    [2, restartAgent], [1, restartEntry], [1, expire], [1, () => { isLogOut = !isLogOut }],
+    [1, () => clock.advance(random.int(5_000, 25_000))]
+  ]
+  // Each schedule has its own mix, so that some schedules meet rare faults often.
+  const mixed = actions.flatMap(([weight, action]) =>
+    Array<() => void>(weight * random.pick([1, 2, 4])).fill(action))
+
+  const settle = () => {
+    isLogOut = false
+    isSettling = true
+    for (const entry of entries) entry.isPaused = false
+    while (lateAppends.length > 0) appendLate()
+    wantPlacements()
+    for (let round = 0; round < SETTLE_ROUNDS; round++) {
+      runCalmly()
+      resend()
+    }
+  }
+
+  const isFollowing = ({ caughtUpMs }: Entry) => clock.nowMs() - caughtUpMs < 10_000
+
+  /** Without an entry that can read on, because records expired that no entry had read, no order is due. */
+  const countUnsettled = (last: PoolAssignment | undefined) => last === undefined || !entries.some(isFollowing)
+    ? 0
+    : agents.filter(({ engine }, i) => nextOrder(engine.state, last.placements[i]!) !== undefined).length
+
+  for (let step = 0; step < steps; step++) random.pick(mixed)()
+  if (settles) settle()
+  const { claims, accepted, last } = replayLeasesNaively(log.history)
+  for (const offset of seenClaims) if (!claims.has(offset)) findings.splitVerdicts += 1
+  for (const key of seenAssignments) if (!accepted.has(key)) findings.splitVerdicts += 1
+  for (const { engine } of agents) findings.supersededOrders += engine.supersededCount
+  return { ...findings, claims: claims.size, unsettledEngines: settles ? countUnsettled(last) : 0 }
+}
--- a/src/configuration/createLogFollower.ts
+++ b/src/configuration/createLogFollower.ts
@@ -144,6 +144,9 @@
     effects.push(...applyInOrder(records))
     scanOffset = Math.max(scanOffset, (records.at(-1)?.offset ?? 0) + 1)
     effects.push(...askPeers(), ...endsReached())
+    if (!hasGap() && state.offset + 1 >= pageNext) {
+      effects.push({ kind: FollowerEffectKind.CaughtUp, offset: state.offset })
+    }
     const readOffset = hasGap() ? Math.max(scanOffset, firstOffset) : state.offset + 1
     if (readOffset < nextOffset || endRequests.needsRead()) effects.push(...readLog())
     return effects
--- a/src/configuration/followerTypes.ts
+++ b/src/configuration/followerTypes.ts
@@ -70,6 +70,7 @@
   ReadLog = 'read-log',
   AskPeers = 'ask-peers',
   SendState = 'send-state',
+  CaughtUp = 'caught-up',
   EndReached = 'end-reached',
   EndFailed = 'end-failed',
   AppendSnapshot = 'append-snapshot'
@@ -85,6 +86,8 @@
     /** Time from which the log must still retain records; a fresh host schedules its snapshot by it. */
     retainedSinceMs: TimestampMs | undefined
   }
+  /** Every record that the log held when the page was read is applied. */
+  | { kind: FollowerEffectKind.CaughtUp, offset: number }
   | { kind: FollowerEffectKind.EndReached, requestId: string }
   | { kind: FollowerEffectKind.EndFailed, requestId: string }
   | { kind: FollowerEffectKind.AppendSnapshot, snapshot: Snapshot<Document> }
--- /dev/null
+++ b/src/orders/index.ts
@@ -0,0 +1,11 @@
+/** Lease, fencing and placement of what the engines run. */
+export * from './constants.js'
+export * from './types.js'
+export {
+  createLeaseHolder, type HolderEffect, HolderEffectKind, type HolderMessage, HolderMessageKind, type LeaseHolderOptions
+} from './createLeaseHolder.js'
+export { createLeaseReader, type LeaseReaderOptions } from './createLeaseReader.js'
+export { createOrderGate, type OrderGateOptions } from './createOrderGate.js'
+export { applyOrder, isFreshEngine, nextOrder } from './engineOrders.js'
+export { leaseDocumentSchema, parseLeaseBody, poolAssignmentSchema, toLeasePage } from './leaseRecordSchema.js'
+export { type LiveAgent, type PlacementInput, planPlacement } from './planPlacement.js'
