--- a/src/once/createBindingOwner.ts
+++ b/src/once/createBindingOwner.ts
@@ -47,6 +47,7 @@
   /** Replies where the binding in effect is known and returns the items that remain to be appended. */
   const settle = (state: OwnerShard, effects: OwnerEffect[]): BindingItem[] => {
     if (state.phase !== ShardPhase.Ready) return []
+    state.table.forget()
     const items = new Map<string, BindingItem>()
     for (const [id, { from, request }] of state.waiting) {
       const { reply, item, readToOffset } = assessBind({
--- a/src/once/createKeyedCall.test.ts
+++ b/src/once/createKeyedCall.test.ts
@@ -104,6 +104,10 @@
       call.bind()
       call.refuse(5, 'agent-2', ResultCode.BoundAgentGone)
     }, Outcome.Unknown, ResultCode.BoundAgentGone],
+    ['the successor of the bound agent answers', call => {
+      call.bind()
+      call.refuse(5, 'successor of agent-2', ResultCode.BoundAgentGone)
+    }, Outcome.Unknown, ResultCode.BoundAgentGone],
     ['the bound agent is gone for certain', call => {
       call.bind()
       call.handle({ kind: CallMessageKind.AgentGone, incarnation: 'agent-2' })
--- a/src/once/createKeyedCall.ts
+++ b/src/once/createKeyedCall.ts
@@ -195,9 +195,13 @@
 
   const onAgentReplied = ({ incarnation, reply }: MessageOf<CallMessageKind.AgentReplied>): CallEffect[] => {
     const { binding } = state
-    const isCurrent = binding !== undefined && reply.requestId === requestId &&
-      reply.bindingOffset === binding.offset && incarnation === binding.agent.incarnation
+    const isCurrent = binding !== undefined && reply.requestId === requestId && reply.bindingOffset === binding.offset
     if (!isCurrent) return []
+    if (incarnation !== binding.agent.incarnation) {
+      // The successor of the bound agent answers at its address; nothing else it says concerns this binding.
+      const isRefusal = reply.kind === AgentReplyKind.Refused && reply.code === ResultCode.BoundAgentGone
+      return isRefusal ? finish(reply.code) : []
+    }
     state.heardMs = clock.nowMs()
     return dispatch(replyHandlers, reply)
   }
