--- /dev/null
+++ b/bench/once/detectors.test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from 'vitest'
+import { type Counts, getDefaultCounts } from './checks.js'
+import { NAIVE_FACTORIES } from './naive.js'
+import { runSchedules } from './randomSchedule.js'
+import type { WorldRules } from './worldTypes.js'
+
+const SEED = 7
+const SCHEDULES = 600
+const SAFE: Partial<Counts> = { doubleRuns: 0, falseNotRun: 0, wrongOrCutAnswers: 0, endless: 0 }
+
+const count = (schedules: number, rules?: WorldRules) =>
+  runSchedules(getDefaultCounts(), { count: schedules, seed: SEED, rules })
+
+describe('detectors of the once suite', () => {
+  it('stay silent for the real rules', () => {
+    expect(count(SCHEDULES)).toMatchObject(SAFE)
+  })
+
+  it.each<[string, WorldRules, keyof Counts, number]>([
+    ['an owner that does not read before it replies', { owner: { readsBeforeReply: false } }, 'doubleRuns', 2_000],
+    ['a rebind that need not name the binding in effect', { owner: { rebindNamesBinding: false } }, 'doubleRuns', 2_000],
+    ['a rebind after mere silence', { call: { rebindsAfterVoidOnly: false } }, 'doubleRuns', SCHEDULES],
+    ['an agent that runs bindings of other incarnations', { runs: { checksIncarnation: false } }, 'doubleRuns', SCHEDULES],
+    ['an agent that starts each dispatch anew', { runs: { joinsRuns: false } }, 'doubleRuns', SCHEDULES],
+    ['an agent that forgets voids', { runs: { remembersVoids: false } }, 'doubleRuns', SCHEDULES],
+    ['an agent that runs forgotten keys', { runs: { refusesForgottenKeys: false } }, 'doubleRuns', SCHEDULES],
+    ['a call that reports not run without proof', { call: { provesNotRun: false } }, 'falseNotRun', SCHEDULES],
+    ['a call that does not check the answer', { call: { checksAnswer: false } }, 'wrongOrCutAnswers', SCHEDULES]
+  ])('fire for %s', (_case, rules, detector, schedules) => {
+    expect(count(schedules, rules)[detector]).toBeGreaterThan(0)
+  })
+
+  it('fire for the naive version', () => {
+    const naive = runSchedules(getDefaultCounts(), { count: SCHEDULES, seed: SEED, factories: NAIVE_FACTORIES })
+    for (const detector of ['doubleRuns', 'falseNotRun', 'wrongOrCutAnswers'] as const) {
+      expect(naive[detector], detector).toBeGreaterThan(0)
+    }
+  })
+
+  it('give the same counts for the same seed', () => {
+    expect(count(100)).toEqual(count(100))
+  })
+})
--- a/src/once/faultCases.test.ts
+++ b/src/once/faultCases.test.ts
@@ -149,8 +149,11 @@
     expect(world.runs).toEqual([])
   })
 
-  it('end as unknown when the retention lost the binding, although the agent is free to run again', () => {
-    const { world, queue } = createScene(1)
+  it.each([
+    ['is refused as unknown', true, [ResultCode.Ok, ResultCode.KeyOutsideWindow], 1],
+    ['would run again if the owner ignored the gap', false, [ResultCode.Ok, ResultCode.Ok], 2]
+  ])('a key whose binding the log no longer retains %s', (_case, refusesForgottenKeys, codes, runCount) => {
+    const { world, queue } = createScene(1, { rules: { owner: { refusesForgottenKeys } } })
     const key = keyAt(START_MS)
     world.submit({ entry: ENTRY, key, body: 'order 1' })
     queue.after(3_000, () => {
@@ -160,7 +163,7 @@
     })
     queue.after(4_000, () => world.submit({ entry: OTHER_ENTRY, key, body: 'order 1' }))
     world.run(60_000)
-    expect(world.calls.map(({ code }) => code)).toEqual([ResultCode.Ok, ResultCode.KeyOutsideWindow])
-    expect(world.runs).toHaveLength(1)
+    expect(world.calls.map(({ code }) => code)).toEqual(codes)
+    expect(world.runs).toHaveLength(runCount)
   })
 })
