Shorten the messages of the switch

Cause: one switch of 64 ranks took 72 to 97 KB at the coordinator, most of it in names of fields and in values that the ballot already implies. Change: a ballot is a pair; answers no longer repeat incarnation and map.

--- a/bench/maps/naiveSwitch.ts
+++ b/bench/maps/naiveSwitch.ts
@@ -40,7 +40,7 @@
       handle: message => {
         if (message.kind !== CoordinatorMessageKind.SwitchRequested) return []
         const { map } = message
-        const address = { ballot: { counter: 1, incarnation }, incarnation, mapId: map.id }
+        const address = { ballot: [1, incarnation] as const, incarnation, mapId: map.id }
         const changes = { base: initialMap.id, bytes: encodeChanges(initialMap, map) }
         const step = nextStep + HOLD_MARGIN_STEPS
         const sends = Array.from({ length: shape.ranks }, (_rank, to) => [
--- a/src/expertMaps/createSwitchCoordinator.ts
+++ b/src/expertMaps/createSwitchCoordinator.ts
@@ -63,7 +63,7 @@
   const beginRound = (): CoordinatorEffect[] => {
     counter += 1
     needsRound = false
-    round = createRound({ counter, incarnation }, shape.ranks, clock.nowMs())
+    round = createRound([counter, incarnation], shape.ranks, clock.nowMs())
     return sendToAll(round)
   }
 
@@ -190,7 +190,7 @@
   }
 
   const onRefused: Handlers[SwitchKind.Refused] = (_member, { promised }) => {
-    counter = Math.max(counter, promised.counter)
+    counter = Math.max(counter, promised[0])
     needsRound = true
     // A coordinator that has just started only has to learn the counter; others let the higher ballot finish.
     const waitMs = round?.phase === Phase.Preparing ? RESEND_INTERVAL_MS : BALLOT_RETRY_MS
@@ -198,9 +198,9 @@
     return abandon()
   }
 
-  const onStaged: Handlers[SwitchKind.Staged] = (member, { mapId, progress, nextStep }) => {
+  const onStaged: Handlers[SwitchKind.Staged] = (member, { progress, nextStep }) => {
     noteStep(member, nextStep)
-    if (round?.phase !== Phase.Staging || !isSameMap(round.target?.id, mapId)) return []
+    if (round?.phase !== Phase.Staging) return []
     member.needsVersionZero ||= progress === StageProgress.BaseUnknown
     member.progress = progress
     if (progress !== StageProgress.Done) return []
@@ -254,7 +254,7 @@
       return []
     }
     const member = round?.members[from]
-    if (member === undefined || round === undefined || !isForRound(round, member, message)) return []
+    if (member === undefined || round === undefined || !isForRound(round, message)) return []
     return handler(member, message)
   }
 
--- a/src/expertMaps/createSwitchRank.ts
+++ b/src/expertMaps/createSwitchRank.ts
@@ -83,7 +83,9 @@
   let requestedStep: number | undefined
   let heardMs = clock.nowMs()
   /** Stage order whose completion has not been told yet. */
-  let stageOrder: { from: number, ballot: Ballot, mapId: MapId } | undefined
+  let stageOrder: { from: number, ballot: Ballot } | undefined
+  /** Ballot that staged last; a hold is for its map only. */
+  let stagedBallot: Ballot | undefined
   let announcedMs = Number.NEGATIVE_INFINITY
 
   const latest = () => grant?.map ?? current
@@ -137,41 +139,49 @@
     return [reply(from, { kind: SwitchKind.Prepared, ballot, view: view() })]
   }
 
-  const stagedReply = (from: number, ballot: Ballot, mapId: MapId, progress: StageProgress) =>
-    reply(from, { kind: SwitchKind.Staged, ballot, incarnation, mapId, progress, nextStep })
+  const stagedReply = (from: number, ballot: Ballot, progress: StageProgress) =>
+    reply(from, { kind: SwitchKind.Staged, ballot, progress, nextStep })
 
   const stageProgress = (mapId: MapId) =>
     staging.isComplete(mapId) ? StageProgress.Done : StageProgress.Copying
 
   const onStage: Handlers[SwitchKind.Stage] = (from, { ballot, mapId, changes, hasPeers }) => {
-    if (isSameMap(staging.stagedMap?.id, mapId)) return [stagedReply(from, ballot, mapId, stageProgress(mapId))]
-    if (changes === undefined) return [stagedReply(from, ballot, mapId, StageProgress.Unknown)]
+    if (isSameMap(staging.stagedMap?.id, mapId)) {
+      stagedBallot = ballot
+      return [stagedReply(from, ballot, stageProgress(mapId))]
+    }
+    if (changes === undefined) return [stagedReply(from, ballot, StageProgress.Unknown)]
     const map = mapFrom(changes, mapId)
-    if (map === undefined) return [stagedReply(from, ballot, mapId, StageProgress.BaseUnknown)]
+    if (map === undefined) return [stagedReply(from, ballot, StageProgress.BaseUnknown)]
     const effects = staging.begin(map, current ?? map, hasPeers)
-    stageOrder = { from, ballot, mapId }
-    return [...effects, stagedReply(from, ballot, mapId, stageProgress(mapId))]
+    stagedBallot = ballot
+    stageOrder = { from, ballot }
+    return [...effects, stagedReply(from, ballot, stageProgress(mapId))]
   }
 
   /** Tells the end of staging at once; if the message is lost, the coordinator asks. */
   const onLoadFinished = (item: ItemIndex, isDone: boolean, retryAfterMs?: number): RankEffect[] => {
     const effects = staging.finished(item, isDone, retryAfterMs)
-    if (stageOrder === undefined || !staging.isComplete(stageOrder.mapId)) return effects
-    const { from, ballot, mapId } = stageOrder
+    const map = staging.stagedMap
+    if (stageOrder === undefined || map === undefined || !staging.isComplete(map.id)) return effects
+    const { from, ballot } = stageOrder
     stageOrder = undefined
-    return [...effects, stagedReply(from, ballot, mapId, StageProgress.Done)]
+    return [...effects, stagedReply(from, ballot, StageProgress.Done)]
   }
 
-  const onHold: Handlers[SwitchKind.Hold] = (from, { ballot, mapId, step }) => {
-    if (!staging.isComplete(mapId)) return [stagedReply(from, ballot, mapId, StageProgress.Unknown)]
+  const onHold: Handlers[SwitchKind.Hold] = (from, { ballot, step }) => {
+    const map = staging.stagedMap
+    const isStaged = map !== undefined && staging.isComplete(map.id) &&
+      stagedBallot !== undefined && compareBallots(stagedBallot, ballot) === 0
+    if (!isStaged) return []
     if (step !== null && step < nextStep) {
-      return [reply(from, { kind: SwitchKind.HoldMissed, ballot, incarnation, step, nextStep })]
+      return [reply(from, { kind: SwitchKind.HoldMissed, ballot, step, nextStep })]
     }
     // A reordered hold of the same ballot must not move the hold back.
     const isLater = held === undefined || compareBallots(held.ballot, ballot) < 0 ||
       (held.step !== null && step !== null && step > held.step)
-    if (isLater) held = { ballot, mapId, step, map: staging.stagedMap! }
-    const accepted: RankEffect = reply(from, { kind: SwitchKind.Held, ballot, incarnation, step: held!.step, nextStep })
+    if (isLater) held = { ballot, mapId: map.id, step, map }
+    const accepted: RankEffect = reply(from, { kind: SwitchKind.Held, ballot, step: held!.step, nextStep })
     return [accepted, ...allowStep()]
   }
 
@@ -204,7 +214,7 @@
     if (!release[choice](mapId, step)) return []
     held = undefined
     isClosed = true
-    const effects: RankEffect[] = [reply(from, { kind: SwitchKind.Released, ballot, incarnation })]
+    const effects: RankEffect[] = [reply(from, { kind: SwitchKind.Released, ballot })]
     if (choice === ReleaseChoice.Restart) {
       effects.push({ kind: RankEffectKind.MapActivated, map: current! }, { kind: RankEffectKind.ResumeAt, step })
     }
@@ -240,7 +250,7 @@
     heardMs = clock.nowMs()
     if (!isCurrent(message)) return []
     if (isClosed && message.kind === SwitchKind.Release) {
-      return [reply(from, { kind: SwitchKind.Released, ballot: message.ballot, incarnation })]
+      return [reply(from, { kind: SwitchKind.Released, ballot: message.ballot })]
     }
     const isLateCopy = isClosed && (message.kind === SwitchKind.Stage || message.kind === SwitchKind.Hold)
     if (isLateCopy && rules.checksBallot) return []
--- a/src/expertMaps/round.ts
+++ b/src/expertMaps/round.ts
@@ -103,12 +103,9 @@
   if (view !== undefined) view.nextStep = Math.max(view.nextStep, nextStep)
 }
 
-/** Whether an answer belongs to the ballot of the round and to the known run of the rank. */
-export const isForRound = (round: Round, { view }: Member, message: CoordinatorBoundMessage): boolean => {
-  if (message.kind === SwitchKind.RankStarted) return true
-  if (compareBallots(message.ballot, round.ballot) !== 0) return false
-  return !('incarnation' in message) || view?.incarnation === message.incarnation
-}
+/** Whether a message is about the round: it carries its ballot or tells that a rank has started. */
+export const isForRound = (round: Round, message: CoordinatorBoundMessage): boolean =>
+  message.kind === SwitchKind.RankStarted || compareBallots(message.ballot, round.ballot) === 0
 
 const TIME_LIMITS: Partial<Record<Phase, number>> =
   { [Phase.Staging]: STAGE_LIMIT_MS, [Phase.Holding]: HOLD_LIMIT_MS }
--- a/src/expertMaps/roundMessages.ts
+++ b/src/expertMaps/roundMessages.ts
@@ -38,7 +38,7 @@
   [Phase.Staging]: (round, member, knownMaps) =>
     stageMessage(round, member, knownMaps, member.progress !== StageProgress.Copying),
   [Phase.Holding]: (round, member) =>
-    ({ kind: SwitchKind.Hold, ...addressOf(round, member), mapId: round.target!.id, step: round.step }),
+    ({ kind: SwitchKind.Hold, ...addressOf(round, member), step: round.step }),
   [Phase.Releasing]: (round, member) =>
     ({ kind: SwitchKind.Release, ...addressOf(round, member), ...releaseFor(round, member) })
 }
--- a/src/expertMaps/switchTypes.ts
+++ b/src/expertMaps/switchTypes.ts
@@ -2,14 +2,11 @@
 import type { MapId } from './types.js'
 
 /** Order of the attempts to change the map of a group; a rank obeys the highest it has promised. */
-export interface Ballot {
-  counter: number
-  incarnation: Incarnation
-}
+export type Ballot = readonly [counter: number, incarnation: Incarnation]
 
 /** Negative if `a` is lower than `b`, 0 if they are the same attempt. */
 export const compareBallots = (a: Ballot, b: Ballot): number =>
-  a.counter - b.counter || (a.incarnation < b.incarnation ? -1 : Number(a.incarnation > b.incarnation))
+  a[0] - b[0] || (a[1] < b[1] ? -1 : Number(a[1] > b[1]))
 
 /** Messages between a coordinator and the ranks, the payload of `FrameKind.Switch`. */
 export enum SwitchKind {
@@ -82,7 +79,8 @@
     /** False at the start of a group, when no peer has weights. */
     hasPeers: boolean
   }
-  | { kind: SwitchKind.Hold, ballot: Ballot, incarnation: Incarnation, mapId: MapId, step: number | null }
+  /** Holds the map that the same ballot staged. */
+  | { kind: SwitchKind.Hold, ballot: Ballot, incarnation: Incarnation, step: number | null }
   | {
     kind: SwitchKind.Release
     ballot: Ballot
@@ -93,21 +91,17 @@
   }
   | { kind: SwitchKind.MapRequest, ballot: Ballot, mapId: MapId }
 
-/** Messages to a coordinator. */
+/**
+ * Messages to a coordinator. A rank answers only what is addressed to its run, and a ballot stages a
+ * single map, so the answers repeat neither.
+ */
 export type CoordinatorBoundMessage =
   | { kind: SwitchKind.Prepared, ballot: Ballot, view: RankView }
   | { kind: SwitchKind.Refused, ballot: Ballot, promised: Ballot }
-  | {
-    kind: SwitchKind.Staged
-    ballot: Ballot
-    incarnation: Incarnation
-    mapId: MapId
-    progress: StageProgress
-    nextStep: number
-  }
-  | { kind: SwitchKind.Held, ballot: Ballot, incarnation: Incarnation, step: number | null, nextStep: number }
-  | { kind: SwitchKind.HoldMissed, ballot: Ballot, incarnation: Incarnation, step: number, nextStep: number }
-  | { kind: SwitchKind.Released, ballot: Ballot, incarnation: Incarnation }
+  | { kind: SwitchKind.Staged, ballot: Ballot, progress: StageProgress, nextStep: number }
+  | { kind: SwitchKind.Held, ballot: Ballot, step: number | null, nextStep: number }
+  | { kind: SwitchKind.HoldMissed, ballot: Ballot, step: number, nextStep: number }
+  | { kind: SwitchKind.Released, ballot: Ballot }
   | { kind: SwitchKind.MapBody, ballot: Ballot, mapId: MapId, bytes: Uint8Array }
   | { kind: SwitchKind.RankStarted, incarnation: Incarnation }
 
