--- /dev/null
+++ b/src/membership/memberTable.ts
@@ -0,0 +1,135 @@
+import { hash32, type TimestampMs } from '../core/index.js'
+import { MemberStatus, SYNC_BUCKETS } from './constants.js'
+import type { MemberRecord } from './types.js'
+
+/** What merging a record did. */
+export enum MergeResult {
+  /** The record is the known one. */
+  Same = 'same',
+  /** The known record is newer. */
+  Older = 'older',
+  Changed = 'changed',
+  /** Changed, and the identity was not known before. */
+  NewIdentity = 'new-identity'
+}
+
+/** A record with the local times that belong to it. */
+export interface TableRow {
+  record: MemberRecord
+  incarnationHash: number
+  /** Local time of the last change of status. */
+  statusSinceMs: TimestampMs
+  bucket: number
+  digestHash: number
+}
+
+const STATUS_RANK: Record<MemberStatus, number> = {
+  [MemberStatus.Alive]: 0,
+  [MemberStatus.Suspect]: 1,
+  [MemberStatus.Dead]: 2,
+  [MemberStatus.Left]: 3
+}
+
+/** Whether a member counts as gone. */
+export const isGone = (status: MemberStatus): boolean => STATUS_RANK[status] >= STATUS_RANK[MemberStatus.Dead]
+
+const compareText = (a: string, b: string) => a === b ? 0 : a < b ? -1 : 1
+
+/** Total order of records of one node id; all members keep the greatest. */
+export const compareRecords = (a: MemberRecord, b: MemberRecord): number =>
+  a.version - b.version ||
+  compareText(a.identity.incarnation, b.identity.incarnation) ||
+  STATUS_RANK[a.status] - STATUS_RANK[b.status] ||
+  compareText(a.announcerId ?? '', b.announcerId ?? '')
+
+// Gone members are left out: nodes forget them at different times and would differ for no reason.
+const digestHashOf = ({ identity, version, status, isDraining, announcerId }: MemberRecord) =>
+  isGone(status)
+    ? 0
+    : hash32(`${identity.nodeId}/${identity.incarnation}/${version}/${status}/${isDraining}/${announcerId ?? ''}`)
+
+/** The member list with a digest by buckets for comparing two lists cheaply. */
+export interface MemberTable {
+  get (nodeId: string): TableRow | undefined
+  values (): IterableIterator<TableRow>
+  merge (incoming: MemberRecord, nowMs: TimestampMs): MergeResult
+  forget (nodeId: string): void
+  readonly digest: Uint32Array
+  readonly size: number
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @example
+ * const table = createMemberTable()
+ * table.merge(record, clock.nowMs()) // MergeResult.NewIdentity
+ */
+export const createMemberTable = (): MemberTable => {
+  const rows = new Map<string, TableRow>()
+  const digest = new Uint32Array(SYNC_BUCKETS)
+
+  const toggle = ({ bucket, digestHash }: TableRow) => { digest[bucket]! ^= digestHash }
+
+  const store = (record: MemberRecord, previous: TableRow | undefined, nowMs: TimestampMs) => {
+    if (previous !== undefined) toggle(previous)
+    const { nodeId, incarnation } = record.identity
+    const isSameStatus = previous?.record.status === record.status && previous.record.version === record.version
+    const changed = {
+      record,
+      incarnationHash: previous?.record.identity.incarnation === incarnation ? previous.incarnationHash : hash32(incarnation),
+      statusSinceMs: previous !== undefined && isSameStatus ? previous.statusSinceMs : nowMs,
+      digestHash: digestHashOf(record)
+    }
+    // Rows keep their identity as objects, so that lists of rows stay valid.
+    const row: TableRow = previous === undefined
+      ? { ...changed, bucket: hash32(nodeId) % SYNC_BUCKETS }
+      : Object.assign(previous, changed)
+    rows.set(nodeId, row)
+    toggle(row)
+  }
+
+  const merge = (incoming: MemberRecord, nowMs: TimestampMs): MergeResult => {
+    const previous = rows.get(incoming.identity.nodeId)
+    if (previous === undefined) {
+      // Adding the tombstone of an unknown node would keep it in the fleet for ever.
+      if (isGone(incoming.status)) return MergeResult.Same
+      store(incoming, undefined, nowMs)
+      return MergeResult.NewIdentity
+    }
+    const known = previous.record
+    const isSameRun = known.identity.incarnation === incoming.identity.incarnation
+    const order = compareRecords(incoming, known)
+    const winner = order > 0 ? incoming : known
+    if (!isSameRun) {
+      if (order < 0) return MergeResult.Older
+      store(incoming, previous, nowMs)
+      return MergeResult.NewIdentity
+    }
+    const newerLoad = incoming.loadVersion > known.loadVersion ? incoming : known
+    const merged: MemberRecord = {
+      ...winner,
+      isDraining: known.isDraining || incoming.isDraining,
+      loadVersion: newerLoad.loadVersion,
+      freeCapacityRequests: newerLoad.freeCapacityRequests
+    }
+    const isChanged = order > 0 || merged.isDraining !== known.isDraining || newerLoad === incoming
+    if (!isChanged) return order < 0 ? MergeResult.Older : MergeResult.Same
+    store(merged, previous, nowMs)
+    return MergeResult.Changed
+  }
+
+  return {
+    get: nodeId => rows.get(nodeId),
+    values: () => rows.values(),
+    merge,
+    forget: nodeId => {
+      const row = rows.get(nodeId)
+      if (row === undefined) return
+      toggle(row)
+      rows.delete(nodeId)
+    },
+    digest,
+    get size () { return rows.size }
+  }
+}
