Follow the lease stream with the follower task

Cause: the follower gained the effect CaughtUp for lease readers. Change: the follower task passes it on. After: type check is clean.

--- a/src/configuration/followerTask.ts
+++ b/src/configuration/followerTask.ts
@@ -20,6 +20,8 @@
   onOwnEffect: (effect: Own) => void
   /** Answer to an EndRequested message: whether every record that the log held then is applied. */
   onEnd?: (requestId: string, isReached: boolean) => void
+  /** Called after each page that leaves no record unread. */
+  onCaughtUp?: (offset: number) => void
   /** Called when a call to the log fails. */
   onLogFailure?: () => void
 }
@@ -38,7 +40,7 @@
  * task.post({ kind: FollowerMessageKind.OffsetSeen, offset: 12 })
  */
 export const createFollowerTask = <Body, Document extends StateDocument, Own extends { kind: string }>({
-  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onEnd, onLogFailure
+  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onEnd, onCaughtUp, onLogFailure
 }: FollowerTaskOptions<Body, Document, Own>): Task<FollowerMessage<Body, Document>> => {
   const reportFailure = (error: unknown) => {
     if (!(error instanceof LogUnavailableError)) throw error
@@ -67,6 +69,7 @@
     [FollowerEffectKind.ReadLog]: ({ readId, fromOffset }) => { read(readId, fromOffset) },
     [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => askPeers(aboveOffset),
     [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) => sendState(peerId, document, retainedSinceMs),
+    [FollowerEffectKind.CaughtUp]: ({ offset }) => onCaughtUp?.(offset),
     [FollowerEffectKind.EndReached]: ({ requestId }) => onEnd?.(requestId, true),
     [FollowerEffectKind.EndFailed]: ({ requestId }) => onEnd?.(requestId, false),
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) => { append(snapshot) }
