--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -71,6 +71,8 @@
 export const DEAD_FORGET_MS = 3_600_000
 export const REJOIN_INTERVAL_MS = 10_000
 export const SYNC_INTERVAL_MS = 10_000
+/** While a process starts it compares more often, because its list is still short. */
+export const START_SYNC_INTERVAL_MS = 1_500
 export const SYNC_RETRY_MS = 400
 export const SYNC_TRIES = 3
 /** Time after its start in which a process takes a newer record of its node id for an older run of itself. */
--- a/src/membership/gossipContext.ts
+++ b/src/membership/gossipContext.ts
@@ -89,7 +89,9 @@
       const isFilled = body.kind !== DatagramKind.SyncPage
       const queued = isFilled ? parts.queue.take(Math.min(roomBytes, budgetBytes)) : []
       const queuedBytes = queued.reduce((sum, rumor) => sum + measureRumor(rumor), 0)
-      budgetBytes -= DATAGRAM_HEADER_BYTES + DATAGRAM_FIXED_BYTES / 2 + bodyBytes(body) + leadingBytes + queuedBytes
+      const bytes = DATAGRAM_HEADER_BYTES + DATAGRAM_FIXED_BYTES / 2 + bodyBytes(body) + leadingBytes + queuedBytes
+      // Answers are sent even without budget; a flood of them must not block news for long.
+      budgetBytes = Math.max(-SEND_BURST_BYTES, budgetBytes - bytes)
       const datagram = { ...body, fromId: parts.selfId, rumors: [...leading, ...queued] } as Datagram
       effects.push({ kind: GossipEffectKind.SendDatagram, address, datagram })
     },
--- a/src/membership/gossipSync.ts
+++ b/src/membership/gossipSync.ts
@@ -1,4 +1,7 @@
-import { DATAGRAM_BYTES_MAX, DATAGRAM_FIXED_BYTES, DatagramKind, RumorKind, SYNC_BUCKETS, SYNC_INTERVAL_MS, SYNC_RETRY_MS, SYNC_TRIES } from './constants.js'
+import {
+  DATAGRAM_BYTES_MAX, DATAGRAM_FIXED_BYTES, DatagramKind, RumorKind, START_MS, START_SYNC_INTERVAL_MS, SYNC_BUCKETS,
+  SYNC_INTERVAL_MS, SYNC_RETRY_MS, SYNC_TRIES
+} from './constants.js'
 import { buildMemberRumor, type GossipContext } from './gossipContext.js'
 import { type IntakeResult, rumorsAboutSender } from './gossipMembers.js'
 import { measureRumor } from './rumorSize.js'
@@ -63,7 +66,9 @@
       nextSyncMs = Math.min(nextSyncMs, nowMs + random.int(0, SYNC_INTERVAL_MS / 10))
     }
     if (nowMs < nextSyncMs || context.peers().length === 0) return
-    nextSyncMs = nowMs + random.int(SYNC_INTERVAL_MS / 2, SYNC_INTERVAL_MS * 3 / 2)
+    const isStarting = nowMs - context.startedMs < START_MS
+    const intervalMs = isStarting ? START_SYNC_INTERVAL_MS : SYNC_INTERVAL_MS
+    nextSyncMs = nowMs + random.int(intervalMs / 2, intervalMs * 3 / 2)
     request(random.int(0, SYNC_BUCKETS - 1), 1)
   }
 
--- /dev/null
+++ b/src/membership/gossipTask.ts
@@ -0,0 +1,143 @@
+import { createSocket } from 'node:dgram'
+import { isIP } from 'node:net'
+import { createLog, createTask, dispatch, type HandlerTable, OverflowPolicy, type Task } from '../core/index.js'
+import type { FleetKey } from '../links/index.js'
+import { GOSSIP_TICK_MS } from './constants.js'
+import { createDatagramCodec, type DatagramCodec } from './datagramCodec.js'
+import { createGossip, type GossipOptions } from './createGossip.js'
+import { type Datagram, type GossipEffect, GossipEffectKind, type GossipMessage, GossipMessageKind } from './types.js'
+
+/** Effects that other tasks receive; datagrams stay inside the task. */
+export type GossipReport = Exclude<GossipEffect, { kind: GossipEffectKind.SendDatagram }>
+
+export interface GossipCounts {
+  receivedCount: number
+  /** Datagrams that were garbage, truncated, oversize or not authenticated. */
+  droppedCount: number
+  /** Datagrams that the full mailbox refused. */
+  overflowCount: number
+  sentCount: number
+  sendFailedCount: number
+  sentBytes: number
+  receivedBytes: number
+}
+
+export interface GossipTaskOptions extends GossipOptions {
+  /** Accepted keys; the first one signs. */
+  keys: readonly FleetKey[]
+  onReport: (report: GossipReport) => void
+}
+
+/** A running gossip task. */
+export interface GossipTask {
+  post: Task<GossipMessage>['post']
+  /** Replaces the accepted keys during a rotation. */
+  setKeys (keys: readonly FleetKey[]): void
+  readonly counts: Readonly<GossipCounts>
+  stop (): Promise<void>
+}
+
+/** Splits `ip:port`; undefined if it is not an IP address with a port. */
+export const parseAddress = (address: string): { host: string, port: number } | undefined => {
+  const at = address.lastIndexOf(':')
+  const host = address.slice(0, Math.max(0, at)).replace(/^\[|\]$/g, '')
+  const port = Number(address.slice(at + 1))
+  return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536 ? { host, port } : undefined
+}
+
+const formatAddress = (host: string, port: number) => host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`
+
+const log = createLog('membership')
+
+/**
+ * Opens the UDP socket at the own address and runs the gossip core.
+ *
+ * @example
+ * const task = await startGossipTask({ self, keys, seeds, freeCapacityRequests: 40, clock, random, onReport })
+ * task.post({ kind: GossipMessageKind.FreeCapacityChanged, freeCapacityRequests: 12 })
+ * @throws Error if the address can't be bound
+ */
+export const startGossipTask = async ({ keys, onReport, ...options }: GossipTaskOptions): Promise<GossipTask> => {
+  const bindAddress = parseAddress(options.self.address)
+  if (bindAddress === undefined) throw new TypeError(`not an IP address and port: ${options.self.address}`)
+  const socket = createSocket(bindAddress.host.includes(':') ? 'udp6' : 'udp4')
+  const core = createGossip(options)
+  let codec: DatagramCodec = createDatagramCodec(keys)
+  const counts: GossipCounts = {
+    receivedCount: 0, droppedCount: 0, overflowCount: 0, sentCount: 0, sendFailedCount: 0, sentBytes: 0, receivedBytes: 0
+  }
+
+  const onSent = (error: Error | null) => {
+    if (error === null) return
+    counts.sendFailedCount += 1
+    log('send failed: %s', error.message)
+  }
+
+  const sendDatagram = (address: string, datagram: Datagram) => {
+    const target = parseAddress(address)
+    if (target === undefined) {
+      counts.sendFailedCount += 1
+      return
+    }
+    const bytes = codec.encode(datagram)
+    counts.sentCount += 1
+    counts.sentBytes += bytes.length
+    socket.send(bytes, target.port, target.host, onSent)
+  }
+
+  const performers: HandlerTable<GossipEffect, void> = {
+    [GossipEffectKind.SendDatagram]: ({ address, datagram }) => sendDatagram(address, datagram),
+    [GossipEffectKind.MemberUpdated]: onReport,
+    [GossipEffectKind.MemberForgotten]: onReport,
+    [GossipEffectKind.BroadcastDelivered]: onReport,
+    [GossipEffectKind.BroadcastRefused]: onReport,
+    [GossipEffectKind.AgentRefused]: onReport,
+    [GossipEffectKind.Superseded]: onReport
+  }
+
+  const task = createTask<GossipMessage, GossipEffect>({
+    name: 'membership',
+    core,
+    perform: effect => dispatch(performers, effect),
+    overflow: OverflowPolicy.RejectNew
+  })
+
+  const decode = (bytes: Buffer): Datagram | undefined => {
+    try {
+      return codec.decode(bytes)
+    } catch (error) {
+      counts.droppedCount += 1
+      log('datagram dropped: %s', error instanceof Error ? error.message : String(error))
+      return undefined
+    }
+  }
+
+  socket.on('message', (bytes, { address, port }) => {
+    counts.receivedCount += 1
+    counts.receivedBytes += bytes.length
+    const datagram = decode(bytes)
+    if (datagram === undefined) return
+    const sourceAddress = formatAddress(address, port)
+    if (!task.post({ kind: GossipMessageKind.DatagramReceived, datagram, sourceAddress })) counts.overflowCount += 1
+  })
+
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject)
+    socket.bind(bindAddress.port, bindAddress.host, () => {
+      socket.off('error', reject)
+      resolve()
+    })
+  })
+  socket.on('error', error => log('socket error: %s', error.message))
+  task.tickEvery(GOSSIP_TICK_MS, () => ({ kind: GossipMessageKind.Tick }))
+
+  return {
+    post: task.post,
+    setKeys: newKeys => { codec = createDatagramCodec(newKeys) },
+    counts,
+    stop: () => {
+      task.stop()
+      return new Promise(resolve => { socket.close(() => resolve()) })
+    }
+  }
+}
