Discover entries and agents by gossip, with directory and drains

Cause: agents were known to the entries they registered with only, and addresses named one entry. Change: membership hub (gossip task, directory, host list), subsets of agents per entry, registration links of agents that replace lost entries, drains by the drain core, configuration offset as a broadcast. Stopping a node twice is harmless; the demo had crashed on a second stop of the UDP socket. Before: one address per answer.

--- a/src/links/handshake.ts
+++ b/src/links/handshake.ts
@@ -12,7 +12,10 @@
   role: z.enum(NodeRole),
   address: shortText,
   failureDomain: shortText,
-  pool: shortText.optional()
+  pool: shortText.optional(),
+  callerAddress: shortText.optional(),
+  group: shortText.optional(),
+  rank: z.number().int().nonnegative().optional()
 })
 
 /** Which side of the connection signs; it is part of the proof, so a proof can't be reflected. */
@@ -38,7 +41,8 @@
   createHmac('sha256', key.secret)
     .update(JSON.stringify([
       side, dialerNonce, acceptorNonce, identity.nodeId, identity.incarnation, identity.role, identity.address,
-      identity.failureDomain, identity.pool ?? null
+      identity.failureDomain, identity.pool ?? null, identity.callerAddress ?? null, identity.group ?? null,
+      identity.rank ?? null
     ]))
     .digest('base64')
 
--- a/src/links/types.ts
+++ b/src/links/types.ts
@@ -10,6 +10,11 @@
   failureDomain: string
   /** Name of the pool that an agent serves. */
   pool?: string
+  /** Address of an entry for callers. */
+  callerAddress?: string
+  /** Group of ranks that an agent's engine belongs to, and its rank there. */
+  group?: string
+  rank?: number
 }
 
 /** A decoded frame; slices narrow it by its kind. */
--- a/src/membership/createDrain.ts
+++ b/src/membership/createDrain.ts
@@ -49,6 +49,8 @@
 export interface DrainSettings {
   /** Longest lifetime of addresses that any entry of the fleet hands out. */
   addressLifetimeMs?: number
+  /** Time that the news of a draining entry takes to reach every directory. */
+  settleMs?: number
   /** How long an agent keeps the answers of finished runs. */
   keepAnswersMs?: number
   /** Bound on the wait for open work, counted from when no new work comes any more. */
@@ -63,8 +65,8 @@
 
 /** Entries serve callers that hold old addresses; agents refuse at once, since entries can go elsewhere. */
 const DRAIN_POLICIES: Record<NodeRole, (settings: DrainSettings) => DrainPolicy> = {
-  [NodeRole.Entry]: ({ addressLifetimeMs = ADDRESS_LIFETIME_MS }) =>
-    ({ acceptForMs: DIRECTORY_SETTLE_MS + addressLifetimeMs, keepAfterWorkMs: 0 }),
+  [NodeRole.Entry]: ({ addressLifetimeMs = ADDRESS_LIFETIME_MS, settleMs = DIRECTORY_SETTLE_MS }) =>
+    ({ acceptForMs: settleMs + addressLifetimeMs, keepAfterWorkMs: 0 }),
   [NodeRole.Agent]: ({ keepAnswersMs = 0 }) => ({ acceptForMs: 0, keepAfterWorkMs: keepAnswersMs })
 }
 
--- a/src/membership/datagramCodec.ts
+++ b/src/membership/datagramCodec.ts
@@ -35,10 +35,13 @@
   value instanceof Uint8Array && value.length <= bytesMax ? Uint8Array.from(value) : fail('invalid bytes')
 const toMember = <T>(members: readonly T[], value: unknown): T => members[toCount(value)] ?? fail('invalid enum member')
 
+const optionalField = (name: string, value: unknown) => value === null || value === undefined ? {} : { [name]: value }
+
 const packRecord = ({ identity, ...record }: MemberRecord) => [
   identity.nodeId, identity.incarnation, ROLES.indexOf(identity.role), identity.address, identity.failureDomain,
   identity.pool ?? null, record.version, STATUSES.indexOf(record.status), record.isDraining ? 1 : 0,
-  record.freeCapacityRequests, record.loadVersion, record.announcerId ?? null
+  record.freeCapacityRequests, record.loadVersion, record.announcerId ?? null, identity.callerAddress ?? null,
+  identity.group ?? null, identity.rank ?? null
 ]
 
 const unpackRecord = (fields: unknown[]): MemberRecord => {
@@ -48,7 +51,10 @@
     role: toMember(ROLES, fields[2]),
     address: fields[3],
     failureDomain: fields[4],
-    ...(fields[5] === null ? {} : { pool: fields[5] })
+    ...optionalField('pool', fields[5]),
+    ...optionalField('callerAddress', fields[12]),
+    ...optionalField('group', fields[13]),
+    ...optionalField('rank', fields[14])
   })
   if (!parsed.success) return fail('invalid identity')
   const announcerId = toOptionalText(fields[11])
--- a/src/membership/rumorSize.ts
+++ b/src/membership/rumorSize.ts
@@ -16,7 +16,8 @@
 
 const recordBytes = ({ identity, announcerId }: MemberRecord) =>
   textBytes(identity.nodeId) + textBytes(identity.incarnation) + textBytes(identity.address) +
-  textBytes(identity.failureDomain) + textBytes(identity.pool) + textBytes(announcerId) + 3 * NUMBER_BYTES + 3
+  textBytes(identity.failureDomain) + textBytes(identity.pool) + textBytes(identity.callerAddress) +
+  textBytes(identity.group) + textBytes(announcerId) + 4 * NUMBER_BYTES + 3
 
 const sizers: { [Kind in RumorKind]: (rumor: Extract<Rumor, { kind: Kind }>) => number } = {
   [RumorKind.Record]: ({ record }) => recordBytes(record),
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -1,5 +1,6 @@
 import {
-  type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type Incarnation, type Task
+  type Clock, createLog, createRandom, createTask, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
+  type Task
 } from '../../core/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, type LinkHandle, listenForLinks, NodeRole,
@@ -13,15 +14,14 @@
 } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
+import { waitForDrain } from '../waitForDrain.js'
 import { createKeyedRunsTask } from './keyedRunsTask.js'
 import { createPoolRowHolder } from './poolRowHolder.js'
+import { createRegistration } from './registration.js'
 import { createUpstreamTask, toUpstreamCall } from './upstreamTask.js'
 
 const log = createLog('agent')
 
-/** Entries that an agent keeps a link to, so that it is announced even while some of them restart. */
-const REGISTRATION_LINKS = 3
-const DRAIN_POLL_MS = 100
 const METRICS_INTERVAL_MS = 5_000
 
 export interface AgentNodeOptions {
@@ -57,7 +57,8 @@
     role: NodeRole.Agent,
     address: linkAddress,
     failureDomain: settings.failureDomain,
-    pool: settings.pool
+    pool: settings.pool,
+    ...(settings.group === undefined ? {} : { group: settings.group.name, rank: settings.group.rank })
   })
 
   const broadcast = (frame: Frame) => {
@@ -134,6 +135,7 @@
       forgetLink(linkId)
     }
     acceptedLinks.set(link.linkId, { link, peer })
+    if (peer.role === NodeRole.Entry) registration.noteEntry(peer.address)
     onReady(link, peer)
   }
 
@@ -167,8 +169,8 @@
   const keys = () => settings.fleetKeys
   const server = await listenForLinks({ host, port, self, keys, clock, emit: event => dispatch(acceptedHandlers, event) })
   linkAddress = `${host}:${server.port}`
-  const registration = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
-  registration.setWanted(settings.entries.slice(0, REGISTRATION_LINKS))
+  const pool = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
+  const registration = createRegistration({ pool, seeds: settings.entries, random: createRandom(hash32(incarnation)) })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
 
   const metricsTimer = setInterval(() => {
@@ -177,21 +179,19 @@
     metrics.record(MetricName.UpstreamUp, upstream.isUp ? 1 : 0)
   }, METRICS_INTERVAL_MS)
 
-  const stop = async () => {
+  const shutDown = async () => {
     clearInterval(metricsTimer)
     task.stop()
     keyedRuns.stop()
-    registration.close()
+    registration.stop()
+    pool.close()
     await server.close()
     await Promise.all([upstream.stop(), metrics.close(), tracing.close()])
   }
 
-  const waitForRuns = async () => {
-    const limitMs = clock.nowMs() + settings.drainLimitMs
-    while (runs.activeCount + keyedRuns.activeCount > 0 && clock.nowMs() < limitMs) {
-      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
-    }
-  }
+  let stopping: Promise<void> | undefined
+  /** A second call waits for the first. */
+  const stop = () => (stopping ??= shutDown())
 
   const drain = async () => {
     log('agent %s drains', settings.nodeId)
@@ -199,7 +199,13 @@
     task.post({ kind: AgentRunMessageKind.DrainStarted })
     keyedRuns.startDrain()
     broadcast({ kind: FrameKind.Drain })
-    await waitForRuns()
+    await waitForDrain({
+      role: NodeRole.Agent,
+      clock,
+      settings: { workLimitMs: settings.drainLimitMs, keepAnswersMs: settings.keepAnswersMs },
+      countWork: () => runs.activeCount + keyedRuns.activeCount
+    })
+    log('agent %s has drained', settings.nodeId)
     await stop()
   }
 
--- a/src/nodes/entry/callerFront.ts
+++ b/src/nodes/entry/callerFront.ts
@@ -24,6 +24,8 @@
   findRoute: (path: string, model: string | undefined) => RouteRow | undefined
   addressesFor: (customer: string) => AddressAnswer
   status: () => unknown
+  /** Why a recent request went where it went, one line for each attempt. */
+  explain: (requestId: string) => string[]
 }
 
 export interface CallerFront {
@@ -208,6 +210,8 @@
     return options.addressesFor(customer)
   })
   app.get('/v1/status', async () => options.status())
+  app.get<{ Params: { requestId: string } }>('/v1/explain/:requestId', async request =>
+    ({ requestId: request.params.requestId, lines: options.explain(request.params.requestId) }))
   app.all('/*', serve)
 
   await app.listen({ host: options.host, port: options.port })
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -1,40 +1,39 @@
 import {
-  type Clock, createLog, createRequestIds, createTask, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
-  createRandom, ResultCode, type Task
+  type Clock, createLog, createRandom, createRequestIds, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
+  ResultCode
 } from '../../core/index.js'
 import { RepeatPolicy } from '../../configuration/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, listenForLinks, NodeRole, type PeerIdentity,
   splitAddress
 } from '../../links/index.js'
+import { BroadcastTopic } from '../../membership/index.js'
 import { MetricName } from '../../observe/index.js'
 import type { BindRequest } from '../../once/index.js'
 import { createLogClient } from '../../platform/index.js'
-import {
-  cacheEventsFrameSchema, chunkFrameSchema, createRequestCore, endFrameSchema, parseFrame, refusedFrameSchema,
-  reportFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind,
-  type ResponseFrame
-} from '../../requests/index.js'
+import { cacheEventsFrameSchema, parseFrame, reportFrameSchema, REQUEST_TICK_MS } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { EntrySettings } from '../settings.js'
+import { waitForDrain } from '../waitForDrain.js'
 import { startCallerFront } from './callerFront.js'
 import { createConfigurationFeed } from './configurationFeed.js'
 import { createKeyedCalls } from './keyedCalls.js'
+import { type MembershipHub, startMembershipHub } from './membershipHub.js'
 import { createOwnerTask, toBoundFrame } from './ownerTask.js'
 import { createPoolRouters } from './poolRouters.js'
 import { createRequestPorts } from './requestPorts.js'
 import { createRequestSpans } from './requestSpans.js'
+import { createRequestsTask } from './requestsTask.js'
 import { createRowTable } from './rowTable.js'
-import type { ResponseSink } from './types.js'
 
 const log = createLog('entry')
 
-const DRAIN_POLL_MS = 50
-const TASK_CAPACITY = 65_536
 /** Entries asked for their state while the log is out. */
 const PEERS_ASKED = 3
 const METRICS_INTERVAL_MS = 5_000
+const ROUTER_TICK_MS = 1_000
 const ONCE_WINDOW_DEFAULT_MS = 600_000
+const OFFSET_BROADCAST_LIFETIME_MS = 60_000
 
 export interface EntryNodeOptions {
   settings: EntrySettings
@@ -45,7 +44,7 @@
 export interface EntryNode {
   readonly callerAddress: string
   readonly linkAddress: string
-  /** Leaves the address answers, finishes streams and stops. */
+  /** Leaves the address answers, serves until no caller holds its address, and stops. */
   drain (): Promise<void>
   /** Stops at once, as a crash would. */
   stop (): Promise<void>
@@ -61,61 +60,36 @@
   const [linkHost, linkPort] = splitAddress(settings.linkAddress)
   const [callerHost, callerPort] = splitAddress(settings.callerAddress)
   let { linkAddress, callerAddress } = settings
-  let isDraining = false
+  let drainStartedMs: number | undefined
+  let hub: MembershipHub | null = null
   const random = createRandom(hash32(incarnation))
   const { metrics, tracing } = createObservability('baobabdrift-entry', settings)
   const table = createRowTable()
-  const sinks = new Map<string, ResponseSink>()
-  const knownAgents = new Map<string, PeerIdentity>()
+  const logClient = createLogClient(settings.logUrl)
 
   const self = (): PeerIdentity => ({
-    nodeId: settings.nodeId, incarnation, role: NodeRole.Entry, address: linkAddress, failureDomain: settings.failureDomain
+    nodeId: settings.nodeId,
+    incarnation,
+    role: NodeRole.Entry,
+    address: linkAddress,
+    failureDomain: settings.failureDomain,
+    callerAddress
   })
   const keys = () => settings.fleetKeys
+  const sendTo = (address: string, frame: Frame) => pool.send(address, frame)
+  const peerAddresses = () => hub?.entries().map(({ address }) => address).filter(address => address !== linkAddress) ?? []
+  /** Until gossip knows other entries, the seeds are the only peers. */
+  const peersOrSeeds = () => {
+    const peers = peerAddresses()
+    return peers.length > 0 ? peers : settings.entries.filter(address => address !== linkAddress)
+  }
 
   const routers = createPoolRouters({
     clock, random, pool: table.pool, onEjected: () => metrics.record(MetricName.UpstreamsEjectedTotal, 1)
   })
   const spans = createRequestSpans(tracing)
   const ports = createRequestPorts({ clock, routers, spans, metrics })
-  const core = createRequestCore({ clock, ports })
-
-  const finish = (requestId: string, use: (sink: ResponseSink) => void) => {
-    const sink = sinks.get(requestId)
-    sinks.delete(requestId)
-    if (sink !== undefined) use(sink)
-  }
-
-  const performers: HandlerTable<RequestEffect, void> = {
-    [RequestEffectKind.SendToAgent]: ({ agent, frame }) => pool.send(agent.address, frame),
-    [RequestEffectKind.SendHead]: ({ requestId, head }) => sinks.get(requestId)?.onHead(head),
-    [RequestEffectKind.SendBody]: ({ requestId, bytes }) => sinks.get(requestId)?.onBody(bytes),
-    [RequestEffectKind.Complete]: ({ requestId }) => finish(requestId, sink => sink.onComplete()),
-    [RequestEffectKind.Fail]: ({ requestId, code }) => finish(requestId, sink => sink.onFail(code))
-  }
-
-  const task: Task<RequestMessage> = createTask({
-    name: 'requests', core, perform: effect => dispatch(performers, effect), capacity: TASK_CAPACITY
-  })
-
-  const postResponse = (peer: PeerIdentity, frame: ResponseFrame) =>
-    task.post({ kind: RequestMessageKind.FrameReceived, agentId: peer.nodeId, frame })
-
-  const peerAddresses = () => settings.entries.filter(address => address !== linkAddress)
-
-  const logClient = createLogClient(settings.logUrl)
-  const feed = createConfigurationFeed({
-    client: logClient,
-    clock,
-    random,
-    retentionMs: settings.logRetentionMs,
-    table,
-    sendToPeers: frame => random.shuffle(peerAddresses()).slice(0, PEERS_ASKED).forEach(address => pool.send(address, frame)),
-    sendToPeer: (address, frame) => pool.send(address, frame),
-    ownAddress: () => linkAddress,
-    onRowsChanged: offset => onRowsChanged(offset),
-    onLogFailure: () => metrics.record(MetricName.LogFailuresTotal, 1)
-  })
+  const requests = createRequestsTask({ clock, ports, sendToAgent: sendTo })
 
   const owner = createOwnerTask({
     client: logClient,
@@ -123,14 +97,14 @@
     windowMs: ONCE_WINDOW_DEFAULT_MS,
     metrics,
     tracing,
-    reply: (address, reply) => address === linkAddress ? keyedCalls.onBindReply(reply) : pool.send(address, toBoundFrame(reply)),
+    reply: (address, reply) => address === linkAddress ? keyedCalls.onBindReply(reply) : sendTo(address, toBoundFrame(reply)),
     ownAddress: () => linkAddress
   })
 
   const askOwner = (request: BindRequest, traceparent: string | undefined) => {
     const address = owner.ownerOf(request.shard)
     if (address === undefined || address === linkAddress) owner.bind(linkAddress, request, traceparent)
-    else pool.send(address, { kind: FrameKind.Bind, replyAddress: linkAddress, request, ...(traceparent === undefined ? {} : { traceparent }) })
+    else sendTo(address, { kind: FrameKind.Bind, replyAddress: linkAddress, request, ...(traceparent === undefined ? {} : { traceparent }) })
   }
 
   const keyedCalls = createKeyedCalls({
@@ -138,22 +112,45 @@
     ports,
     windowMsOf: name => table.pool(name)?.onceWindowMs ?? ONCE_WINDOW_DEFAULT_MS,
     askOwner,
-    sendToAgent: (address, frame) => pool.send(address, frame),
+    sendToAgent: sendTo,
     traceparentOf: spans.traceparentOf
   })
 
-  /** Sends each agent the row of its pool. */
+  /** Sends an agent the row of its pool. */
   const sendRow = (peer: PeerIdentity) => {
     const row = peer.pool === undefined ? undefined : table.pool(peer.pool)
-    if (row !== undefined) pool.send(peer.address, { kind: FrameKind.Rows, offset: table.poolOffset(row.name), row })
+    if (row !== undefined) sendTo(peer.address, { kind: FrameKind.Rows, offset: table.poolOffset(row.name), row })
+  }
+
+  const subsetAgents = () => table.pools().flatMap(({ name, subsetSize }) => hub?.subset(name, subsetSize) ?? [])
+
+  const onMembersChanged = () => {
+    pool.setWanted(subsetAgents().map(({ address }) => address))
+    owner.setEntries([linkAddress, ...peerAddresses()])
+    keyedCalls.onOwnersChanged()
   }
 
   const onRowsChanged = (offset: number) => {
     metrics.record(MetricName.ConfigurationOffset, offset)
     owner.setWindow(Math.max(ONCE_WINDOW_DEFAULT_MS, ...table.pools().map(({ onceWindowMs }) => onceWindowMs)))
-    knownAgents.forEach(sendRow)
+    hub?.broadcast(BroadcastTopic.ConfigurationOffset, String(offset), { offset }, OFFSET_BROADCAST_LIFETIME_MS)
+    onMembersChanged()
+    subsetAgents().forEach(sendRow)
   }
 
+  const feed = createConfigurationFeed({
+    client: logClient,
+    clock,
+    random,
+    retentionMs: settings.logRetentionMs,
+    table,
+    sendToPeers: frame => random.shuffle(peersOrSeeds()).slice(0, PEERS_ASKED).forEach(address => sendTo(address, frame)),
+    sendToPeer: sendTo,
+    ownAddress: () => linkAddress,
+    onRowsChanged,
+    onLogFailure: () => metrics.record(MetricName.LogFailuresTotal, 1)
+  })
+
   const onReport = (peer: PeerIdentity, frame: Frame) => {
     const report = parseFrame(reportFrameSchema, frame)
     if (report.isUp) routers.addAgent(peer)
@@ -162,9 +159,7 @@
   }
 
   const frameHandlers: Partial<Record<FrameKind, (peer: PeerIdentity, frame: Frame) => void>> = {
-    [FrameKind.Chunk]: (peer, frame) => postResponse(peer, parseFrame(chunkFrameSchema, frame)),
-    [FrameKind.End]: (peer, frame) => postResponse(peer, parseFrame(endFrameSchema, frame)),
-    [FrameKind.Refused]: (peer, frame) => postResponse(peer, parseFrame(refusedFrameSchema, frame)),
+    ...requests.frameHandlers,
     [FrameKind.Report]: onReport,
     [FrameKind.CacheEvents]: (peer, frame) => routers.noteCacheEvents(peer.nodeId, parseFrame(cacheEventsFrameSchema, frame)),
     [FrameKind.Drain]: peer => routers.setDraining(peer.nodeId),
@@ -191,7 +186,7 @@
       routers.addAgent(peer)
       sendRow(peer)
       keyedCalls.onAgentLinked(peer)
-      task.post({ kind: RequestMessageKind.AgentLinked, agentId: peer.nodeId, incarnation: peer.incarnation })
+      requests.onAgentLinked(peer)
     },
     [LinkEventKind.Frame]: onFrame,
     [LinkEventKind.Lost]: ({ peer }) => {
@@ -199,22 +194,27 @@
       if (peer?.role !== NodeRole.Agent) return
       routers.removeAgent(peer.nodeId)
       keyedCalls.onAgentUnlinked(peer)
-      task.post({ kind: RequestMessageKind.AgentUnlinked, agentId: peer.nodeId })
+      requests.onAgentUnlinked(peer)
     }
   }
 
-  /** Agents register by a link of their own; the entry then dials the agent for its requests. */
+  /** Agents register by a link of their own, for which this entry vouches in gossip. */
+  const onRegistrationFrame: Partial<Record<FrameKind, (peer: PeerIdentity) => void>> = {
+    [FrameKind.Drain]: ({ nodeId }) => hub?.noteAgentDraining(nodeId)
+  }
+
   const acceptedHandlers: HandlerTable<LinkEvent, void> = {
     [LinkEventKind.Ready]: ({ peer }) => {
-      if (peer.role !== NodeRole.Agent) return
-      knownAgents.set(peer.nodeId, peer)
-      pool.setWanted([...knownAgents.values()].map(({ address }) => address))
+      if (peer.role === NodeRole.Agent) hub?.noteAgentLinked(peer)
     },
     [LinkEventKind.Frame]: event => {
-      // An agent reports on every link; only the dialed one counts.
-      if (event.peer.role === NodeRole.Entry) onFrame(event)
+      // An agent reports on every link; only reports on dialed links count.
+      if (event.peer.role === NodeRole.Agent) onRegistrationFrame[event.frame.kind]?.(event.peer)
+      else onFrame(event)
     },
-    [LinkEventKind.Lost]: () => {}
+    [LinkEventKind.Lost]: ({ peer }) => {
+      if (peer?.role === NodeRole.Agent) hub?.noteAgentLost(peer.nodeId)
+    }
   }
 
   const pool = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
@@ -222,7 +222,10 @@
     host: linkHost, port: linkPort, self, keys, clock, emit: event => dispatch(acceptedHandlers, event)
   })
   linkAddress = `${linkHost}:${server.port}`
-  owner.setEntries([...new Set([...settings.entries, linkAddress])])
+
+  const isRefusing = () => drainStartedMs !== undefined &&
+    clock.nowMs() > drainStartedMs + settings.drainSettleMs + settings.addressLifetimeMs
+  const liveCount = () => requests.liveCount + keyedCalls.liveCount
 
   const front = await startCallerFront({
     host: callerHost,
@@ -230,54 +233,81 @@
     clock,
     findRoute: table.findRoute,
     nextRequestId: createRequestIds(incarnation),
-    addressesFor: () => ({ addresses: [callerAddress], lifetimeMs: settings.addressLifetimeMs }),
+    addressesFor: customer => hub?.addressesFor(customer) ?? { addresses: [callerAddress], lifetimeMs: settings.addressLifetimeMs },
     status: () => ({
-      nodeId: settings.nodeId, incarnation, isDraining, configurationOffset: table.offset, liveRequests: core.liveCount + keyedCalls.liveCount, agents: routers.agentCount
+      nodeId: settings.nodeId,
+      incarnation,
+      isDraining: drainStartedMs !== undefined,
+      configurationOffset: table.offset,
+      liveRequests: liveCount(),
+      linkedAgents: routers.agentCount,
+      ownedShards: owner.ownedCount,
+      entries: hub?.entries() ?? [],
+      agents: hub?.agents() ?? []
     }),
+    explain: routers.explain,
     gateway: {
       submit: (request, sink) => {
-        if (request.repeat === RepeatPolicy.AtMostOnce) {
-          keyedCalls.submit(request, sink)
-          return
-        }
-        sinks.set(request.requestId, sink)
-        if (!task.post({ kind: RequestMessageKind.Submitted, request })) {
-          finish(request.requestId, refused => refused.onFail(ResultCode.Overloaded))
-        }
+        if (isRefusing()) sink.onFail(ResultCode.Draining)
+        else if (request.repeat === RepeatPolicy.AtMostOnce) keyedCalls.submit(request, sink)
+        else requests.submit(request, sink)
       },
       cancel: requestId => {
-        sinks.delete(requestId)
         keyedCalls.cancel(requestId)
-        task.post({ kind: RequestMessageKind.CallerGone, requestId })
+        requests.cancel(requestId)
       }
     }
   })
   callerAddress = `${callerHost}:${front.port}`
-  task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RequestMessageKind.Tick }))
-  const routerTimer = setInterval(routers.tick, 1_000)
-  const keyedTimer = setInterval(keyedCalls.tick, REQUEST_TICK_MS)
-  const metricsTimer = setInterval(() => {
-    metrics.record(MetricName.RequestsLive, core.liveCount + keyedCalls.liveCount)
-    metrics.record(MetricName.FramesDroppedTotal, core.droppedFrameCount)
-  }, METRICS_INTERVAL_MS)
+  hub = await startMembershipHub({
+    self: self(),
+    keys: settings.fleetKeys,
+    seeds: settings.entries,
+    capacityRequests: settings.capacityRequests,
+    addressLifetimeMs: settings.addressLifetimeMs,
+    hostListUrl: settings.hostListUrl,
+    clock,
+    random,
+    metrics,
+    onMembersChanged,
+    onBroadcast: {
+      [BroadcastTopic.ConfigurationOffset]: (_id, payload) => feed.noteOffsetSeen(Number((payload as { offset?: unknown }).offset) || 0)
+    }
+  })
+  const membership = hub
+  onMembersChanged()
+
+  const timers = [
+    setInterval(routers.tick, ROUTER_TICK_MS),
+    setInterval(keyedCalls.tick, REQUEST_TICK_MS),
+    setInterval(() => {
+      membership.setLiveRequests(liveCount())
+      metrics.record(MetricName.RequestsLive, liveCount())
+      metrics.record(MetricName.FramesDroppedTotal, requests.droppedFrameCount)
+    }, METRICS_INTERVAL_MS)
+  ]
 
-  const stop = async () => {
-    clearInterval(routerTimer)
-    clearInterval(keyedTimer)
+  const shutDown = async () => {
+    timers.forEach(clearInterval)
+    requests.stop()
     owner.stop()
-    clearInterval(metricsTimer)
-    task.stop()
     feed.stop()
     pool.close()
     await front.close()
-    await server.close()
-    await Promise.all([logClient.close(), metrics.close(), tracing.close()])
+    await Promise.all([server.close(), membership.stop(), logClient.close(), metrics.close(), tracing.close()])
   }
 
+  let stopping: Promise<void> | undefined
+  /** A second call waits for the first. */
+  const stop = () => (stopping ??= shutDown())
+
   const drain = async () => {
-    isDraining = true
-    const limitMs = clock.nowMs() + settings.drainLimitMs
-    while (core.liveCount + keyedCalls.liveCount > 0 && clock.nowMs() < limitMs) await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
+    log('entry %s drains', settings.nodeId)
+    drainStartedMs = clock.nowMs()
+    membership.startDrain()
+    const { drainLimitMs: workLimitMs, drainSettleMs: settleMs, addressLifetimeMs } = settings
+    await waitForDrain({ role: NodeRole.Entry, clock, settings: { workLimitMs, settleMs, addressLifetimeMs }, countWork: liveCount })
+    log('entry %s has drained', settings.nodeId)
     await stop()
   }
 
--- a/src/nodes/localFleet.ts
+++ b/src/nodes/localFleet.ts
@@ -10,6 +10,8 @@
 
 const FLEET_KEYS = [{ keyId: 'fleet-1', secret: 'a-secret-for-loopback-only' }]
 const FAILURE_DOMAINS = ['tema-a', 'spintex-b', 'kasoa-c']
+/** A fleet of one process learns of a drain within a second. */
+const FAST_DRAIN = { drainSettleMs: 1_000, addressLifetimeMs: 1_000 }
 const SESSION_TIMEOUT_MS = 5_000
 
 /** A fleet on loopback in one process, for the demo, tests and benches. */
@@ -61,7 +63,7 @@
     startEntry: async change => {
       const index = entryCount++
       const settings = entrySettingsSchema.parse({
-        ...nodeDefaults(index), nodeId: `entry-${index}`, callerAddress: '127.0.0.1:0', logUrl: log.url, ...change
+        ...nodeDefaults(index), nodeId: `entry-${index}`, callerAddress: '127.0.0.1:0', logUrl: log.url, ...FAST_DRAIN, ...change
       })
       const entry = await startEntryNode({ settings, incarnation: randomIncarnation(), clock })
       entries.push(entry)
@@ -70,7 +72,7 @@
     },
     startAgent: async change => {
       const index = agentCount++
-      const settings = agentSettingsSchema.parse({ ...nodeDefaults(index), nodeId: `agent-${index}`, ...change })
+      const settings = agentSettingsSchema.parse({ ...nodeDefaults(index), nodeId: `agent-${index}`, keepAnswersMs: 500, ...change })
       const agent = await startAgentNode({ settings, incarnation: randomIncarnation(), clock })
       agents.push(agent)
       cleanups.push(agent.stop)
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -32,8 +32,9 @@
   logRetentionMs: z.number().int().min(60_000).default(86_400_000).describe('How long the log keeps a record'),
   hostListUrl: url.optional(),
   addressLifetimeMs: z.number().int().min(1_000).max(3_600_000).default(30_000),
+  drainSettleMs: z.number().int().nonnegative().default(10_000).describe('Time that the news of a drain takes to reach every entry'),
   drainLimitMs: z.number().int().positive().default(600_000),
-  capacity: z.number().positive().default(1).describe('Relative capacity among the entries')
+  capacityRequests: z.number().int().positive().default(1_000).describe('Requests that this entry takes at once')
 })
 
 export const agentSettingsSchema = nodeSchema.extend({
@@ -42,6 +43,7 @@
   upstreamUrl: url,
   weightStoreUrl: url.optional(),
   group: z.strictObject({ name: nodeName, rank: z.number().int().nonnegative() }).optional(),
+  keepAnswersMs: z.number().int().nonnegative().default(15_000).describe('How long a draining agent keeps finished responses'),
   drainLimitMs: z.number().int().positive().default(600_000)
 })
 
--- a/src/programs/programs.test.ts
+++ b/src/programs/programs.test.ts
@@ -51,10 +51,10 @@
       failureDomain: 'tema-a', region: 'greater-accra', entries: [entryLink], fleetKeys: [{ keyId: 'k1', secret: 'sixteen-characters-at-least' }]
     }
     const entry = await start('entry', writeSettings('entry.yaml', {
-      ...common, nodeId: 'entry-1', callerAddress, linkAddress: entryLink, logUrl: fleet.log.url, addressLifetimeMs: 1_000
+      ...common, nodeId: 'entry-1', callerAddress, linkAddress: entryLink, logUrl: fleet.log.url, addressLifetimeMs: 1_000, drainSettleMs: 500
     }))
     const agent = await start('agent', writeSettings('agent.yaml', {
-      ...common, nodeId: 'agent-1', linkAddress: agentLink, pool: 'quote-workers', upstreamUrl: engine.url
+      ...common, nodeId: 'agent-1', linkAddress: agentLink, pool: 'quote-workers', upstreamUrl: engine.url, keepAnswersMs: 500
     }))
 
     const complete = async (tokens: number) => {
