Predict queues from inflow and weigh uncached prompts

Cause: entries sent work to random upstreams near saturation and lost the prefix caches. Change: mean queue from the inflow of other entries, learned start delay, one random choice besides holders and homes, weight 2 on uncached work.

--- a/bench/routing/engineFake.ts
+++ b/bench/routing/engineFake.ts
@@ -166,7 +166,15 @@
     const arrivedTokens = Math.max(1, request.promptTokens - matchTokens(request.blocks))
     backlogTokens += arrivedTokens
     acceptedTokens += arrivedTokens
-    waiting.push({ request, listener, cachedTokens: 0, prefillLeft: request.promptTokens, outputLeft: request.outputTokens, lastTokenMs: 0, arrivedTokens })
+    waiting.push({
+      request,
+      listener,
+      cachedTokens: 0,
+      prefillLeft: request.promptTokens,
+      outputLeft: request.outputTokens,
+      lastTokenMs: 0,
+      arrivedTokens
+    })
     step()
   }
 
--- a/bench/routing/scenario.ts
+++ b/bench/routing/scenario.ts
@@ -66,12 +66,16 @@
   const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs
 
   const send = (entry: number, request: BenchRequest, engine: number) => {
+    let isStarted = false
     const end = (finished: boolean) => {
+      // A request that never started counts with the time that its caller waited.
+      if (!finished && !isStarted && isCounted(request)) firstTokenMs.push(settings.deadlineMs)
       if (isCounted(request)) counts[finished ? 'finished' : 'expired'] += 1
       queue.after(LINK_MS, () => dispatcher.ended?.(entry, request, engine, finished))
     }
     queue.after(LINK_MS, () => engines[engine]!.submit(request, {
       firstToken: () => {
+        isStarted = true
         if (isCounted(request)) firstTokenMs.push(queue.clock.nowMs() + LINK_MS - request.arrivedMs)
         queue.after(LINK_MS, () => dispatcher.firstToken?.(entry, request, engine))
       },
--- a/src/routing/chooseUpstream.ts
+++ b/src/routing/chooseUpstream.ts
@@ -1,5 +1,5 @@
 import { hash32, type Random, type TimestampMs } from '../core/index.js'
-import { HOLDER_CHOICES, HOME_CHOICES, RANDOM_CHOICES, UpstreamState, WORK_PER_S_DEFAULT } from './constants.js'
+import { HOLDER_CHOICES, HOME_CHOICES, PLAIN_CHOICES, RANDOM_CHOICES, UpstreamState, WORK_PER_S_DEFAULT } from './constants.js'
 import type { Upstream } from './getDefaultUpstream.js'
 import { predict, type Prediction } from './predict.js'
 import type { ChooseRequest } from './types.js'
@@ -40,7 +40,8 @@
 
 const pickCandidates = (available: readonly Upstream[], blocks: ChooseRequest['blocks'], counts: ChoiceCounts, random: Random) => {
   const candidates = new Set<Upstream>()
-  for (let i = 0; i < counts.random; i++) candidates.add(random.pick(available))
+  const randomCount = blocks.length === 0 ? Math.max(PLAIN_CHOICES, counts.random) : counts.random
+  for (let i = 0; i < randomCount; i++) candidates.add(random.pick(available))
   if (blocks.length === 0) return candidates
   const homeKey = blocks[Math.min(HOME_BLOCKS, blocks.length) - 1]!
   for (const upstream of takeBest(available, counts.holders, ({ prefix }) => prefix.matchBlocks(blocks))) candidates.add(upstream)
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -52,8 +52,13 @@
 /** Tokens covered by one block fingerprint. */
 export const BLOCK_TOKENS = 64
 
-/** Random upstreams compared for each request, besides the holders of its prefix. */
-export const RANDOM_CHOICES = 2
+/** Random upstreams compared for a request without a prefix: the power of two choices. */
+export const PLAIN_CHOICES = 2
+/**
+ * Random upstreams compared besides the holders of a prefix. More of them spread a prefix over
+ * too many caches: near saturation, six random ones halved the hit ratio.
+ */
+export const RANDOM_CHOICES = 1
 /** Holders of the longest known prefix that are compared. */
 export const HOLDER_CHOICES = 2
 /**
@@ -102,3 +107,12 @@
 export const IN_FLIGHT_MAX = 20_000
 /** Own dispatches remembered for each upstream since its last report. */
 export const SENDS_MAX = 4_096
+/** Cap of the utilisation in the estimate of a mean queue, which has no bound at 1. */
+export const UTILISATION_MAX = 0.9
+/** Bound of the learned time to the first token that does not depend on queued work. */
+export const OVERHEAD_MAX_MS = 2_000
+/**
+ * Weight of uncached work in the comparison. It also delays later requests and evicts blocks, so
+ * it costs more than its own time; with a weight of 1 entries near saturation give up their caches.
+ */
+export const MISS_WEIGHT = 2
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -1,7 +1,7 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
 import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable } from './chooseUpstream.js'
 import {
-  BLOCK_TOKENS, FailureCause, IN_FLIGHT_MAX, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
+  BLOCK_TOKENS, FailureCause, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
   SENDS_MAX, UpstreamState, WORK_PER_S_DEFAULT
 } from './constants.js'
 import { ejectOutlier, noteAttemptEnd, reinstateIfDue } from './ejection.js'
@@ -22,9 +22,11 @@
 
 type MessageOf<Kind extends RouterMessageKind> = Extract<RouterMessage, { kind: Kind }>
 
-/** Bounds of the correction of predictions, so that one odd sample can't bar an upstream. */
-const ERROR_FACTOR_MIN = 0.5
-const ERROR_FACTOR_MAX = 4
+/**
+ * Slow on purpose: every entry sees the same delays, and a quick reaction by all of them moves
+ * the load back and forth between upstreams.
+ */
+const OVERHEAD_SMOOTHING = 0.05
 
 const blamesUpstream: Record<FailureCause, boolean> = {
   [FailureCause.Error]: true,
@@ -135,8 +137,9 @@
     const nowMs = clock.nowMs()
     const { uncachedTokens, firstTokenMs } = predict(upstream, message, { poolTokensPerS: WORK_PER_S_DEFAULT, nowMs })
     upstream.attempts.set(message.requestId, {
-      dispatchedMs: nowMs, tokens: uncachedTokens, predictedMs: firstTokenMs, firstTokenSeen: false
+      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - upstream.overheadMs, firstTokenSeen: false
     })
+    upstream.meanTokens += SMOOTHING * (uncachedTokens - upstream.meanTokens)
     upstream.sends.push({ atMs: nowMs, tokens: uncachedTokens })
     if (upstream.sends.length > SENDS_MAX) upstream.sends.shift()
     upstream.prefix.addPrompt(message.blocks.slice(0, Math.floor(message.tokens / BLOCK_TOKENS)))
@@ -148,10 +151,10 @@
     const attempt = upstream?.attempts.get(requestId)
     if (upstream === undefined || attempt === undefined || attempt.firstTokenSeen) return []
     attempt.firstTokenSeen = true
-    if (upstream.report === undefined || attempt.predictedMs <= 0) return []
-    const sample = (clock.nowMs() - attempt.dispatchedMs) / (attempt.predictedMs / upstream.errorFactor)
-    const next = upstream.errorFactor + 0.05 * (sample - upstream.errorFactor)
-    upstream.errorFactor = Math.min(ERROR_FACTOR_MAX, Math.max(ERROR_FACTOR_MIN, next))
+    if (upstream.report === undefined) return []
+    const sampleMs = clock.nowMs() - attempt.dispatchedMs - attempt.processingMs
+    const nextMs = upstream.overheadMs + OVERHEAD_SMOOTHING * (sampleMs - upstream.overheadMs)
+    upstream.overheadMs = Math.min(OVERHEAD_MAX_MS, Math.max(0, nextMs))
     return []
   }
 
--- a/src/routing/getDefaultUpstream.ts
+++ b/src/routing/getDefaultUpstream.ts
@@ -8,7 +8,8 @@
   dispatchedMs: TimestampMs
   /** Work that was expected at dispatch: the uncached part of the prompt. */
   tokens: number
-  predictedMs: number
+  /** Predicted time to process the queue and the prompt, without the learned overhead. */
+  processingMs: number
   firstTokenSeen: boolean
 }
 
@@ -28,8 +29,10 @@
   attempts: Map<string, Attempt>
   prefix: PrefixIndex
   snapshotAskedMs: TimestampMs
-  /** Measured time to the first token divided by the predicted time, as a moving average. */
-  errorFactor: number
+  /** Mean of the work of one dispatch, as a moving average. */
+  meanTokens: number
+  /** Time to the first token beyond the predicted processing of queued work, as a moving average. */
+  overheadMs: number
   failureRatio: number
   attemptCount: number
   consecutiveFailures: number
@@ -53,7 +56,8 @@
   attempts: new Map(),
   prefix: createPrefixIndex(),
   snapshotAskedMs: Number.NEGATIVE_INFINITY,
-  errorFactor: 1,
+  meanTokens: 0,
+  overheadMs: 0,
   failureRatio: 0,
   attemptCount: 0,
   consecutiveFailures: 0,
--- a/src/routing/predict.ts
+++ b/src/routing/predict.ts
@@ -1,5 +1,5 @@
 import type { TimestampMs } from '../core/index.js'
-import { BLOCK_TOKENS, FAILURE_PENALTY_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS } from './constants.js'
+import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, UTILISATION_MAX } from './constants.js'
 import type { Upstream } from './getDefaultUpstream.js'
 import type { ChooseRequest } from './types.js'
 
@@ -27,6 +27,15 @@
   return tokens
 }
 
+/**
+ * Mean queue of a server with random arrivals at the inflow from other entries. A short queue in
+ * a report is gone before the report arrives; the inflow is what still tells upstreams apart.
+ */
+const steadyQueue = ({ otherInflowPerS, meanTokens }: Upstream, tokensPerS: number): number => {
+  const utilisation = Math.min(UTILISATION_MAX, otherInflowPerS / tokensPerS)
+  return meanTokens * utilisation / (1 - utilisation)
+}
+
 /**
  * Work that waits at an upstream now: the last report plus what this entry sent and what others
  * likely sent since then, less what the upstream processed meanwhile.
@@ -38,7 +47,7 @@
   const ageS = Math.max(0, nowMs - report.madeAtMs) / 1_000
   const ownSince = upstream.sends.reduce((sum, { tokens }) => sum + tokens, 0)
   const inflow = ownSince + upstream.otherInflowPerS * ageS
-  const queued = Math.max(0, report.queuedTokens + inflow - tokensPerS * ageS)
+  const queued = Math.max(steadyQueue(upstream, tokensPerS), report.queuedTokens + inflow - tokensPerS * ageS)
   // Own work without a first token is certainly still there, whatever the clocks of the report say.
   return { tokens: Math.max(queued, waitingOwn), requests: upstream.sends.length }
 }
@@ -65,7 +74,7 @@
   const cachedTokens = upstream.prefix.matchBlocks(blocks) * BLOCK_TOKENS * upstream.prefix.trust
   const uncachedTokens = Math.max(Math.min(1, tokens), tokens - cachedTokens)
   const waitMs = placeWaitMs(upstream, queue.requests)
-  const firstTokenMs = waitMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000 * upstream.errorFactor
-  const costMs = firstTokenMs / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
+  const firstTokenMs = waitMs + upstream.overheadMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000
+  const costMs = (firstTokenMs + (MISS_WEIGHT - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
   return { upstream, queuedTokens: queue.tokens, uncachedTokens, tokensPerS, placeWaitMs: waitMs, firstTokenMs, costMs }
 }
