--- /dev/null
+++ b/src/limits/createAdmission.ts
@@ -0,0 +1,73 @@
+import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
+import {
+  ADMISSION_RANGE, AdmissionEffectKind, AdmissionMessageKind, LIMIT_KEYS_MAX, OVER_SHARE_FACTOR, OVER_SHARE_RATIO,
+  RETRY_AFTER_MS, USE_HALF_LIFE_MS
+} from './constants.js'
+import type { AdmissionEffect, AdmissionMessage } from './types.js'
+
+type MessageOf<Kind extends AdmissionMessageKind> = Extract<AdmissionMessage, { kind: Kind }>
+
+const STREAM_SMOOTHING = 0.05
+
+/**
+ * Refuses, before they are sent anywhere, requests that would miss their deadline. When first
+ * tokens come late, low priorities and customers above their share are refused first.
+ *
+ * @example
+ * const admission = createAdmission({ clock, random })
+ * admission.handle({ kind: AdmissionMessageKind.AdmitRequested, requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs })
+ */
+export const createAdmission = ({ clock, random }: { clock: Clock, random: Random }): Core<AdmissionMessage, AdmissionEffect> => {
+  /** Admitted work by customer with exponential decay. */
+  const uses = new Map<string, { work: number, atMs: number }>()
+  let streamMs = 0
+
+  const decayed = ({ work, atMs }: { work: number, atMs: number }) => work * 0.5 ** ((clock.nowMs() - atMs) / USE_HALF_LIFE_MS)
+
+  const noteUse = (customer: string, tokens: number) => {
+    const use = uses.get(customer)
+    uses.delete(customer)
+    if (uses.size >= LIMIT_KEYS_MAX) uses.delete(uses.keys().next().value!)
+    uses.set(customer, { work: (use === undefined ? 0 : decayed(use)) + tokens, atMs: clock.nowMs() })
+  }
+
+  const isOverShare = (customer: string): boolean => {
+    const own = uses.get(customer)
+    if (own === undefined || uses.size < 2) return false
+    let total = 0
+    for (const use of uses.values()) total += decayed(use)
+    return decayed(own) > OVER_SHARE_RATIO * total / uses.size
+  }
+
+  const onAdmit = (message: MessageOf<AdmissionMessageKind.AdmitRequested>): AdmissionEffect[] => {
+    const { requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs } = message
+    const leftMs = deadlineMs - clock.nowMs() - streamMs
+    const refuse = (code: ResultCode, reason: string): AdmissionEffect[] =>
+      [{ kind: AdmissionEffectKind.Refused, requestId, code, retryAfterMs: RETRY_AFTER_MS, reason }]
+    if (predictedFirstTokenMs >= leftMs) {
+      return refuse(ResultCode.DeadlineUnreachable, `first token in ${Math.round(predictedFirstTokenMs)} ms, ${Math.round(leftMs)} ms left`)
+    }
+    const { from, to } = ADMISSION_RANGE[priority]
+    const usedPart = predictedFirstTokenMs / leftMs
+    // The share is worked out only under pressure, as it visits all customers.
+    const factor = usedPart > from * OVER_SHARE_FACTOR && isOverShare(customer) ? OVER_SHARE_FACTOR : 1
+    const refusalShare = (usedPart - from * factor) / ((to - from) * factor)
+    if (refusalShare > 0 && random.next() < refusalShare) {
+      return refuse(ResultCode.Overloaded, `first token takes ${usedPart.toFixed(2)} of the time left, priority ${priority}`)
+    }
+    noteUse(customer, tokens)
+    return [{ kind: AdmissionEffectKind.Admitted, requestId }]
+  }
+
+  const onEnded = ({ streamMs: sampleMs }: MessageOf<AdmissionMessageKind.Ended>): AdmissionEffect[] => {
+    if (sampleMs !== undefined) streamMs += STREAM_SMOOTHING * (sampleMs - streamMs)
+    return []
+  }
+
+  const handlers: HandlerTable<AdmissionMessage, AdmissionEffect[]> = {
+    [AdmissionMessageKind.AdmitRequested]: onAdmit,
+    [AdmissionMessageKind.Ended]: onEnded
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
--- /dev/null
+++ b/src/limits/divideLimit.ts
@@ -0,0 +1,46 @@
+import type { CustomerLimit } from '../configuration/index.js'
+import type { LimitShare } from './types.js'
+
+/**
+ * Divides an amount by demand: small demands are met whole, large ones get equal parts, and
+ * what is left over is spread evenly (max-min fairness).
+ *
+ * @example
+ * divideAmount(10, [1, 20, 20]) // [1, 4.5, 4.5]
+ */
+export const divideAmount = (amount: number, demands: readonly number[]): number[] => {
+  const shares = demands.map(() => 0)
+  const order = demands.map((demand, i) => ({ demand, i })).sort((a, b) => a.demand - b.demand)
+  let left = amount
+  order.forEach(({ demand, i }, rank) => {
+    const share = Math.min(demand, left / (order.length - rank))
+    shares[i] = share
+    left -= share
+  })
+  return shares.map(share => share + left / demands.length)
+}
+
+/** Rounds shares down to integers and gives the rest to those that lost most; the sum is kept. */
+export const roundShares = (shares: readonly number[]): number[] => {
+  // Sums of fractions may fall just short of an integer.
+  let rest = Math.floor(shares.reduce((sum, share) => sum + share, 0) + 1e-9)
+  const rounded = shares.map(share => Math.floor(share + 1e-9))
+  rest -= rounded.reduce((sum, share) => sum + share, 0)
+  const byLoss = shares.map((share, i) => ({ loss: share - rounded[i]!, i })).sort((a, b) => b.loss - a.loss || a.i - b.i)
+  for (const { i } of byLoss.slice(0, Math.max(0, rest))) rounded[i]! += 1
+  return rounded
+}
+
+/**
+ * Returns the part of a limit that an entry uses without a grant: an equal one. Every member
+ * computes the same division, so the parts never exceed the limit.
+ */
+export const equalShare = (limit: CustomerLimit, memberIds: readonly string[], selfId: string): LimitShare => {
+  const members = [...new Set([...memberIds, selfId])].sort()
+  const equal = members.map(() => 1 / members.length)
+  return {
+    requestsPerS: limit.requestsPerS / members.length,
+    burstRequests: limit.burstRequests / members.length,
+    concurrentMax: roundShares(equal.map(part => part * limit.concurrentMax))[members.indexOf(selfId)]!
+  }
+}
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,7 @@
+/** Customer limits, retry budgets and admission. */
+export * from './constants.js'
+export * from './createAdmission.js'
+export * from './createCustomerLimits.js'
+export * from './createLimitCoordinator.js'
+export * from './createRetryBudget.js'
+export * from './types.js'
