Add the quarantine of requests that crash upstreams

Cause: a request that is resent every 200 ms through different entries outruns broadcasts of up to 1 s. Change: entries tell linked agents of suspects at once; suspects run alone on a quarter of the upstreams that all entries pick alike; the agent's crash guard gives the verdict.

--- a/src/limits/createLimitCoordinator.ts
+++ b/src/limits/createLimitCoordinator.ts
@@ -24,8 +24,7 @@
   members: Map<string, Member>
 }
 
-const AMOUNTS = ['requestsPerS', 'burstRequests', 'concurrentMax'] as const
-type Amount = typeof AMOUNTS[number]
+type Amount = keyof LimitShare
 
 const wantedAmount: Record<Amount, (demand: LimitDemand) => number> = {
   requestsPerS: ({ offeredPerS }) => offeredPerS * DEMAND_HEADROOM,
@@ -102,8 +101,10 @@
     const member = division.members.get(toId)!
     const share = shareFor(division, toId)
     const sequence = member.demand?.sequence ?? 0
-    // The entry counts the lifetime from its demand, which was sent earlier than this.
-    member.grants.push({ share, sequence, expiresMs: clock.nowMs() + SHARE_LIFETIME_MS })
+    // The entry counts the lifetime from its demand, which was sent earlier than this. Without a
+    // demand it counts from the receipt, so the delay of the message is allowed for.
+    const lifetimeMs = sequence === 0 ? 2 * SHARE_LIFETIME_MS : SHARE_LIFETIME_MS
+    member.grants.push({ share, sequence, expiresMs: clock.nowMs() + lifetimeMs })
     return {
       kind: CoordinatorEffectKind.ShareGranted,
       toId,
@@ -124,7 +125,7 @@
     const member = division.members.get(fromId)!
     if (member.demand !== undefined && demand.sequence <= member.demand.sequence) {
       // A restarted entry counts from 1 again.
-      if (demand.sequence !== 1) return []
+      if (demand.sequence !== 1 || demand.sentMs <= member.demand.sentMs) return []
       member.grants = []
     }
     member.demand = demand
--- /dev/null
+++ b/src/quarantine/createQuarantine.ts
@@ -0,0 +1,180 @@
+import { type Clock, type Core, dispatch, type HandlerTable, ownerByRendezvous, rankByRendezvous, ResultCode, type TimestampMs } from '../core/index.js'
+import {
+  BROADCAST_FINGERPRINTS_MAX, CORRELATED_DEATHS_MS, NoticeKind, QUARANTINE_LIFETIME_MS, QUARANTINE_TOPIC,
+  QuarantineEffectKind, QuarantineMessageKind, SUSPECT_HOME_SHARE, SUSPECT_LIFETIME_MS, SUSPECT_RETRY_AFTER_MS, VERDICT_HOLD_MS
+} from './constants.js'
+import { createSuspectTable, type Suspicion } from './suspectTable.js'
+import type { BodyFingerprint, CrashId, Notice, QuarantineEffect, QuarantineMessage } from './types.js'
+
+type MessageOf<Kind extends QuarantineMessageKind> = Extract<QuarantineMessage, { kind: Kind }>
+
+interface Flight {
+  fingerprint: BodyFingerprint
+  upstreamId: string
+  isAlone: boolean
+}
+
+const noticeLifetimeMs: Record<NoticeKind, number> = {
+  [NoticeKind.Suspects]: SUSPECT_LIFETIME_MS,
+  [NoticeKind.Cleared]: SUSPECT_LIFETIME_MS,
+  [NoticeKind.Quarantined]: QUARANTINE_LIFETIME_MS
+}
+
+const noticeIds: { [Kind in NoticeKind]: (notice: Extract<Notice, { kind: Kind }>) => string } = {
+  [NoticeKind.Suspects]: ({ crashId, fingerprints }) => `${crashId}/${fingerprints[0]}`,
+  [NoticeKind.Cleared]: ({ fingerprint, crashIds }) => `${fingerprint}/cleared/${crashIds.join(',')}`,
+  [NoticeKind.Quarantined]: ({ fingerprint }) => `${fingerprint}/quarantined`
+}
+
+/**
+ * Keeps requests that crash upstreams from spreading through the entries of one pool. Suspects
+ * run alone on a few upstreams that all entries pick alike, one copy at a time; a suspect whose
+ * upstream died waits until every entry can know the verdict.
+ *
+ * @example
+ * const quarantine = createQuarantine({ clock })
+ * quarantine.handle({ kind: QuarantineMessageKind.CheckRequested, requestId, fingerprint })
+ */
+export const createQuarantine = ({ clock }: { clock: Clock }): Core<QuarantineMessage, QuarantineEffect> => {
+  const table = createSuspectTable()
+  const flights = new Map<string, Flight>()
+  const deaths = new Map<CrashId, { upstreamId: string, atMs: TimestampMs }>()
+  /** Suspects that ran alone on a host that was lost; judged once correlated deaths are known. */
+  const pending = new Map<BodyFingerprint, { crashId: CrashId, atMs: TimestampMs }>()
+  let upstreamIds: readonly string[] = []
+
+  const broadcast = (payload: Notice): QuarantineEffect => ({
+    kind: QuarantineEffectKind.Broadcast,
+    broadcast: {
+      topic: QUARANTINE_TOPIC,
+      id: (noticeIds[payload.kind] as (notice: Notice) => string)(payload),
+      payload,
+      expiresMs: clock.nowMs() + noticeLifetimeMs[payload.kind]
+    }
+  })
+
+  /** Broadcasts what is new here and passes it to the linked agents, which keep others from running it. */
+  const spread = (notice: Notice): QuarantineEffect[] => {
+    if (!table.apply(notice, clock.nowMs())) return []
+    return [{ kind: QuarantineEffectKind.NotifyAgents, notice }, broadcast(notice)]
+  }
+
+  const splitSuspects = (crashId: CrashId, upstreamId: string, fingerprints: readonly BodyFingerprint[]): Notice[] => {
+    const notices: Notice[] = []
+    for (let i = 0; i < fingerprints.length; i += BROADCAST_FINGERPRINTS_MAX) {
+      notices.push({ kind: NoticeKind.Suspects, crashId, upstreamId, fingerprints: fingerprints.slice(i, i + BROADCAST_FINGERPRINTS_MAX) })
+    }
+    return notices
+  }
+
+  const isRecentDeath = ({ atMs }: { atMs: TimestampMs }) => clock.nowMs() - atMs < VERDICT_HOLD_MS
+
+  /**
+   * Returns where a suspect has to run. Upstreams that just died keep their place, so that a
+   * suspect doesn't move on before the verdict about its run there is known.
+   */
+  const findHome = (fingerprint: BodyFingerprint, { crashes }: Suspicion): { upstreamId?: string, isHeld: boolean } => {
+    const recentIds = [...deaths.values()].filter(isRecentDeath).map(death => death.upstreamId)
+    const excludedIds = new Set([...crashes.values(), ...[...deaths.values()].filter(death => !isRecentDeath(death)).map(death => death.upstreamId)])
+    const usable = [...new Set([...upstreamIds, ...recentIds])].filter(upstreamId => !excludedIds.has(upstreamId))
+    const homes = rankByRendezvous('suspects', usable).slice(0, Math.max(1, Math.ceil(SUSPECT_HOME_SHARE * usable.length)))
+    const upstreamId = ownerByRendezvous(fingerprint, homes)
+    const secondCrashes = crashes.size > 1 ? [...crashes.keys()] : []
+    const isHeld = recentIds.includes(upstreamId ?? '') || secondCrashes.some(crashId => {
+      const death = deaths.get(crashId)
+      return death !== undefined && isRecentDeath(death)
+    })
+    return { upstreamId, isHeld }
+  }
+
+  const onCheck = ({ requestId, fingerprint }: MessageOf<QuarantineMessageKind.CheckRequested>): QuarantineEffect[] => {
+    const refuse = (code: ResultCode): QuarantineEffect[] =>
+      [{ kind: QuarantineEffectKind.Refuse, requestId, code, retryAfterMs: SUSPECT_RETRY_AFTER_MS }]
+    if (table.isQuarantined(fingerprint)) return refuse(ResultCode.Quarantined)
+    const suspicion = table.findSuspicion(fingerprint)
+    if (suspicion === undefined) return [{ kind: QuarantineEffectKind.Run, requestId }]
+    const isRunning = [...flights.values()].some(flight => flight.fingerprint === fingerprint)
+    const { upstreamId, isHeld } = findHome(fingerprint, suspicion)
+    if (isRunning || isHeld || pending.has(fingerprint)) return refuse(ResultCode.SuspectBusy)
+    if (upstreamId === undefined) return refuse(ResultCode.NoUpstream)
+    return [{ kind: QuarantineEffectKind.RunAlone, requestId, upstreamId }]
+  }
+
+  const onDispatched = ({ requestId, fingerprint, upstreamId }: MessageOf<QuarantineMessageKind.Dispatched>): QuarantineEffect[] => {
+    flights.set(requestId, { fingerprint, upstreamId, isAlone: false })
+    return []
+  }
+
+  const onStartedAlone = ({ requestId }: MessageOf<QuarantineMessageKind.StartedAlone>): QuarantineEffect[] => {
+    const flight = flights.get(requestId)
+    if (flight !== undefined) flight.isAlone = true
+    return []
+  }
+
+  const noteDeath = (crashId: CrashId, upstreamId: string) => {
+    if (!deaths.has(crashId)) deaths.set(crashId, { upstreamId, atMs: clock.nowMs() })
+  }
+
+  const onUpstreamDied = ({ upstreamId, crashId, hostLost }: MessageOf<QuarantineMessageKind.UpstreamDied>): QuarantineEffect[] => {
+    noteDeath(crashId, upstreamId)
+    const fingerprints = new Set<BodyFingerprint>()
+    for (const [requestId, flight] of flights) {
+      if (flight.upstreamId !== upstreamId) continue
+      flights.delete(requestId)
+      fingerprints.add(flight.fingerprint)
+      if (hostLost && flight.isAlone) pending.set(flight.fingerprint, { crashId, atMs: clock.nowMs() })
+    }
+    // A guard that survived tells the suspects more exactly: some flights may not have started.
+    return hostLost ? splitSuspects(crashId, upstreamId, [...fingerprints]).flatMap(spread) : []
+  }
+
+  const onSuspects = ({ notice }: MessageOf<QuarantineMessageKind.SuspectsReceived>): QuarantineEffect[] => {
+    const { crashId, upstreamId, fingerprints } = notice
+    noteDeath(crashId, upstreamId)
+    return splitSuspects(crashId, upstreamId, fingerprints).flatMap(spread)
+  }
+
+  const onBroadcast = ({ broadcast: { topic, payload, expiresMs } }: MessageOf<QuarantineMessageKind.BroadcastReceived>): QuarantineEffect[] => {
+    const nowMs = clock.nowMs()
+    if (topic !== QUARANTINE_TOPIC || expiresMs <= nowMs) return []
+    if (payload.kind === NoticeKind.Suspects) noteDeath(payload.crashId, payload.upstreamId)
+    // Gossip forwards broadcasts by itself; the agents are told by each entry.
+    return table.apply(payload, nowMs) ? [{ kind: QuarantineEffectKind.NotifyAgents, notice: payload }] : []
+  }
+
+  const judge = (fingerprint: BodyFingerprint, { crashId, atMs }: { crashId: CrashId, atMs: TimestampMs }): QuarantineEffect[] => {
+    if (clock.nowMs() - atMs < CORRELATED_DEATHS_MS) return []
+    pending.delete(fingerprint)
+    const isCorrelated = [...deaths].some(([id, death]) => id !== crashId && Math.abs(death.atMs - atMs) < CORRELATED_DEATHS_MS)
+    return isCorrelated ? [] : spread({ kind: NoticeKind.Quarantined, fingerprint, crashId })
+  }
+
+  const onTick = (): QuarantineEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects = [...pending].flatMap(([fingerprint, loss]) => judge(fingerprint, loss))
+    table.expire(nowMs)
+    for (const [crashId, { atMs }] of deaths) if (nowMs - atMs > 10 * VERDICT_HOLD_MS) deaths.delete(crashId)
+    return effects
+  }
+
+  const handlers: HandlerTable<QuarantineMessage, QuarantineEffect[]> = {
+    [QuarantineMessageKind.UpstreamsChanged]: message => {
+      upstreamIds = message.upstreamIds
+      return []
+    },
+    [QuarantineMessageKind.CheckRequested]: onCheck,
+    [QuarantineMessageKind.Dispatched]: onDispatched,
+    [QuarantineMessageKind.StartedAlone]: onStartedAlone,
+    [QuarantineMessageKind.Ended]: ({ requestId }) => {
+      flights.delete(requestId)
+      return []
+    },
+    [QuarantineMessageKind.UpstreamDied]: onUpstreamDied,
+    [QuarantineMessageKind.SuspectsReceived]: onSuspects,
+    [QuarantineMessageKind.VerdictReceived]: ({ notice }) => spread(notice),
+    [QuarantineMessageKind.BroadcastReceived]: onBroadcast,
+    [QuarantineMessageKind.Tick]: onTick
+  }
+
+  return { handle: message => dispatch(handlers, message) }
+}
