--- a/bench/routing/dispatchers.ts
+++ b/bench/routing/dispatchers.ts
@@ -1,4 +1,6 @@
+import { Priority } from '../../src/configuration/index.js'
 import { createRandom } from '../../src/core/index.js'
+import { AdmissionEffectKind, AdmissionMessageKind, createAdmission } from '../../src/limits/index.js'
 import { CacheEventKind, type ChoiceCounts, createRouter, FailureCause, RouterEffectKind, RouterMessageKind } from '../../src/routing/index.js'
 import type { BenchRequest } from './engineFake.js'
 import { type Dispatcher, ENTRY_COUNT, type ScenarioContext } from './scenario.js'
@@ -55,8 +57,26 @@
   }
 }
 
-/** The product's routers, one for each entry; they share nothing. */
-export const createRouters = (counts?: ChoiceCounts) => ({ engines, queue, random, send, refuse }: ScenarioContext): Dispatcher => {
+/** Priority of a bench request: one in five interactive, one in five batch. */
+const priorityOf = ({ requestId }: BenchRequest): Priority => {
+  const part = Number(requestId.slice(1)) % 5
+  return part === 0 ? Priority.Interactive : part === 1 ? Priority.Batch : Priority.Standard
+}
+
+/** The product's routers, one for each entry, with or without admission; they share nothing. */
+export const createRouters = (
+  { counts, withAdmission = false }: { counts?: ChoiceCounts, withAdmission?: boolean } = {}
+) => ({ engines, queue, random, send, refuse }: ScenarioContext): Dispatcher => {
+  const admissions = Array.from({ length: ENTRY_COUNT }, () => createAdmission({ clock: queue.clock, random: createRandom(random.int(1, 1e9)) }))
+  const startedMs = new Map<string, number>()
+  const admit = (entry: number, request: BenchRequest, predictedFirstTokenMs: number): boolean => {
+    if (!withAdmission) return true
+    const { requestId, customer, promptTokens: tokens, deadlineMs } = request
+    const [effect] = admissions[entry]!.handle({
+      kind: AdmissionMessageKind.AdmitRequested, requestId, customer, priority: priorityOf(request), tokens, deadlineMs, predictedFirstTokenMs
+    })
+    return effect?.kind === AdmissionEffectKind.Admitted
+  }
   const routers = Array.from({ length: ENTRY_COUNT }, () => createRouter({
     clock: queue.clock, random: createRandom(random.int(1, 1e9)), setAsideShareMax: 0.3, counts
   }))
@@ -82,7 +102,8 @@
       const { requestId, blocks, promptTokens: tokens, deadlineMs } = request
       const [effect] = routers[entry]!.handle({ kind: RouterMessageKind.ChooseRequested, requestId, blocks, tokens, deadlineMs, excludedIds: [] })
       if (effect?.kind !== RouterEffectKind.Chosen) return refuse(request)
-      const { upstreamId } = effect
+      const { upstreamId, predictedFirstTokenMs } = effect
+      if (!admit(entry, request, predictedFirstTokenMs)) return refuse(request)
       post(entry, { kind: RouterMessageKind.Dispatched, requestId, upstreamId, blocks, tokens })
       send(entry, request, numberOf.get(upstreamId)!)
     },
@@ -91,8 +112,14 @@
       const events = changes.map(({ stored, block }) => ({ kind: stored ? CacheEventKind.Stored : CacheEventKind.Removed, block }))
       postAll({ kind: RouterMessageKind.CacheChanged, ...forUpstream(engine), sequence, events })
     },
-    firstToken: (entry, { requestId }, engine) => { post(entry, { kind: RouterMessageKind.FirstTokenSeen, requestId, upstreamId: idOf(engine) }) },
+    firstToken: (entry, { requestId }, engine) => {
+      startedMs.set(requestId, queue.clock.nowMs())
+      post(entry, { kind: RouterMessageKind.FirstTokenSeen, requestId, upstreamId: idOf(engine) })
+    },
     ended: (entry, { requestId }, engine, finished) => {
+      const atMs = startedMs.get(requestId)
+      startedMs.delete(requestId)
+      admissions[entry]!.handle({ kind: AdmissionMessageKind.Ended, requestId, streamMs: atMs === undefined ? undefined : queue.clock.nowMs() - atMs })
       const base = { requestId, upstreamId: idOf(engine) }
       if (finished) post(entry, { kind: RouterMessageKind.Finished, ...base })
       else post(entry, { kind: RouterMessageKind.Failed, ...base, cause: FailureCause.Cancelled })
--- a/bench/routing/scenario.ts
+++ b/bench/routing/scenario.ts
@@ -18,6 +18,10 @@
   warmUpMs: number
   deadlineMs: number
   familyCount: number
+  /** Changes the workload, such as for one customer above its limit. */
+  editRequests?: (requests: BenchRequest[]) => BenchRequest[]
+  /** Restricts the figures to some requests. */
+  isMeasured?: (request: BenchRequest) => boolean
 }
 
 /** What a dispatcher needs of the scenario. */
@@ -63,7 +67,8 @@
     createEngineFake(queue, { speed: i === 0 ? 1 / 3 : 1, batchMax: 32, cacheBlocksMax: 420 }))
   const firstTokenMs: number[] = []
   const counts = { arrived: 0, finished: 0, refused: 0, expired: 0 }
-  const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs
+  const { editRequests = requests => requests, isMeasured = () => true } = settings
+  const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs && isMeasured(request)
 
   const send = (entry: number, request: BenchRequest, engine: number) => {
     let isStarted = false
@@ -86,7 +91,7 @@
   const refuse = (request: BenchRequest) => { if (isCounted(request)) counts.refused += 1 }
   const dispatcher = createDispatcher({ queue, random, engines, send, refuse })
 
-  const requests = makeWorkload(settings)
+  const requests = editRequests(makeWorkload(settings))
   const entryRandom = createRandom(seed + 3)
   const scheduleNext = (i: number) => {
     const request = requests[i]
--- /dev/null
+++ b/bench/routing/selection.ts
@@ -0,0 +1,52 @@
+import { type Figure, percentile } from '../harness/index.js'
+import { createGlobalQueue, createPerfectDispatcher, createRoundRobin, createRouters } from './dispatchers.js'
+import { runScenario, type ScenarioSettings } from './scenario.js'
+
+/**
+ * Requests per second and engine: 0.6 of the rate at which the dispatcher with perfect knowledge
+ * saturates, so that two thirds of the engines can carry the peak when a failure domain is lost.
+ */
+export const REQUESTS_PER_S_PER_ENGINE = 8
+const FAMILIES_PER_ENGINE = 5
+const FIRST_TOKEN_LIMIT_MS = 1_300
+const TOKEN_GAP_LIMIT_MS = 64
+
+export const selectionSettings = (seed: number, engineCount: number): ScenarioSettings => ({
+  seed,
+  engineCount,
+  requestsPerS: REQUESTS_PER_S_PER_ENGINE * engineCount,
+  durationMs: engineCount > 24 ? 90_000 : 130_000,
+  warmUpMs: engineCount > 24 ? 30_000 : 40_000,
+  deadlineMs: 30_000,
+  familyCount: FAMILIES_PER_ENGINE * engineCount
+})
+
+const shareWithin = (samples: readonly number[], limit: number, count: number) =>
+  samples.filter(sample => sample <= limit).length / count
+
+/** Measures the selection of upstreams against round robin and against perfect knowledge. */
+export const measureSelection = (seed: number, engineCount: number): Figure[] => {
+  const settings = selectionSettings(seed, engineCount)
+  const roundRobin = runScenario(settings, createRoundRobin)
+  const ours = runScenario(settings, createRouters())
+  const bounds = [createPerfectDispatcher, createGlobalQueue].map(create => runScenario(settings, create))
+  const p95 = ({ firstTokenMs }: { firstTokenMs: number[] }) => percentile(firstTokenMs, 0.95)
+  const boundP95 = Math.min(...bounds.map(p95))
+  const size = `${engineCount} upstreams, 15 entries`
+  const figure = (name: string, unit: string, baseline: number, value: number, target: Figure['target'], note = size): Figure =>
+    ({ suite: 'routing', figure: `${name}_${engineCount}`, unit, baseline, value, seed, target, note })
+  const firstTokenShare = ({ firstTokenMs, arrivedCount }: typeof ours) => shareWithin(firstTokenMs, FIRST_TOKEN_LIMIT_MS, arrivedCount)
+  const gapShare = ({ gapsMs }: typeof ours) => shareWithin(gapsMs, TOKEN_GAP_LIMIT_MS, gapsMs.length)
+  return [
+    figure('first_token_p95_ratio', 'ratio', 1, p95(ours) / p95(roundRobin), { max: 0.5 },
+      `${size}; ours ${p95(ours).toFixed(0)} ms, round robin ${p95(roundRobin).toFixed(0)} ms`),
+    figure('first_token_p95_to_bound_ratio', 'ratio', p95(roundRobin) / boundP95, p95(ours) / boundP95, { max: 1.25 },
+      `${size}; bound ${boundP95.toFixed(0)} ms, the better of a global queue and a dispatcher with exact state`),
+    figure('prefix_hit_ratio_gain', 'ratio', 1, ours.hitRatio / roundRobin.hitRatio, { min: 1.8 },
+      `${size}; ours ${ours.hitRatio.toFixed(3)}, round robin ${roundRobin.hitRatio.toFixed(3)}`),
+    figure('load_max_over_mean', 'ratio', roundRobin.loadMaxOverMean, ours.loadMaxOverMean, { max: 1.15 },
+      `${size}; busy time in windows of 30 s`),
+    figure('within_first_token_1300ms', 'share', firstTokenShare(roundRobin), firstTokenShare(ours), { min: 0.95 }),
+    figure('within_token_gap_64ms', 'share', gapShare(roundRobin), gapShare(ours), { min: 0.95 })
+  ]
+}
