--- a/bench/routing/scenario.ts
+++ b/bench/routing/scenario.ts
@@ -18,6 +18,10 @@
   warmUpMs: number
   deadlineMs: number
   familyCount: number
+  /** Changes the workload, such as for one customer above its limit. */
+  editRequests?: (requests: BenchRequest[]) => BenchRequest[]
+  /** Restricts the figures to some requests. */
+  isMeasured?: (request: BenchRequest) => boolean
 }
 
 /** What a dispatcher needs of the scenario. */
@@ -63,15 +67,20 @@
     createEngineFake(queue, { speed: i === 0 ? 1 / 3 : 1, batchMax: 32, cacheBlocksMax: 420 }))
   const firstTokenMs: number[] = []
   const counts = { arrived: 0, finished: 0, refused: 0, expired: 0 }
-  const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs
+  const { editRequests = requests => requests, isMeasured = () => true } = settings
+  const isCounted = (request: BenchRequest) => request.arrivedMs >= warmUpMs && isMeasured(request)
 
   const send = (entry: number, request: BenchRequest, engine: number) => {
+    let isStarted = false
     const end = (finished: boolean) => {
+      // A request that never started counts with the time that its caller waited.
+      if (!finished && !isStarted && isCounted(request)) firstTokenMs.push(settings.deadlineMs)
       if (isCounted(request)) counts[finished ? 'finished' : 'expired'] += 1
       queue.after(LINK_MS, () => dispatcher.ended?.(entry, request, engine, finished))
     }
     queue.after(LINK_MS, () => engines[engine]!.submit(request, {
       firstToken: () => {
+        isStarted = true
         if (isCounted(request)) firstTokenMs.push(queue.clock.nowMs() + LINK_MS - request.arrivedMs)
         queue.after(LINK_MS, () => dispatcher.firstToken?.(entry, request, engine))
       },
@@ -82,7 +91,7 @@
   const refuse = (request: BenchRequest) => { if (isCounted(request)) counts.refused += 1 }
   const dispatcher = createDispatcher({ queue, random, engines, send, refuse })
 
-  const requests = makeWorkload(settings)
+  const requests = editRequests(makeWorkload(settings))
   const entryRandom = createRandom(seed + 3)
   const scheduleNext = (i: number) => {
     const request = requests[i]
