Fit the tables of owner and agent into the memory of a node

Cause: the limits allowed 512 MB at an owner of all shards and 440 MB at an agent, against 128 MB per node. Change: 6,000 bindings per shard and 20,000 keys per agent; an ended run drops the state of its hash. Conclusion: at most 62 MB of bindings at an owner of all shards, 44 MB of keys and 32 MB of answers at an agent.

--- a/src/once/constants.ts
+++ b/src/once/constants.ts
@@ -10,13 +10,16 @@
 /** With 32 shards at most 256 appends a second of the fleet's append budget are used for bindings. */
 export const APPEND_INTERVAL_MS = 125
 export const LOG_RETRY_MAX_MS = 2_000
-/** Bounds the record size: about 150 bytes per binding. */
+/** Bounds the size of one record. */
 export const BATCH_BINDINGS_MAX = 256
 export const PAGE_RECORDS_MAX = 256
 /** Requests that wait for a binding in one shard; further ones are refused. */
 export const BIND_QUEUE_MAX = 1_024
-/** Bindings held per shard, twice the full-size rate of keyed calls over the longest window. */
-export const BINDINGS_PER_SHARD_MAX = 50_000
+/**
+ * Bindings held per shard: twice the full-size rate of 160 keyed calls/s over the default window.
+ * An entry that owns all shards holds 192,000 bindings of about 325 bytes.
+ */
+export const BINDINGS_PER_SHARD_MAX = 6_000
 /** The owner answers that the log is unavailable after this time. */
 export const BIND_WAIT_MAX_MS = 2_000
 
@@ -32,7 +35,8 @@
 /** Chunks that arrived early and wait for a missing one; further ones are requested again. */
 export const EARLY_CHUNKS_MAX = 64
 
-export const AGENT_KEYS_MAX = 100_000
+/** About 2.2 KB per ended run with a small answer, so 44 MB next to the bytes of the answers. */
+export const AGENT_KEYS_MAX = 20_000
 export const ANSWER_BYTES_MAX = 1024 * 1024
 export const ANSWERS_BYTES_MAX = 32 * 1024 * 1024
 
--- a/src/once/keptAnswers.ts
+++ b/src/once/keptAnswers.ts
@@ -1,4 +1,4 @@
-import { createRunningHash } from '../core/index.js'
+import { createRunningHash, type RunningHash } from '../core/index.js'
 
 /** The answer of one run as it is produced. */
 export interface KeptAnswer {
@@ -8,7 +8,7 @@
   add (bytes: Uint8Array): void
   /** 64-bit hash of all chunks produced so far. */
   digest (): string
-  /** Allows the answer to be dropped when another one needs its bytes. */
+  /** No chunk follows; the answer may be dropped when another one needs its bytes. */
   end (): void
   /** Drops the answer for good. */
   drop (): void
@@ -43,7 +43,8 @@
   }
 
   const open = (): KeptAnswer => {
-    const hash = createRunningHash()
+    let hash: RunningHash | undefined = createRunningHash()
+    let digest = ''
     let chunks: Uint8Array[] = []
     let answerBytes = 0
     let producedCount = 0
@@ -54,7 +55,7 @@
       get isKept () { return isKept },
       get chunks () { return chunks },
       add: bytes => {
-        hash.update(bytes)
+        hash?.update(bytes)
         producedCount += 1
         if (!isKept) return
         if (answerBytes + bytes.length > answerBytesMax || !makeRoom(bytes.length)) {
@@ -65,8 +66,13 @@
         totalBytes += bytes.length
         chunks.push(bytes)
       },
-      digest: () => hash.digest(),
-      end: () => { if (isKept) ended.add(answer) },
+      digest: () => hash?.digest() ?? digest,
+      end: () => {
+        digest = answer.digest()
+        // The state of the hash is larger than most answers.
+        hash = undefined
+        if (isKept) ended.add(answer)
+      },
       drop: () => {
         ended.delete(answer)
         totalBytes -= answerBytes
