Skip the prepare phase after a round of the same coordinator

Cause: prepare and its answers were a quarter of the bytes of a switch, although the coordinator knows the state of the ranks from the release it has just seen. Change: a stage message is a promise if the last promise was to the same run of the coordinator and its round has released the rank; any other rank refuses. A request made during a round no longer ends with the outcome of that round.

--- a/src/expertMaps/createSwitchCoordinator.ts
+++ b/src/expertMaps/createSwitchCoordinator.ts
@@ -2,7 +2,7 @@
 import {
   BALLOT_RETRY_MS, HOLD_MARGIN_STEPS, POLL_INTERVAL_MS, RESEND_INTERVAL_MS
 } from './constants.js'
-import { applyChanges, copiesBetween, createInitialMap, isSameMap } from './expertMap.js'
+import { applyChanges, createInitialMap, isSameMap } from './expertMap.js'
 import { judgeRound, RoundKind } from './judgeRound.js'
 import { createLeadership } from './leadership.js'
 import { createStagePacer } from './stagePacer.js'
@@ -12,11 +12,11 @@
   type SwitchCoordinatorOptions, SwitchOutcome
 } from './coordinatorTypes.js'
 import {
-  canStage, createRound, enterPhase, freshStep, isForRound, isOverdue, isRestart, type Member, noteStep, Phase,
-  quietMembers, type Round
+  canStage, createRound, enterPhase, enterStaging, freshStep, isAcked, isForRound, isOverdue, isRestart, type Member, noteStep, Phase,
+  quietMembers, type Round, settledViewsOf
 } from './round.js'
 import {
-  ALL_SWITCH_RULES, type CoordinatorBoundMessage, type RankBoundMessage, ReleaseChoice,
+  ALL_SWITCH_RULES, type CoordinatorBoundMessage, type RankBoundMessage, type RankView, ReleaseChoice,
   StageProgress, SwitchKind
 } from './switchTypes.js'
 import type { ExpertMap, MapId } from './types.js'
@@ -39,6 +39,8 @@
   let counter = 0
   let round: Round | undefined
   let pending: { base: ExpertMap, map: ExpertMap } | undefined
+  /** State of the ranks after a round that all have acknowledged; spares the next one its prepare phase. */
+  let settledViews: RankView[] | undefined
   /** Whether the ranks may be left in the middle of a round. */
   let needsRound = false
   let retryMs = Number.NEGATIVE_INFINITY
@@ -60,24 +62,34 @@
     return sendToAll(active)
   }
 
-  const beginRound = (): CoordinatorEffect[] => {
+  const openRound = (): Round => {
     counter += 1
     needsRound = false
+    settledViews = undefined
     round = createRound([counter, incarnation], shape.ranks, clock.nowMs())
-    return sendToAll(round)
+    return round
   }
 
-  const endSwitch = (outcome: SwitchOutcome, map: ExpertMap): CoordinatorEffect[] => {
-    if (pending === undefined) return []
-    pending = undefined
+  const beginRound = (): CoordinatorEffect[] => sendToAll(openRound())
+
+  /** Starts with the stage phase; a rank that another coordinator has prepared since refuses. */
+  const beginSettledRound = (views: readonly RankView[]): CoordinatorEffect[] => {
+    const active = openRound()
+    active.isPrepared = false
+    views.forEach((view, rank) => { active.members[rank]!.view = view })
+    return judge(active)
+  }
+
+  /** Ends the round under way and, with an outcome, the switch to `map`; a later request stays. */
+  const closeRound = (outcome?: SwitchOutcome, map = pending?.map): CoordinatorEffect[] => {
+    round = undefined
+    if (map === undefined || outcome === undefined) return []
+    if (pending?.map === map) pending = undefined
     return [{ kind: CoordinatorEffectKind.SwitchEnded, outcome, map }]
   }
 
   const startStaging = (active: Round, target: ExpertMap): CoordinatorEffect[] => {
-    active.target = target
-    const receivers = new Set(copiesBetween(knownMap, target).map(({ toRank }) => toRank))
-    enterPhase(active, Phase.Staging, clock.nowMs())
-    for (const member of active.members) member.hasCopies = receivers.has(member.rank)
+    enterStaging(active, knownMap, target, clock.nowMs())
     return pumpStaging(active)
   }
 
@@ -109,10 +121,10 @@
   }
 
   const startSwitch = (active: Round, newest: MapId): CoordinatorEffect[] => {
-    if (pending === undefined) return abandon()
+    if (pending === undefined) return closeRound()
     const { base, map } = pending
-    if (isSameMap(map.id, newest)) return [...abandon(), ...endSwitch(SwitchOutcome.Done, map)]
-    if (!isSameMap(base.id, newest)) return [...abandon(), ...endSwitch(SwitchOutcome.Outdated, map)]
+    if (isSameMap(map.id, newest)) return closeRound(SwitchOutcome.Done)
+    if (!isSameMap(base.id, newest)) return closeRound(SwitchOutcome.Outdated)
     knownMap = base
     return startStaging(active, map)
   }
@@ -130,11 +142,6 @@
     return known === undefined ? startFetching(active, newest!) : startStaging(active, known)
   }
 
-  const abandon = (): CoordinatorEffect[] => {
-    round = undefined
-    return []
-  }
-
   const judgedHandlers: Record<RoundKind, (active: Round, newest: MapId | undefined) => CoordinatorEffect[]> = {
     [RoundKind.Clean]: (active, newest) => startSwitch(active, newest!),
     [RoundKind.RollBack]: active => startReleasing(active, ReleaseChoice.Keep),
@@ -150,29 +157,22 @@
   }
 
   const finishRound = (active: Round): CoordinatorEffect[] => {
-    round = undefined
+    settledViews = settledViewsOf(active)
     const { choice, target } = active
-    if (target === undefined || choice === ReleaseChoice.Restart) {
-      // A requested switch waits for a round of its own after the ranks are in order again.
-      if (target !== undefined) knownMap = target
-      return []
-    }
-    if (choice === ReleaseChoice.Keep) return endSwitch(SwitchOutcome.RolledBack, target)
+    if (target === undefined) return closeRound()
+    if (choice === ReleaseChoice.Keep) return closeRound(SwitchOutcome.RolledBack, target)
     knownMap = target
-    return endSwitch(SwitchOutcome.Done, target)
+    return closeRound(choice === ReleaseChoice.Restart ? undefined : SwitchOutcome.Done, target)
   }
 
-  const enoughAcks = (active: Round, isUnanimous: boolean): boolean =>
-    isUnanimous ? active.members.every(({ isAcked }) => isAcked) : active.members.some(({ isAcked }) => isAcked)
-
   const completePhase: Record<Phase, (active: Round) => CoordinatorEffect[]> = {
-    [Phase.Preparing]: active => enoughAcks(active, true) ? judge(active) : [],
+    [Phase.Preparing]: active => isAcked(active) ? judge(active) : [],
     [Phase.Fetching]: () => [],
-    [Phase.Staging]: active => enoughAcks(active, true) ? startHolding(active, freshStep(active)) : pumpStaging(active),
-    [Phase.Holding]: active => enoughAcks(active, rules.needsAllHolds)
+    [Phase.Staging]: active => isAcked(active) ? startHolding(active, freshStep(active)) : pumpStaging(active),
+    [Phase.Holding]: active => isAcked(active, rules.needsAllHolds)
       ? startReleasing(active, isRestart(active) ? ReleaseChoice.Restart : ReleaseChoice.Adopt)
       : [],
-    [Phase.Releasing]: active => enoughAcks(active, true) ? finishRound(active) : []
+    [Phase.Releasing]: active => isAcked(active) ? finishRound(active) : []
   }
 
   const acknowledge = (member: Member, phase: Phase): CoordinatorEffect[] => {
@@ -192,10 +192,10 @@
   const onRefused: Handlers[SwitchKind.Refused] = (_member, { promised }) => {
     counter = Math.max(counter, promised[0])
     needsRound = true
-    // A coordinator that has just started only has to learn the counter; others let the higher ballot finish.
-    const waitMs = round?.phase === Phase.Preparing ? RESEND_INTERVAL_MS : BALLOT_RETRY_MS
+    // A coordinator that has not prepared only has to learn the counter; others let the higher ballot finish.
+    const waitMs = round?.phase === Phase.Preparing || !round?.isPrepared ? RESEND_INTERVAL_MS : BALLOT_RETRY_MS
     retryMs = clock.nowMs() + waitMs * (1 + random.next())
-    return abandon()
+    return closeRound()
   }
 
   const onStaged: Handlers[SwitchKind.Staged] = (member, { progress, nextStep }) => {
@@ -203,8 +203,7 @@
     if (round?.phase !== Phase.Staging) return []
     member.needsVersionZero ||= progress === StageProgress.BaseUnknown
     member.progress = progress
-    if (progress !== StageProgress.Done) return []
-    return acknowledge(member, Phase.Staging)
+    return progress === StageProgress.Done ? acknowledge(member, Phase.Staging) : []
   }
 
   const onHeld: Handlers[SwitchKind.Held] = (member, { step, nextStep }) => {
@@ -249,6 +248,7 @@
 
   const onSwitch = (from: number, message: CoordinatorBoundMessage): CoordinatorEffect[] => {
     const handler = switchHandlers[message.kind] as (member: Member, message: CoordinatorBoundMessage) => CoordinatorEffect[]
+    if (message.kind === SwitchKind.RankStarted) settledViews = undefined
     if (message.kind === SwitchKind.RankStarted && round === undefined) {
       needsRound = true
       return []
@@ -270,27 +270,27 @@
     const nowMs = clock.nowMs()
     if (round === undefined) {
       const isDue = (pending !== undefined || needsRound) && nowMs >= retryMs
-      return isDue && leadership.leader() === ownRank ? beginRound() : []
+      if (!isDue || leadership.leader() !== ownRank) return []
+      return settledViews === undefined || needsRound ? beginRound() : beginSettledRound(settledViews)
     }
     return isOverdue(round, nowMs) ? startReleasing(round, ReleaseChoice.Keep) : resend(round)
   }
 
+  /** A new leader may find ranks in the middle of a round of its predecessor. */
+  const judgeLeadership = (change: () => void): CoordinatorEffect[] => {
+    change()
+    needsRound ||= leadership.leader() === ownRank
+    return []
+  }
+
   const handlers: HandlerTable<CoordinatorMessage, CoordinatorEffect[]> = {
     [CoordinatorMessageKind.SwitchReceived]: ({ from, message }) => onSwitch(from, message),
     [CoordinatorMessageKind.SwitchRequested]: ({ base, map }) => {
       pending = { base, map }
       return onTick()
     },
-    [CoordinatorMessageKind.LiveRanksChanged]: ({ ranks }) => {
-      leadership.setLive(ranks)
-      needsRound ||= leadership.leader() === ownRank
-      return []
-    },
-    [CoordinatorMessageKind.CoordinatorSuspected]: ({ rank }) => {
-      leadership.suspect(rank)
-      needsRound ||= leadership.leader() === ownRank
-      return []
-    },
+    [CoordinatorMessageKind.LiveRanksChanged]: ({ ranks }) => judgeLeadership(() => leadership.setLive(ranks)),
+    [CoordinatorMessageKind.CoordinatorSuspected]: ({ rank }) => judgeLeadership(() => leadership.suspect(rank)),
     [CoordinatorMessageKind.Tick]: onTick
   }
 
--- a/src/expertMaps/createSwitchRank.ts
+++ b/src/expertMaps/createSwitchRank.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Incarnation } from '../core/index.js'
 import { COORDINATOR_SILENCE_MS, RANK_STARTED_INTERVAL_MS } from './constants.js'
+import { Admission, createBallotPromise } from './ballotPromise.js'
 import { applyChanges, createInitialMap, encodeChanges, isSameMap } from './expertMap.js'
 import { createLeadership } from './leadership.js'
 import {
@@ -73,9 +74,7 @@
   const initialMap = createInitialMap(shape)
   const staging = createWeightStaging({ rank, clock })
   const leadership = createLeadership({ ranks: shape.ranks, clock })
-  let promised: Ballot | undefined
-  /** Whether the promised ballot has released this rank; later copies of its messages have no effect. */
-  let isClosed = false
+  const promise = createBallotPromise({ incarnation, rules })
   let current: ExpertMap | undefined
   let grant: { map: ExpertMap, step: number } | undefined
   let held: Held | undefined
@@ -131,13 +130,8 @@
     return base === undefined ? undefined : applyChanges(base, changes.bytes, id)
   }
 
-  const onPrepare: Handlers[SwitchKind.Prepare] = (from, { ballot }) => {
-    if (promised === undefined || compareBallots(ballot, promised) > 0) {
-      promised = ballot
-      isClosed = false
-    }
-    return [reply(from, { kind: SwitchKind.Prepared, ballot, view: view() })]
-  }
+  const onPrepare: Handlers[SwitchKind.Prepare] = (from, { ballot }) =>
+    [reply(from, { kind: SwitchKind.Prepared, ballot, view: view() })]
 
   const stagedReply = (from: number, ballot: Ballot, progress: StageProgress) =>
     reply(from, { kind: SwitchKind.Staged, ballot, progress, nextStep })
@@ -213,7 +207,7 @@
   const onRelease: Handlers[SwitchKind.Release] = (from, { ballot, choice, mapId, step }) => {
     if (!release[choice](mapId, step)) return []
     held = undefined
-    isClosed = true
+    promise.close()
     const effects: RankEffect[] = [reply(from, { kind: SwitchKind.Released, ballot })]
     if (choice === ReleaseChoice.Restart) {
       effects.push({ kind: RankEffectKind.MapActivated, map: current! }, { kind: RankEffectKind.ResumeAt, step })
@@ -235,27 +229,21 @@
     [SwitchKind.MapRequest]: onMapRequest
   }
 
-  /** Whether a message belongs to the promised ballot and to this run of the process. */
-  const isCurrent = (message: RankBoundMessage): boolean => {
-    if (message.kind === SwitchKind.Prepare || message.kind === SwitchKind.MapRequest) return true
-    if (rules.checksIncarnation && message.incarnation !== incarnation) return false
-    return !rules.checksBallot || (promised !== undefined && compareBallots(message.ballot, promised) === 0)
+  const onSwitch = (from: number, message: RankBoundMessage): RankEffect[] => {
+    const admission = promise.admit(message)
+    if (admission !== Admission.Refuse) heardMs = clock.nowMs()
+    return admitted[admission](from, message)
   }
 
-  const onSwitch = (from: number, message: RankBoundMessage): RankEffect[] => {
-    const order = promised === undefined ? 1 : compareBallots(message.ballot, promised)
-    if (rules.checksBallot && order < 0) {
-      return [reply(from, { kind: SwitchKind.Refused, ballot: message.ballot, promised: promised! })]
-    }
-    heardMs = clock.nowMs()
-    if (!isCurrent(message)) return []
-    if (isClosed && message.kind === SwitchKind.Release) {
-      return [reply(from, { kind: SwitchKind.Released, ballot: message.ballot })]
-    }
-    const isLateCopy = isClosed && (message.kind === SwitchKind.Stage || message.kind === SwitchKind.Hold)
-    if (isLateCopy && rules.checksBallot) return []
-    const handler = rankHandlers[message.kind] as (from: number, message: RankBoundMessage) => RankEffect[]
-    return handler(from, message)
+  const admitted: Record<Admission, (from: number, message: RankBoundMessage) => RankEffect[]> = {
+    [Admission.Handle]: (from, message) => {
+      const handler = rankHandlers[message.kind] as (from: number, message: RankBoundMessage) => RankEffect[]
+      return handler(from, message)
+    },
+    [Admission.Refuse]: (from, { ballot }) =>
+      [reply(from, { kind: SwitchKind.Refused, ballot, promised: promise.ballot! })],
+    [Admission.Repeat]: (from, { ballot }) => [reply(from, { kind: SwitchKind.Released, ballot })],
+    [Admission.Ignore]: () => []
   }
 
   /** A rank that is blocked until some coordinator acts. */
--- a/src/expertMaps/round.ts
+++ b/src/expertMaps/round.ts
@@ -1,6 +1,6 @@
 import type { TimestampMs } from '../core/index.js'
 import { HOLD_LIMIT_MS, POLL_INTERVAL_MS, RESEND_INTERVAL_MS, STAGE_LIMIT_MS } from './constants.js'
-import { isSameMap } from './expertMap.js'
+import { copiesBetween, isSameMap } from './expertMap.js'
 import { type Judgement, RoundKind } from './judgeRound.js'
 import {
   type Ballot, compareBallots, type CoordinatorBoundMessage, type RankView, ReleaseChoice, StageProgress, SwitchKind
@@ -39,6 +39,8 @@
   members: Member[]
   judgement?: Judgement
   target?: ExpertMap
+  /** False while the round relies on the promises of the one before. */
+  isPrepared: boolean
   /** Encoded changes to the target by the hash of their base. */
   encoded: Map<string, Uint8Array>
   choice?: ReleaseChoice
@@ -53,6 +55,7 @@
   phaseMs: nowMs,
   members: Array.from({ length: ranks }, (_member, rank) =>
     ({ rank, needsVersionZero: false, hasCopies: false, isAcked: false, isHeld: false, sentMs: Number.NEGATIVE_INFINITY })),
+  isPrepared: true,
   encoded: new Map(),
   step: null
 })
@@ -67,6 +70,14 @@
   }
 }
 
+/** Enters the stage phase and notes which ranks must load weights. */
+export const enterStaging = (round: Round, base: ExpertMap, target: ExpertMap, nowMs: TimestampMs) => {
+  const receivers = new Set(copiesBetween(base, target).map(({ toRank }) => toRank))
+  round.target = target
+  enterPhase(round, Phase.Staging, nowMs)
+  for (const member of round.members) member.hasCopies = receivers.has(member.rank)
+}
+
 /** Lowest step that no rank is known to have begun. */
 export const freshStep = ({ members }: Round): number =>
   members.reduce((step, { view }) => Math.max(step, view?.nextStep ?? 1), 1)
@@ -122,3 +133,16 @@
   if (member.isAcked) return isBlocked(member) && quietMs >= POLL_INTERVAL_MS
   return round.phase !== Phase.Staging && quietMs >= RESEND_INTERVAL_MS
 })
+
+/** Whether all ranks have answered the phase; the weaker condition serves tests only. */
+export const isAcked = ({ members }: Round, isUnanimous = true): boolean =>
+  isUnanimous ? members.every(member => member.isAcked) : members.some(member => member.isAcked)
+
+/** What the ranks look like after all of them were released. */
+export const settledViewsOf = (round: Round): RankView[] => {
+  const latest = round.choice === ReleaseChoice.Keep || round.target === undefined
+    ? round.judgement!.newest!
+    : round.target.id
+  return round.members.map(({ view }) =>
+    ({ incarnation: view!.incarnation, nextStep: freshStep(round), latest, held: null }))
+}
