Report every 6 s, plan every 12 s and demand a gain of 1%

Change: report interval 5 -> 6 s with the hash of the map only, plan interval 10 -> 12 s, no switch for a gain below 1% of a step.

--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -40,8 +40,8 @@
 export const SKEW_PERSISTENCE = 2
 /** A plan must gain this multiple of its own cost. */
 export const GAIN_OVER_COST_MIN = 1.25
-/** A plan that only changes shares copies nothing but still costs a switch. */
-export const GAIN_MIN = 0.005
+/** Gain in skew below which no switch starts: its messages alone are some 40 KB for 64 ranks. */
+export const GAIN_MIN = 0.01
 /** Peer copies are limited to this rate, so that they leave most of the network to the steps. */
 export const PEER_COPY_BYTES_PER_MS = 1_000_000
 /** Slowdown of the steps of a rank that sends or receives a copy. */
@@ -71,4 +71,6 @@
 /** Interval of questions for progress, which also tell blocked ranks that the coordinator lives. */
 export const POLL_INTERVAL_MS = 1_000
 /** Interval at which the task of a rank reports; 64 reports in this time leave room for switches below 6,000 B/s. */
-export const REPORT_INTERVAL_MS = 5_000
+export const REPORT_INTERVAL_MS = 6_000
+/** Interval at which the task of the coordinator asks for a plan: every second report. */
+export const PLAN_INTERVAL_MS = 12_000
--- a/src/expertMaps/createLoadAccount.ts
+++ b/src/expertMaps/createLoadAccount.ts
@@ -3,8 +3,8 @@
   KNOWN_MAPS_MAX, LOAD_HALF_LIFE_STEPS, RANK_SPEED_MIN, RECOVERED_SPEED_RATIO, REPORT_AGE_MAX_STEPS, SPEED_SMOOTHING,
   STRAGGLER_REPORTS, STRAGGLER_SPEED_RATIO
 } from './constants.js'
-import { isSameMap, itemCountOf } from './expertMap.js'
-import type { ExpertMap, GroupShape, ItemIndex, MapId, RankReport } from './types.js'
+import { itemCountOf } from './expertMap.js'
+import type { ExpertMap, GroupShape, ItemIndex, RankReport } from './types.js'
 
 export enum LoadMessageKind {
   MapAdopted = 'map-adopted',
@@ -62,7 +62,7 @@
 }
 
 interface KnownMap {
-  id: MapId
+  hash: string
   /** Hosted items and their shares by rank, ascending by item. */
   hosted: Array<{ items: ItemIndex[], shares: number[] }>
 }
@@ -75,7 +75,7 @@
       hosted[rank]?.shares.push(share)
     }
   })
-  return { id, hosted }
+  return { hash: id.hash, hosted }
 }
 
 /** Reports remembered per rank to find doubles; a report older than all of them is dropped. */
@@ -177,7 +177,7 @@
     if (state === undefined || steps <= 0) return drop(rank, DropReason.Malformed)
     if (isTooOld(state, report)) return drop(rank, DropReason.TooOld)
     if (state.incarnation === report.incarnation && state.seenSteps.has(step)) return drop(rank, DropReason.Duplicate)
-    const known = knownMaps.find(({ id }) => isSameMap(id, report.mapId))
+    const known = knownMaps.find(({ hash }) => hash === report.mapHash)
     if (known === undefined) return drop(rank, DropReason.UnknownMap)
     const { items, shares } = known.hosted[rank]!
     if (items.length !== report.tokens.length) return drop(rank, DropReason.Malformed)
@@ -189,7 +189,7 @@
   }
 
   const onMapAdopted = (map: ExpertMap): LoadEffect[] => {
-    if (knownMaps.some(({ id }) => isSameMap(id, map.id))) return []
+    if (knownMaps.some(({ hash }) => hash === map.id.hash)) return []
     knownMaps.push(indexMap(map, shape.ranks))
     if (knownMaps.length > KNOWN_MAPS_MAX) knownMaps.shift()
     return []
--- a/src/expertMaps/createPlanner.ts
+++ b/src/expertMaps/createPlanner.ts
@@ -85,6 +85,9 @@
   const persistence = rules.hasHysteresis ? SKEW_PERSISTENCE : 1
   const gainOverCost = rules.hasHysteresis ? GAIN_OVER_COST_MIN : 1
 
+  /** Smallest gain that is worth the messages of a switch. */
+  const gainMin = () => GAIN_MIN * weights.skewWeight
+
   const shouldSearch = (skew: number) => {
     skewedCount = skew >= SKEW_START_RATIO ? skewedCount + 1 : 0
     return skewedCount >= persistence
@@ -96,8 +99,8 @@
   const verdictOf = ({ copies, gain, cost, skewBefore, isStuck, retiredCount, map }: PlanOutcome): PlanVerdict => {
     if (skewBefore < SKEW_START_RATIO) return PlanVerdict.Balanced
     if (skewedCount < persistence) return PlanVerdict.Unconfirmed
-    if (copies.length > 0 && gain >= gainOverCost * cost && gain > cost) return PlanVerdict.Moved
-    if (map !== undefined && copies.length === 0 && gain >= GAIN_MIN * weights.skewWeight) return PlanVerdict.Reweighted
+    if (copies.length > 0 && gain >= gainOverCost * cost && gain >= gainMin()) return PlanVerdict.Moved
+    if (map !== undefined && copies.length === 0 && gain >= gainMin()) return PlanVerdict.Reweighted
     if (map !== undefined && copies.length === 0 && isStuck && retiredCount > 0) return PlanVerdict.SlotsFreed
     return PlanVerdict.NotWorthIt
   }
--- a/src/expertMaps/types.ts
+++ b/src/expertMaps/types.ts
@@ -47,7 +47,8 @@
   steps: number
   /** Time the rank computed, without waiting for other ranks. */
   durationMs: number
-  mapId: MapId
+  /** Hash of the map that the steps used. */
+  mapHash: string
   /** Tokens by hosted expert, in ascending order of item. */
   tokens: number[]
 }
