Measure gossip, drains and addresses in the control bench

Cause: the targets of membership need figures at several sizes. Change: a fake log with its followers, draining agents with silent links, a demand model for addresses, a full mesh as baseline, heap at full size. Short news is sent more often, and weights follow the square of the smoothed free capacity.

--- /dev/null
+++ b/bench/control/memory.ts
@@ -0,0 +1,68 @@
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { createRandom, createManualClock } from '../../src/core/index.js'
+import {
+  createDatagramCodec, createDirectory, createGossip, type Datagram, DatagramKind, DirectoryMessageKind, GossipEffectKind,
+  GossipMessageKind, type MemberRecord, MemberStatus, RumorKind
+} from '../../src/membership/index.js'
+import { NodeRole, type PeerIdentity } from '../../src/links/index.js'
+import { FULL_AGENTS, FULL_ENTRIES } from './sizes.js'
+
+const NODES = 8
+const CUSTOMERS = 2_000
+const MEBIBYTE = 1_048_576
+
+const collectGarbage = (): void => {
+  setFlagsFromString('--expose-gc')
+  runInNewContext('gc')()
+}
+
+const heapBytes = () => {
+  collectGarbage()
+  return process.memoryUsage().heapUsed
+}
+
+const identityOf = (i: number): PeerIdentity => i < FULL_ENTRIES
+  ? { nodeId: `entry-${i}`, incarnation: `${i}`.padStart(16, '0'), role: NodeRole.Entry, address: `10.0.${i >> 8}.${i & 255}:7100`, failureDomain: `domain-${i % 6}` }
+  : { nodeId: `agent-${i}`, incarnation: `${i}`.padStart(16, '0'), role: NodeRole.Agent, address: `10.1.${i >> 8}.${i & 255}:7300`, failureDomain: `domain-${i % 6}`, pool: 'quote-model' }
+
+const recordOf = (i: number): MemberRecord => ({
+  identity: identityOf(i),
+  version: 1_796_000_000,
+  status: MemberStatus.Alive,
+  isDraining: false,
+  freeCapacityRequests: 40,
+  loadVersion: 3,
+  ...(i < FULL_ENTRIES ? {} : { announcerId: `entry-${i % FULL_ENTRIES}` })
+})
+
+/** Heap of one entry's member state and directory at full size, in MiB, from decoded datagrams. */
+export const measureStateMebibytes = (seed: number): number => {
+  const codec = createDatagramCodec([{ keyId: '2026-12', secret: 'bench' }])
+  const clock = createManualClock(1_796_000_000_000)
+  const total = FULL_ENTRIES + FULL_AGENTS
+  const datagrams = Array.from({ length: total - 1 }, (_, i): Buffer => {
+    const datagram: Datagram = { kind: DatagramKind.Gossip, fromId: 'entry-1', rumors: [{ kind: RumorKind.Record, record: recordOf(i + 1) }] }
+    return codec.encode(datagram)
+  })
+  const beforeBytes = heapBytes()
+  const kept = Array.from({ length: NODES }, (_, n) => {
+    const gossip = createGossip({ self: identityOf(0), freeCapacityRequests: 40, seeds: [], clock, random: createRandom(seed + n) })
+    const directory = createDirectory({ clock })
+    for (const bytes of datagrams) {
+      const datagram = codec.decode(bytes)
+      for (const effect of gossip.handle({ kind: GossipMessageKind.DatagramReceived, datagram, sourceAddress: '10.0.0.1:7100' })) {
+        if (effect.kind === GossipEffectKind.MemberUpdated) directory.handle({ kind: DirectoryMessageKind.MemberUpdated, record: effect.record })
+      }
+    }
+    for (let c = 0; c < CUSTOMERS; c++) {
+      directory.handle({ kind: DirectoryMessageKind.LookupRequested, lookupId: '', customer: `customer-${c}` })
+    }
+    return { gossip, directory }
+  })
+  const afterBytes = heapBytes()
+  return (afterBytes - beforeBytes) / kept.length / MEBIBYTE
+}
+
+/** Resident size of this process, in MiB; includes the loader that runs TypeScript. */
+export const residentMebibytes = (): number => process.memoryUsage().rss / MEBIBYTE
--- a/src/membership/chooseSubset.ts
+++ b/src/membership/chooseSubset.ts
@@ -1,5 +1,6 @@
 import { hash32 } from '../core/index.js'
 import type { PeerIdentity } from '../links/index.js'
+import { mixHash } from './mixHash.js'
 import { spreadSeats } from './spreadSeats.js'
 
 export interface SubsetInput {
@@ -16,14 +17,6 @@
   hash: number
 }
 
-/** Mixes two hashes; the finalizer of MurmurHash3. */
-const mix = (a: number, b: number): number => {
-  let hash = (a ^ Math.imul(b, 0x9e3779b1)) >>> 0
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
-  return (hash ^ (hash >>> 16)) >>> 0
-}
-
 const toNodes = (items: readonly { nodeId: string }[]): Node[] => items
   .map(({ nodeId }) => ({ nodeId, hash: hash32(nodeId) }))
   .sort((a, b) => a.hash - b.hash || (a.nodeId < b.nodeId ? -1 : 1))
@@ -39,7 +32,7 @@
   const capacityOf = (agentIndex: number) =>
     Math.floor(demand / agents.length) + (agentIndex < demand % agents.length ? 1 : 0)
   const preferences = entries.map(entry => agents
-    .map((agent, index) => ({ index, weight: mix(entry.hash, agent.hash) }))
+    .map((agent, index) => ({ index, weight: mixHash(entry.hash, agent.hash) }))
     .sort((a, b) => b.weight - a.weight || a.index - b.index)
     .map(({ index }) => index))
   const nextChoice = entries.map(() => 0)
@@ -54,7 +47,7 @@
       continue
     }
     const seats = held[agentIndex]!
-    seats.push({ entryIndex, rank: mix(agents[agentIndex]!.hash, entries[entryIndex]!.hash) })
+    seats.push({ entryIndex, rank: mixHash(agents[agentIndex]!.hash, entries[entryIndex]!.hash) })
     if (seats.length <= capacityOf(agentIndex)) continue
     seats.sort((a, b) => b.rank - a.rank || a.entryIndex - b.entryIndex)
     asking.push(seats.pop()!.entryIndex)
--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -104,6 +104,17 @@
 export const ADDRESS_LIFETIME_MS = 30_000
 /** Time that the news of a draining entry takes to reach every directory. */
 export const DIRECTORY_SETTLE_MS = 10_000
-export const SHARD_ADDRESSES_MIN = 12
-/** A customer's set grows with its demand, so that it adds at most 1/6 of the mean load to one entry. */
-export const SHARD_DEMAND_FACTOR = 6
+/** A set has at least this many addresses, a quarter of a small fleet, and up to 16 of a large one. */
+export const SHARD_ADDRESSES_MIN = 6
+export const SHARD_ENTRY_SHARE = 0.25
+export const SHARD_ADDRESSES_FULL = 16
+/** A customer's set grows with its demand, so that it adds at most 1/8 of the mean load to one entry. */
+export const SHARD_DEMAND_FACTOR = 8
+/** Announced free capacity answers to weights up to a minute later; following it at once oscillates. */
+export const FREE_SMOOTHING_MS = 60_000
+/**
+ * Weights in proportion to free capacity leave the busiest of 340 entries at 1.25 times the mean load;
+ * squares answer to a difference twice as strongly.
+ */
+export const FREE_WEIGHT_EXPONENT = 2
+export const CACHED_SHARDS_MAX = 4_096
--- a/src/membership/createDirectory.ts
+++ b/src/membership/createDirectory.ts
@@ -1,7 +1,11 @@
 import { type Clock, type Core, dispatch, hash32, type HandlerTable, type TimestampMs } from '../core/index.js'
 import { NodeRole } from '../links/index.js'
 import { type HostListEntry, HostState } from '../platform/index.js'
-import { ADDRESS_LIFETIME_MS, MemberStatus, SHARD_ADDRESSES_MIN, SHARD_DEMAND_FACTOR } from './constants.js'
+import {
+  ADDRESS_LIFETIME_MS, CACHED_SHARDS_MAX, FREE_SMOOTHING_MS, FREE_WEIGHT_EXPONENT, MemberStatus, SHARD_ADDRESSES_FULL, SHARD_ADDRESSES_MIN,
+  SHARD_DEMAND_FACTOR, SHARD_ENTRY_SHARE
+} from './constants.js'
+import { mixHash } from './mixHash.js'
 import { spreadSeats } from './spreadSeats.js'
 import type { MemberRecord } from './types.js'
 
@@ -58,6 +62,20 @@
   Draining = 3
 }
 
+/** Entries that answers may name, by failure domain, with the hash of each node id. */
+interface Candidates {
+  count: number
+  groups: { nodeId: string, hash: number }[][]
+  /** Sets that were chosen from these entries. */
+  shards: Map<string, string[]>
+}
+
+/** Free capacity that follows the announced one slowly. */
+interface SmoothedFree {
+  requests: number
+  updatedMs: TimestampMs
+}
+
 const HASH_RANGE = 2 ** 32
 const hostOf = (address: string) => address.slice(0, Math.max(0, address.lastIndexOf(':'))) || address
 
@@ -74,8 +92,9 @@
   { clock, lifetimeMs = ADDRESS_LIFETIME_MS, shardAddressesMin = SHARD_ADDRESSES_MIN }: DirectoryOptions
 ): Core<DirectoryMessage, DirectoryEffect> => {
   const entries = new Map<string, MemberRecord>()
+  const smoothed = new Map<string, SmoothedFree>()
   let leavingHosts = new Set<string>()
-  let usable: MemberRecord[] | undefined
+  let usable: Candidates | undefined
 
   const fitnessOf = ({ status, isDraining, identity }: MemberRecord): Fitness => {
     if (isDraining) return Fitness.Draining
@@ -83,47 +102,90 @@
     return leavingHosts.has(hostOf(identity.address)) ? Fitness.HostLeaving : Fitness.Serving
   }
 
-  const listUsable = (): MemberRecord[] => {
+  const listUsable = (): Candidates => {
     const all = [...entries.values()]
     const best = Math.min(...all.map(fitnessOf))
-    return all.filter(record => fitnessOf(record) === best)
+    const fit = all.filter(record => fitnessOf(record) === best).map(({ identity }) => identity)
+    const domains = [...new Set(fit.map(({ failureDomain }) => failureDomain))].sort()
+    return {
+      count: fit.length,
+      groups: domains.map(domain => fit
+        .filter(({ failureDomain }) => failureDomain === domain)
+        .map(({ nodeId }) => ({ nodeId, hash: hash32(nodeId) }))),
+      shards: new Map()
+    }
   }
 
-  const chooseShard = (customer: string, demandShare: number): MemberRecord[] => {
-    const candidates = (usable ??= listUsable())
-    const seats = Math.max(shardAddressesMin, Math.ceil(demandShare * candidates.length * SHARD_DEMAND_FACTOR))
-    const domains = [...new Set(candidates.map(({ identity }) => identity.failureDomain))].sort()
-    const groups = domains.map(domain => candidates.filter(({ identity }) => identity.failureDomain === domain))
-    const counts = spreadSeats(groups.map(({ length }) => length), seats, hash32(customer) / HASH_RANGE)
-    return groups.flatMap((group, i) => group
-      .map(record => ({ record, rank: hash32(`${customer}/${record.identity.nodeId}`) }))
-      .sort((a, b) => b.rank - a.rank || (a.record.identity.nodeId < b.record.identity.nodeId ? -1 : 1))
+  const countSeats = (entryCount: number, demandShare: number) => Math.max(
+    shardAddressesMin,
+    Math.min(SHARD_ADDRESSES_FULL, Math.ceil(entryCount * SHARD_ENTRY_SHARE)),
+    Math.ceil(demandShare * entryCount * SHARD_DEMAND_FACTOR)
+  )
+
+  const chooseShard = (customer: string, demandShare: number): string[] => {
+    const { count, groups, shards } = (usable ??= listUsable())
+    const seats = countSeats(count, demandShare)
+    const key = `${seats}/${customer}`
+    const known = shards.get(key)
+    if (known !== undefined) return known
+    const customerHash = hash32(customer)
+    const counts = spreadSeats(groups.map(({ length }) => length), seats, customerHash / HASH_RANGE)
+    const shard = groups.flatMap((group, i) => group
+      .map(({ nodeId, hash }) => ({ nodeId, rank: mixHash(customerHash, hash) }))
+      .sort((a, b) => b.rank - a.rank || (a.nodeId < b.nodeId ? -1 : 1))
       .slice(0, counts[i])
-      .map(({ record }) => record))
+      .map(({ nodeId }) => nodeId))
+    if (shards.size >= CACHED_SHARDS_MAX) shards.clear()
+    shards.set(key, shard)
+    return shard
+  }
+
+  const smoothFree = (nodeId: string, announcedRequests: number): number => {
+    const nowMs = clock.nowMs()
+    const known = smoothed.get(nodeId) ?? { requests: announcedRequests, updatedMs: nowMs }
+    const gain = 1 - Math.exp(-(nowMs - known.updatedMs) / FREE_SMOOTHING_MS)
+    const requests = known.requests + gain * (announcedRequests - known.requests)
+    smoothed.set(nodeId, { requests, updatedMs: nowMs })
+    return requests
   }
 
-  const weigh = (shard: readonly MemberRecord[]): WeightedAddress[] => {
+  const weigh = (shard: readonly string[]): WeightedAddress[] => {
+    const records = shard.map(nodeId => entries.get(nodeId)!)
     // An entry that reports none free keeps a small weight: the report may be old.
-    const free = shard.map(({ freeCapacityRequests }) => Math.max(0.5, freeCapacityRequests))
+    const free = records.map(record =>
+      Math.max(0.5, smoothFree(record.identity.nodeId, record.freeCapacityRequests)) ** FREE_WEIGHT_EXPONENT)
     const total = free.reduce((sum, requests) => sum + requests, 0)
-    return shard
+    return records
       .map(({ identity: { nodeId, address, failureDomain } }, i) =>
         ({ nodeId, address, failureDomain, weight: free[i]! / total }))
       .sort((a, b) => b.weight - a.weight || (a.nodeId < b.nodeId ? -1 : 1))
   }
 
+  const remove = (nodeId: string) => {
+    entries.delete(nodeId)
+    smoothed.delete(nodeId)
+    usable = undefined
+  }
+
+  const store = (record: MemberRecord) => {
+    const { nodeId, address, failureDomain, incarnation } = record.identity
+    const previous = entries.get(nodeId)
+    entries.set(nodeId, record)
+    if (previous?.identity.incarnation !== incarnation) smoothed.delete(nodeId)
+    const isSamePlace = previous?.identity.address === address && previous.identity.failureDomain === failureDomain
+    if (previous === undefined || !isSamePlace || fitnessOf(previous) !== fitnessOf(record)) usable = undefined
+  }
+
   const handlers: HandlerTable<DirectoryMessage, DirectoryEffect[]> = {
     [DirectoryMessageKind.MemberUpdated]: ({ record }) => {
       if (record.identity.role !== NodeRole.Entry) return []
       const isLive = record.status === MemberStatus.Alive || record.status === MemberStatus.Suspect
-      if (isLive) entries.set(record.identity.nodeId, record)
-      else entries.delete(record.identity.nodeId)
-      usable = undefined
+      if (isLive) store(record)
+      else remove(record.identity.nodeId)
       return []
     },
     [DirectoryMessageKind.MemberForgotten]: ({ nodeId }) => {
-      entries.delete(nodeId)
-      usable = undefined
+      remove(nodeId)
       return []
     },
     [DirectoryMessageKind.HostListRead]: ({ hosts }) => {
--- a/src/membership/rumorQueue.ts
+++ b/src/membership/rumorQueue.ts
@@ -19,7 +19,10 @@
 /** News waiting to be passed on, the least sent first. */
 export interface RumorQueue {
   add (rumorKind: RumorKind, subject: string, build: () => Rumor | undefined): void
-  /** Counts news that came back from another member as sent once: others already pass it on. */
+  /**
+   * Counts a record or load news that came back from another member as sent once: others already
+   * pass it on. Short news is not counted, because one that misses a member delays its reaction.
+   */
   heard (rumorKind: RumorKind, subject: string): void
   /** Takes the rumors that fit and counts them as sent once. */
   take (bytesMax: number): Rumor[]
@@ -38,9 +41,11 @@
   const queued = new Map<string, QueuedRumor>()
   let urgentCount = 0
 
-  const urgentSends = () => Math.ceil(Math.log2(countEntries() + 2))
+  const urgentSends = () => Math.ceil(1.5 * Math.log2(countEntries() + 2))
+  // Whole records are large and list comparison makes up for lost ones.
+  const recordSends = () => Math.ceil(0.5 * Math.log2(countEntries() + 2)) + 1
   const sendsOf: Record<RumorKind, () => number> = {
-    [RumorKind.Record]: urgentSends,
+    [RumorKind.Record]: recordSends,
     [RumorKind.Status]: urgentSends,
     [RumorKind.Broadcast]: urgentSends,
     [RumorKind.Load]: () => LOAD_SENDS
@@ -57,7 +62,7 @@
     // A record that is still queued stays a record, which holds the status: its receivers may not
     // know the identity yet.
     if (rumorKind === RumorKind.Status && queuedRecord !== undefined) {
-      queuedRecord.sendsLeft = urgentSends()
+      queuedRecord.sendsLeft = recordSends()
       return
     }
     const key = `${rumorKind}/${subject}`
@@ -74,6 +79,7 @@
   }
 
   const heard = (rumorKind: RumorKind, subject: string) => {
+    if (rumorKind === RumorKind.Status || rumorKind === RumorKind.Broadcast) return
     const item = queued.get(`${rumorKind}/${subject}`)
     if (item !== undefined) spend(item)
   }
