--- a/src/links/constants.ts
+++ b/src/links/constants.ts
@@ -25,7 +25,10 @@
   Switch = 'switch',
   CacheEvents = 'cache-events',
   LimitDemand = 'limit-demand',
-  LimitShare = 'limit-share'
+  LimitShare = 'limit-share',
+  Notice = 'notice',
+  StartedAlone = 'started-alone',
+  GroupRoster = 'group-roster'
 }
 
 /** Role of a process that opens or accepts a link. */
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -1,24 +1,21 @@
 import {
-  type Clock, createLog, createRandom, createTask, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
-  type Task
+  type Clock, createLog, createRandom, dispatch, FrameError, type HandlerTable, hash32, type Incarnation
 } from '../../core/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, type LinkHandle, listenForLinks, NodeRole,
   type PeerIdentity, splitAddress
 } from '../../links/index.js'
-import { MetricName, SpanName } from '../../observe/index.js'
+import { MetricName } from '../../observe/index.js'
 import { createUpstreamClient } from '../../platform/index.js'
-import {
-  type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns,
-  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema
-} from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
 import { waitForDrain } from '../waitForDrain.js'
+import { createGuardTask } from './guardTask.js'
 import { createKeyedRunsTask } from './keyedRunsTask.js'
 import { createPoolRowHolder } from './poolRowHolder.js'
 import { createRegistration } from './registration.js'
-import { createUpstreamTask, toUpstreamCall } from './upstreamTask.js'
+import { createRunsTask } from './runsTask.js'
+import { createUpstreamTask } from './upstreamTask.js'
 
 const log = createLog('agent')
 
@@ -38,6 +35,13 @@
   stop (): Promise<void>
 }
 
+interface OpenLink {
+  link: LinkHandle
+  peer: PeerIdentity
+  /** Whether the peer opened the link. */
+  isAccepted: boolean
+}
+
 /**
  * Starts an agent: the only caller of its host's upstream.
  *
@@ -47,9 +51,10 @@
  */
 export const startAgentNode = async ({ settings, incarnation, clock }: AgentNodeOptions): Promise<AgentNode> => {
   const [host, port] = splitAddress(settings.linkAddress)
-  let linkAddress = settings.linkAddress
-  const linksById = new Map<string, { link: LinkHandle, peer: PeerIdentity }>()
+  let { linkAddress } = settings
   let isDraining = false
+  const openLinks = new Map<string, OpenLink>()
+  const { metrics, tracing } = createObservability('baobabdrift-agent', settings)
 
   const self = (): PeerIdentity => ({
     nodeId: settings.nodeId,
@@ -62,88 +67,54 @@
   })
 
   const broadcast = (frame: Frame) => {
-    for (const { link } of linksById.values()) link.send(frame)
-  }
-
-  const { metrics, tracing } = createObservability('baobabdrift-agent', settings)
-  const poolRow = createPoolRowHolder(row => keyedRuns.setWindow(row.onceWindowMs))
-  const client = createUpstreamClient(settings.upstreamUrl)
-  const upstream = createUpstreamTask({ client, clock, broadcast })
-  const runs = createAgentRuns({ clock })
-
-  const startRun = (runId: string, frame: RunFrame) => {
-    const { request, requestId, remainingMs, estimatedTokens } = frame
-    const agentSpan = tracing.startSpan(SpanName.Agent, frame.traceparent, { requestId, agentId: settings.nodeId })
-    const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
-    const call = toUpstreamCall(request, { requestId, timeoutMs: remainingMs, traceparent: engineSpan.traceparent })
-    upstream.start(runId, call, estimatedTokens, {
-      onHead: (status, contentType) =>
-        task.post({ kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
-      onBytes: bytes => task.post({ kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
-      onEnd: code => {
-        engineSpan.end(code)
-        agentSpan.end(code)
-        task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code })
-      }
-    })
+    for (const { link } of openLinks.values()) link.send(frame)
   }
+  const sendTo = (linkId: string, frame: Frame) => openLinks.get(linkId)?.link.send(frame)
 
-  const keyedRuns = createKeyedRunsTask({
-    clock, incarnation, upstream, tracing, sendTo: (linkId, frame) => linksById.get(linkId)?.link.send(frame)
-  })
-
-  const performers: HandlerTable<AgentRunEffect, void> = {
-    [AgentRunEffectKind.StartUpstream]: ({ runId, frame }) => startRun(runId, frame),
-    [AgentRunEffectKind.CancelUpstream]: ({ runId }) => upstream.cancel(runId),
-    [AgentRunEffectKind.SendFrame]: ({ linkId, frame }) => linksById.get(linkId)?.link.send(frame)
-  }
-
-  const task: Task<AgentRunMessage> = createTask({
-    name: 'agent', core: runs, perform: effect => dispatch(performers, effect), capacity: 65_536
+  const guard = createGuardTask({ clock, agentId: settings.nodeId, incarnation, broadcast })
+  const upstream = createUpstreamTask({
+    client: createUpstreamClient(settings.upstreamUrl), clock, broadcast, onDied: guard.noteDied, onStarted: guard.noteStarted
   })
+  const runs = createRunsTask({ clock, agentId: settings.nodeId, upstream, guard, tracing, sendTo })
+  const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, guard, tracing, sendTo })
+  const poolRow = createPoolRowHolder(row => keyedRuns.setWindow(row.onceWindowMs))
 
   const frameHandlers: Partial<Record<FrameKind, (linkId: string, frame: Frame) => void>> = {
-    [FrameKind.Run]: (linkId, frame) =>
-      task.post({ kind: AgentRunMessageKind.RunRequested, linkId, frame: parseFrame(runFrameSchema, frame) }),
-    [FrameKind.Resume]: (linkId, frame) =>
-      task.post({ kind: AgentRunMessageKind.ResumeRequested, linkId, frame: parseFrame(resumeFrameSchema, frame) }),
-    [FrameKind.Cancel]: (linkId, frame) =>
-      task.post({ kind: AgentRunMessageKind.CancelRequested, linkId, frame: parseFrame(cancelFrameSchema, frame) }),
+    [FrameKind.Run]: runs.onRun,
+    [FrameKind.Resume]: runs.onResume,
+    [FrameKind.Cancel]: runs.onCancel,
     [FrameKind.Dispatch]: keyedRuns.onDispatch,
     [FrameKind.VoidIfUnseen]: keyedRuns.onVoidIfUnseen,
     [FrameKind.Detach]: keyedRuns.onDetach,
-    [FrameKind.Rows]: (_linkId, frame) => poolRow.offer(frame)
+    [FrameKind.Rows]: (_linkId, frame) => poolRow.offer(frame),
+    [FrameKind.Notice]: (_linkId, frame) => guard.onNotice(frame)
   }
 
   const forgetLink = (linkId: string) => {
-    linksById.delete(linkId)
-    task.post({ kind: AgentRunMessageKind.LinkLost, linkId })
+    if (!openLinks.delete(linkId)) return
+    runs.onLinkLost(linkId)
     keyedRuns.onLinkLost(linkId)
   }
 
-  const onReady = (link: LinkHandle, peer: PeerIdentity) => {
-    linksById.set(link.linkId, { link, peer })
-    if (isDraining) link.send({ kind: FrameKind.Drain })
-  }
-
-  /** Closes older accepted links of the same entry, so that none of their frames arrives after a resume. */
-  const onAcceptedReady = (link: LinkHandle, peer: PeerIdentity) => {
-    for (const [linkId, { link: older, peer: olderPeer }] of acceptedLinks) {
-      if (olderPeer.nodeId !== peer.nodeId) continue
-      older.close()
-      acceptedLinks.delete(linkId)
+  /** Closes older accepted links of the same peer, so that none of their frames arrives after a resume. */
+  const closeOlderLinks = (peer: PeerIdentity) => {
+    for (const [linkId, older] of openLinks) {
+      if (!older.isAccepted || older.peer.nodeId !== peer.nodeId) continue
       forgetLink(linkId)
+      older.link.close()
     }
-    acceptedLinks.set(link.linkId, { link, peer })
-    if (peer.role === NodeRole.Entry) registration.noteEntry(peer.address)
-    onReady(link, peer)
   }
 
-  const acceptedLinks = new Map<string, { link: LinkHandle, peer: PeerIdentity }>()
+  const onReady = (link: LinkHandle, peer: PeerIdentity, isAccepted: boolean) => {
+    if (isAccepted) closeOlderLinks(peer)
+    if (isAccepted && peer.role === NodeRole.Entry) registration.noteEntry(peer.address)
+    openLinks.set(link.linkId, { link, peer, isAccepted })
+    if (isDraining) link.send({ kind: FrameKind.Drain })
+  }
 
   const onFrame = (link: LinkHandle, frame: Frame) => {
     // Frames of a link that was closed or replaced are dropped.
-    if (!linksById.has(link.linkId)) return
+    if (!openLinks.has(link.linkId)) return
     try {
       frameHandlers[frame.kind]?.(link.linkId, frame)
     } catch (error) {
@@ -153,36 +124,31 @@
     }
   }
 
-  const onLost = (link: LinkHandle) => {
-    acceptedLinks.delete(link.linkId)
-    forgetLink(link.linkId)
-  }
-
-  const linkHandlers = (ready: (link: LinkHandle, peer: PeerIdentity) => void): HandlerTable<LinkEvent, void> => ({
-    [LinkEventKind.Ready]: ({ link, peer }) => ready(link, peer),
+  const linkHandlersFor = (isAccepted: boolean): HandlerTable<LinkEvent, void> => ({
+    [LinkEventKind.Ready]: ({ link, peer }) => onReady(link, peer, isAccepted),
     [LinkEventKind.Frame]: ({ link, frame }) => onFrame(link, frame),
-    [LinkEventKind.Lost]: ({ link }) => onLost(link)
+    [LinkEventKind.Lost]: ({ link }) => forgetLink(link.linkId)
   })
-  const acceptedHandlers = linkHandlers(onAcceptedReady)
-  const dialedHandlers = linkHandlers(onReady)
+  const acceptedHandlers = linkHandlersFor(true)
+  const dialedHandlers = linkHandlersFor(false)
 
   const keys = () => settings.fleetKeys
+  const pool = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
   const server = await listenForLinks({ host, port, self, keys, clock, emit: event => dispatch(acceptedHandlers, event) })
   linkAddress = `${host}:${server.port}`
-  const pool = createLinkPool({ self, keys, clock, emit: event => dispatch(dialedHandlers, event) })
   const registration = createRegistration({ pool, seeds: settings.entries, random: createRandom(hash32(incarnation)) })
-  task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
 
   const metricsTimer = setInterval(() => {
     metrics.record(MetricName.RunsLive, runs.activeCount + keyedRuns.activeCount)
-    metrics.record(MetricName.LinksOpen, linksById.size)
+    metrics.record(MetricName.LinksOpen, openLinks.size)
     metrics.record(MetricName.UpstreamUp, upstream.isUp ? 1 : 0)
   }, METRICS_INTERVAL_MS)
 
   const shutDown = async () => {
     clearInterval(metricsTimer)
-    task.stop()
+    runs.stop()
     keyedRuns.stop()
+    guard.stop()
     registration.stop()
     pool.close()
     await server.close()
@@ -196,7 +162,7 @@
   const drain = async () => {
     log('agent %s drains', settings.nodeId)
     isDraining = true
-    task.post({ kind: AgentRunMessageKind.DrainStarted })
+    runs.startDrain()
     keyedRuns.startDrain()
     broadcast({ kind: FrameKind.Drain })
     await waitForDrain({
--- a/src/nodes/agent/keyedRunsTask.ts
+++ b/src/nodes/agent/keyedRunsTask.ts
@@ -6,7 +6,8 @@
   RunsMessageKind, voidFrameSchema
 } from '../../once/index.js'
 import { parseFrame, REQUEST_TICK_MS } from '../../requests/index.js'
-import { decodeRequest, encodeHead } from '../requestCodec.js'
+import { decodeRequest, encodeHead, type KeyedRequest } from '../requestCodec.js'
+import type { GuardTask } from './guardTask.js'
 import { toUpstreamCall, type UpstreamTask } from './upstreamTask.js'
 
 /** A keyed run is never cancelled by its callers, so the upstream gets a time limit of its own. */
@@ -19,6 +20,7 @@
   clock: Clock
   incarnation: Incarnation
   upstream: UpstreamTask
+  guard: GuardTask
   tracing: Tracing
   sendTo: (linkId: string, frame: Frame) => void
 }
@@ -39,16 +41,32 @@
  * Creates the task that owns the keyed runs of one agent.
  *
  * @example
- * const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, tracing, sendTo })
+ * const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, guard, tracing, sendTo })
  */
 export const createKeyedRunsTask = (
-  { clock, incarnation, upstream, tracing, sendTo }: KeyedRunsTaskOptions
+  { clock, incarnation, upstream, guard, tracing, sendTo }: KeyedRunsTaskOptions
 ): KeyedRunsTask => {
   const active = new Set<string>()
 
-  const startRun = (runId: string, body: Uint8Array) => {
+  const requestStart = (runId: string, body: Uint8Array) => {
+    const keyed = decodeRequest(body)
     active.add(runId)
-    const { request, traceparent } = decodeRequest(body)
+    guard.request({
+      runId,
+      fingerprint: keyed.fingerprint,
+      isSuspect: keyed.isSuspect,
+      isRepeatable: false,
+      start: () => startRun(runId, keyed),
+      refuse: code => {
+        active.delete(runId)
+        task.post({ kind: RunsMessageKind.UpstreamFailed, runId, code, hasStarted: false })
+      },
+      // A keyed run is not repeatable, so the guard never cancels it.
+      cancel: () => {}
+    })
+  }
+
+  const startRun = (runId: string, { request, traceparent }: KeyedRequest) => {
     const agentSpan = tracing.startSpan(SpanName.Agent, traceparent, { runId })
     const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
     const call = toUpstreamCall(request, { requestId: runId, timeoutMs: KEYED_RUN_TIMEOUT_MS, traceparent: engineSpan.traceparent })
@@ -61,6 +79,7 @@
       onBytes: bytes => task.post({ kind: RunsMessageKind.UpstreamChunk, runId, bytes }),
       onEnd: (code, hasStarted) => {
         active.delete(runId)
+        guard.noteEnded(runId, code === ResultCode.Ok)
         endSpans([engineSpan, agentSpan], code)
         task.post(code === ResultCode.Ok
           ? { kind: RunsMessageKind.UpstreamEnded, runId, httpStatus }
@@ -70,7 +89,7 @@
   }
 
   const performers: HandlerTable<RunsEffect, void> = {
-    [RunsEffectKind.StartRun]: ({ runId, body }) => startRun(runId, body),
+    [RunsEffectKind.StartRun]: ({ runId, body }) => requestStart(runId, body),
     [RunsEffectKind.Reply]: ({ to, reply }) => sendTo(to, { kind: FrameKind.KeyReply, reply })
   }
 
--- /dev/null
+++ b/src/nodes/agent/runsTask.ts
@@ -0,0 +1,107 @@
+import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
+import { FrameKind, type Frame } from '../../links/index.js'
+import { SpanName, type Tracing } from '../../observe/index.js'
+import {
+  type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns,
+  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema
+} from '../../requests/index.js'
+import type { GuardTask } from './guardTask.js'
+import { toUpstreamCall, type UpstreamTask } from './upstreamTask.js'
+
+const TASK_CAPACITY = 65_536
+
+export interface RunsTaskOptions {
+  clock: Clock
+  agentId: string
+  upstream: UpstreamTask
+  guard: GuardTask
+  tracing: Tracing
+  sendTo: (linkId: string, frame: Frame) => void
+}
+
+/** The unkeyed runs of one agent. */
+export interface RunsTask {
+  onRun (linkId: string, frame: Frame): void
+  onResume (linkId: string, frame: Frame): void
+  onCancel (linkId: string, frame: Frame): void
+  onLinkLost (linkId: string): void
+  startDrain (): void
+  readonly activeCount: number
+  stop (): void
+}
+
+/**
+ * Creates the task that runs unkeyed requests on the agent's upstream.
+ *
+ * @example
+ * const runs = createRunsTask({ clock, agentId, upstream, guard, tracing, sendTo })
+ */
+export const createRunsTask = ({ clock, agentId, upstream, guard, tracing, sendTo }: RunsTaskOptions): RunsTask => {
+  const core = createAgentRuns({ clock })
+
+  const startUpstream = (runId: string, frame: RunFrame, linkId: string, isAlone: boolean) => {
+    const { request, requestId, remainingMs, estimatedTokens } = frame
+    if (isAlone) sendTo(linkId, { kind: FrameKind.StartedAlone, requestId })
+    const agentSpan = tracing.startSpan(SpanName.Agent, frame.traceparent, { requestId, agentId })
+    const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
+    const call = toUpstreamCall(request, { requestId, timeoutMs: remainingMs, traceparent: engineSpan.traceparent })
+    upstream.start(runId, call, estimatedTokens, {
+      onHead: (status, contentType) =>
+        task.post({ kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
+      onBytes: bytes => task.post({ kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
+      onEnd: (code, hasStarted) => {
+        engineSpan.end(code)
+        agentSpan.end(code)
+        guard.noteEnded(runId, code === ResultCode.Ok)
+        task.post(hasStarted
+          ? { kind: AgentRunMessageKind.UpstreamEnded, runId, code }
+          : { kind: AgentRunMessageKind.UpstreamRefused, runId, code: ResultCode.NoUpstream })
+      }
+    })
+  }
+
+  const requestStart = (runId: string, linkId: string, frame: RunFrame) => {
+    guard.request({
+      runId,
+      fingerprint: frame.fingerprint,
+      isSuspect: frame.isSuspect,
+      isRepeatable: frame.isRepeatable,
+      start: isAlone => startUpstream(runId, frame, linkId, isAlone),
+      refuse: code => task.post({ kind: AgentRunMessageKind.UpstreamRefused, runId, code }),
+      cancel: () => {
+        upstream.cancel(runId)
+        task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code: ResultCode.UpstreamRefused })
+      }
+    })
+  }
+
+  const performers: HandlerTable<AgentRunEffect, void> = {
+    [AgentRunEffectKind.StartUpstream]: ({ runId, linkId, frame }) => requestStart(runId, linkId, frame),
+    [AgentRunEffectKind.CancelUpstream]: ({ runId }) => {
+      upstream.cancel(runId)
+      guard.noteEnded(runId, false)
+    },
+    [AgentRunEffectKind.SendFrame]: ({ linkId, frame }) => sendTo(linkId, frame)
+  }
+
+  const task: Task<AgentRunMessage> = createTask({
+    name: 'agent', core, perform: effect => dispatch(performers, effect), capacity: TASK_CAPACITY
+  })
+  task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
+
+  return {
+    onRun: (linkId, frame) => {
+      task.post({ kind: AgentRunMessageKind.RunRequested, linkId, frame: parseFrame(runFrameSchema, frame) })
+    },
+    onResume: (linkId, frame) => {
+      task.post({ kind: AgentRunMessageKind.ResumeRequested, linkId, frame: parseFrame(resumeFrameSchema, frame) })
+    },
+    onCancel: (linkId, frame) => {
+      task.post({ kind: AgentRunMessageKind.CancelRequested, linkId, frame: parseFrame(cancelFrameSchema, frame) })
+    },
+    onLinkLost: linkId => { task.post({ kind: AgentRunMessageKind.LinkLost, linkId }) },
+    startDrain: () => { task.post({ kind: AgentRunMessageKind.DrainStarted }) },
+    get activeCount () { return core.activeCount },
+    stop: () => task.stop()
+  }
+}
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createLog } from '../../core/index.js'
+import { type Clock, createLog, ResultCode } from '../../core/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
 import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../platform/index.js'
 import { type ReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
@@ -8,15 +8,19 @@
 export const LOAD_INTERVAL_MS = 500
 /** Load answers missed in a row after which the upstream counts as down. */
 const LOAD_FAILURES_MAX = 3
-
 const FINISHED_SMOOTHING = 0.3
 const NO_LOAD: UpstreamLoad = { sequence: 0, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0 }
+/** Errors that only a process which has ended causes; a slow one times out instead. */
+const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
 
 export interface UpstreamTaskOptions {
   client: UpstreamClient
   clock: Clock
   /** Sends a frame to every linked entry. */
   broadcast: (frame: Frame) => void
+  /** Called once for each death of the upstream, before the runs that it ended. */
+  onDied: () => void
+  onStarted: () => void
 }
 
 /** Runs calls on the agent's one upstream and reports its load and cache events. */
@@ -51,16 +55,20 @@
   ...(request.contentType === undefined ? {} : { contentType: request.contentType })
 })
 
+const isDeadProcess = (error: unknown): boolean => DEAD_PROCESS_CODES.has((error as { code?: unknown }).code)
+
 /**
  * Creates the task that owns the connections to the upstream.
  *
  * @example
- * const upstream = createUpstreamTask({ client, clock, broadcast })
+ * const upstream = createUpstreamTask({ client, clock, broadcast, onDied, onStarted })
  * upstream.start(runId, call, estimatedTokens, listener)
  */
-export const createUpstreamTask = ({ client, clock, broadcast }: UpstreamTaskOptions): UpstreamTask => {
+export const createUpstreamTask = ({ client, clock, broadcast, onDied, onStarted }: UpstreamTaskOptions): UpstreamTask => {
   const cancels = new Map<string, () => void>()
   let failureCount = 0
+  let isDead = false
+  let lastLoadSequence = 0
   let lastCacheSequence = 0
   let acceptedTokens = 0
   let finishedPerS = 0
@@ -68,6 +76,7 @@
   let finishedSinceMs = clock.nowMs()
   let reportSequence = 0
   let isPolling = false
+  let deathCheck: Promise<void> | undefined
 
   const measureFinished = (nowMs: number) => {
     const seconds = Math.max(nowMs - finishedSinceMs, 1) / 1_000
@@ -95,9 +104,35 @@
     broadcast(frame)
   }
 
-  const report = async () => {
-    const load = await client.load()
+  const noteDeath = () => {
+    if (isDead) return
+    isDead = true
+    lastLoadSequence = 0
+    lastCacheSequence = 0
+    log('upstream died')
+    onDied()
+    sendReport(NO_LOAD, 0, false)
+  }
+
+  const noteAlive = () => {
     failureCount = 0
+    if (!isDead) return
+    isDead = false
+    log('upstream is up again')
+    onStarted()
+  }
+
+  /** A load sequence that starts again shows a restart between two answers. */
+  const readLoad = async (): Promise<UpstreamLoad> => {
+    const load = await client.load()
+    if (load.sequence <= lastLoadSequence) noteDeath()
+    lastLoadSequence = load.sequence
+    noteAlive()
+    return load
+  }
+
+  const report = async () => {
+    const load = await readLoad()
     const nowMs = clock.nowMs()
     measureFinished(nowMs)
     // An age, not a time: the clocks of two hosts differ.
@@ -111,6 +146,13 @@
     broadcast({ kind: FrameKind.CacheEvents, events })
   }
 
+  const noteLoadFailure = (error: unknown) => {
+    failureCount += 1
+    if (isDeadProcess(error)) noteDeath()
+    if (failureCount === LOAD_FAILURES_MAX) log('upstream is down: %s', error instanceof Error ? error.message : error)
+    if (failureCount >= LOAD_FAILURES_MAX) sendReport(NO_LOAD, 0, false)
+  }
+
   const poll = async () => {
     if (isPolling) return
     isPolling = true
@@ -118,35 +160,46 @@
       await report()
       await forwardCacheEvents()
     } catch (error) {
-      failureCount += 1
-      if (failureCount === LOAD_FAILURES_MAX) log('upstream is down: %s', error instanceof Error ? error.message : error)
-      if (failureCount >= LOAD_FAILURES_MAX) sendReport(NO_LOAD, 0, false)
+      noteLoadFailure(error)
     } finally {
       isPolling = false
     }
   }
 
+  /** Tells a lost connection from a dead upstream, before the runs that it ended are reported. */
+  const checkDeath = (): Promise<void> => {
+    deathCheck ??= readLoad()
+      .then(() => {}, error => { if (isDeadProcess(error)) noteDeath() })
+      .finally(() => { deathCheck = undefined })
+    return deathCheck
+  }
+
   const timer = setInterval(poll, LOAD_INTERVAL_MS)
   timer.unref()
 
   return {
     start: (runId, call, estimatedTokens, listener) => {
       acceptedTokens += Math.max(1, estimatedTokens)
+      const end = (code: ResultCode, hasStarted: boolean) => {
+        finishedCount += 1
+        listener.onEnd(code, hasStarted)
+      }
       const cancel = client.run(call, {
         ...listener,
         onEnd: (code, hasStarted) => {
-          finishedCount += 1
-          cancels.delete(runId)
-          listener.onEnd(code, hasStarted)
+          const isCancelled = !cancels.delete(runId)
+          if (code === ResultCode.UpstreamDied && !isCancelled) checkDeath().then(() => end(code, hasStarted))
+          else end(code, hasStarted)
         }
       })
       cancels.set(runId, cancel)
     },
     cancel: runId => {
-      cancels.get(runId)?.()
+      const cancel = cancels.get(runId)
       cancels.delete(runId)
+      cancel?.()
     },
-    get isUp () { return failureCount < LOAD_FAILURES_MAX },
+    get isUp () { return !isDead && failureCount < LOAD_FAILURES_MAX },
     stop: async () => {
       clearInterval(timer)
       await client.close()
--- /dev/null
+++ b/src/nodes/crashingRequest.test.ts
@@ -0,0 +1,50 @@
+import { readFileSync } from 'node:fs'
+import { afterEach, beforeEach, expect, it } from 'vitest'
+import { createRandom, createSystemClock, ResultCode } from '../core/index.js'
+import { createCallerClient, type CallerClient } from '../demo/callerClient.js'
+import { type EngineStandIn, startEngineStandIn } from '../standIns/index.js'
+import { type LocalFleet, startLocalFleet } from './localFleet.js'
+
+const RESENDS = 25
+const RESEND_INTERVAL_MS = 200
+const UPSTREAMS_LOST_MAX = 2
+
+let fleet: LocalFleet
+let caller: CallerClient
+beforeEach(async () => {
+  fleet = await startLocalFleet()
+  caller = createCallerClient({ clock: createSystemClock(), random: createRandom(1) })
+  fleet.onStop(caller.close)
+})
+afterEach(() => fleet.stop())
+
+const complete = (entryIndex: number, prompt: string) => caller.send(fleet.entries[entryIndex]!.callerAddress, {
+  method: 'POST',
+  path: '/v1/completions',
+  customer: 'ama-roofing',
+  isEventStream: true,
+  body: { model: 'quote-model', prompt, max_tokens: 2, stream: true }
+})
+
+it('loses at most two upstreams to a crashing request that is resent through different entries', async () => {
+  const engines: EngineStandIn[] = []
+  for (let i = 0; i < 3; i++) {
+    const engine = await startEngineStandIn({ crashText: 'crash-me', restartMs: 300, tokenIntervalMs: 2 })
+    fleet.onStop(engine.close)
+    engines.push(engine)
+  }
+  for (let i = 0; i < 2; i++) await fleet.startEntry()
+  for (const engine of engines) await fleet.startAgent({ pool: 'quote-workers', upstreamUrl: engine.url })
+  await fleet.applyRows(readFileSync('examples/kpakpo/rows.yaml', 'utf8'))
+  for (const index of [0, 1]) await fleet.until(async () => (await complete(index, 'warm up')).isWhole)
+
+  const codes: number[] = []
+  for (let i = 0; i < RESENDS; i++) {
+    codes.push((await complete(i % 2, 'crash-me')).code)
+    await new Promise(resolve => setTimeout(resolve, RESEND_INTERVAL_MS))
+  }
+  const crashes = engines.reduce((sum, { crashCount }) => sum + crashCount, 0)
+  expect(crashes).toBeLessThanOrEqual(UPSTREAMS_LOST_MAX)
+  expect(codes.at(-1)).toBe(ResultCode.Quarantined)
+  for (const index of [0, 1]) await fleet.until(async () => (await complete(index, 'ridge 12 m')).isWhole)
+})
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -11,16 +11,18 @@
 import { MetricName } from '../../observe/index.js'
 import type { BindRequest } from '../../once/index.js'
 import { createLogClient } from '../../platform/index.js'
-import { cacheEventsFrameSchema, parseFrame, reportFrameSchema, REQUEST_TICK_MS } from '../../requests/index.js'
+import { cacheEventsFrameSchema, type ChosenAgent, parseFrame, reportFrameSchema, REQUEST_TICK_MS } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { EntrySettings } from '../settings.js'
 import { waitForDrain } from '../waitForDrain.js'
+import { createAdmissionGate } from './admissionGate.js'
 import { startCallerFront } from './callerFront.js'
 import { createConfigurationFeed } from './configurationFeed.js'
 import { createKeyedCalls } from './keyedCalls.js'
 import { type MembershipHub, startMembershipHub } from './membershipHub.js'
 import { createOwnerTask, toBoundFrame } from './ownerTask.js'
 import { createPoolRouters } from './poolRouters.js'
+import { createQuarantineGate, PlacementKind } from './quarantineGate.js'
 import { createRequestPorts } from './requestPorts.js'
 import { createRequestSpans } from './requestSpans.js'
 import { createRequestsTask } from './requestsTask.js'
@@ -31,7 +33,8 @@
 /** Entries asked for their state while the log is out. */
 const PEERS_ASKED = 3
 const METRICS_INTERVAL_MS = 5_000
-const ROUTER_TICK_MS = 1_000
+const SECOND_MS = 1_000
+const QUARANTINE_TICK_MS = 250
 const ONCE_WINDOW_DEFAULT_MS = 600_000
 const OFFSET_BROADCAST_LIFETIME_MS = 60_000
 
@@ -88,7 +91,29 @@
     clock, random, pool: table.pool, onEjected: () => metrics.record(MetricName.UpstreamsEjectedTotal, 1)
   })
   const spans = createRequestSpans(tracing)
-  const ports = createRequestPorts({ clock, routers, spans, metrics })
+  const admission = createAdmissionGate({
+    clock,
+    random,
+    selfId: settings.nodeId,
+    route: table.route,
+    pool: table.pool,
+    customerEntryIds: customer => hub?.customerEntryIds(customer) ?? [],
+    sendToEntry: (nodeId, frame) => {
+      const address = hub?.entries().find(entry => entry.nodeId === nodeId)?.address
+      if (address !== undefined) sendTo(address, frame)
+    }
+  })
+  const quarantine = createQuarantineGate({
+    clock,
+    metrics,
+    broadcast: (topic, id, payload, lifetimeMs) => hub?.broadcast(topic, id, payload, lifetimeMs),
+    notifyAgents: (poolName, frame) => subsetOf(poolName).forEach(({ address }) => sendTo(address, frame))
+  })
+  const findAgent = (agentId: string): ChosenAgent | undefined => {
+    const agent = hub?.agents().find(({ nodeId }) => nodeId === agentId)
+    return agent && { agentId, incarnation: agent.incarnation, address: agent.address }
+  }
+  const ports = createRequestPorts({ clock, routers, admission, quarantine, spans, metrics, findAgent })
   const requests = createRequestsTask({ clock, ports, sendToAgent: sendTo })
 
   const owner = createOwnerTask({
@@ -113,6 +138,7 @@
     windowMsOf: name => table.pool(name)?.onceWindowMs ?? ONCE_WINDOW_DEFAULT_MS,
     askOwner,
     sendToAgent: sendTo,
+    isSuspect: request => quarantine.place(request).kind === PlacementKind.Alone,
     traceparentOf: spans.traceparentOf
   })
 
@@ -122,10 +148,14 @@
     if (row !== undefined) sendTo(peer.address, { kind: FrameKind.Rows, offset: table.poolOffset(row.name), row })
   }
 
-  const subsetAgents = () => table.pools().flatMap(({ name, subsetSize }) => hub?.subset(name, subsetSize) ?? [])
+  let subsets = new Map<string, PeerIdentity[]>()
+  const subsetOf = (poolName: string) => subsets.get(poolName) ?? []
+  const subsetAgents = () => [...subsets.values()].flat()
 
   const onMembersChanged = () => {
+    subsets = new Map(table.pools().map(({ name, subsetSize }) => [name, hub?.subset(name, subsetSize) ?? []]))
     pool.setWanted(subsetAgents().map(({ address }) => address))
+    for (const { name } of table.pools()) quarantine.setUpstreams(name, hub?.agents(name).map(({ nodeId }) => nodeId) ?? [])
     owner.setEntries([linkAddress, ...peerAddresses()])
     keyedCalls.onOwnersChanged()
   }
@@ -167,7 +197,11 @@
     [FrameKind.PeerState]: (_peer, frame) => feed.onPeerState(frame),
     [FrameKind.Bind]: (_peer, frame) => owner.onBind(frame),
     [FrameKind.Bound]: (_peer, frame) => keyedCalls.onBound(frame),
-    [FrameKind.KeyReply]: (peer, frame) => keyedCalls.onKeyReply(peer, frame)
+    [FrameKind.KeyReply]: (peer, frame) => keyedCalls.onKeyReply(peer, frame),
+    [FrameKind.LimitDemand]: (peer, frame) => admission.onLimitDemand(peer, frame),
+    [FrameKind.LimitShare]: (_peer, frame) => admission.onLimitShare(frame),
+    [FrameKind.Notice]: (peer, frame) => quarantine.onNotice(peer, frame),
+    [FrameKind.StartedAlone]: (peer, frame) => quarantine.onStartedAlone(peer, frame)
   }
 
   const onFrame = ({ link, peer, frame }: Extract<LinkEvent, { kind: LinkEventKind.Frame }>) => {
@@ -185,6 +219,7 @@
       if (peer.role !== NodeRole.Agent) return
       routers.addAgent(peer)
       sendRow(peer)
+      quarantine.onAgentLinked(peer)
       keyedCalls.onAgentLinked(peer)
       requests.onAgentLinked(peer)
     },
@@ -193,6 +228,7 @@
       metrics.record(MetricName.LinksLostTotal, 1)
       if (peer?.role !== NodeRole.Agent) return
       routers.removeAgent(peer.nodeId)
+      quarantine.onAgentUnlinked(peer)
       keyedCalls.onAgentUnlinked(peer)
       requests.onAgentUnlinked(peer)
     }
@@ -271,14 +307,18 @@
     metrics,
     onMembersChanged,
     onBroadcast: {
-      [BroadcastTopic.ConfigurationOffset]: (_id, payload) => feed.noteOffsetSeen(Number((payload as { offset?: unknown }).offset) || 0)
+      [BroadcastTopic.ConfigurationOffset]: (_id, payload) => feed.noteOffsetSeen(Number((payload as { offset?: unknown }).offset) || 0),
+      [BroadcastTopic.Suspect]: quarantine.onBroadcast,
+      [BroadcastTopic.QuarantineVerdict]: quarantine.onBroadcast
     }
   })
   const membership = hub
   onMembersChanged()
 
   const timers = [
-    setInterval(routers.tick, ROUTER_TICK_MS),
+    setInterval(routers.tick, SECOND_MS),
+    setInterval(admission.tick, SECOND_MS),
+    setInterval(quarantine.tick, QUARANTINE_TICK_MS),
     setInterval(keyedCalls.tick, REQUEST_TICK_MS),
     setInterval(() => {
       membership.setLiveRequests(liveCount())
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -31,6 +31,8 @@
   /** Asks the owner of a shard. */
   askOwner: (request: BindRequest, traceparent: string | undefined) => void
   sendToAgent: (address: string, frame: Frame) => void
+  /** Whether the request has to run alone on its upstream. */
+  isSuspect: (request: SubmittedRequest) => boolean
   /** Trace context of the entry's span of a request. */
   traceparentOf: (request: SubmittedRequest) => string | undefined
 }
@@ -56,7 +58,7 @@
  * const calls = createKeyedCalls({ clock, ports, windowMsOf, askOwner, sendToAgent })
  * calls.submit(request, sink)
  */
-export const createKeyedCalls = ({ clock, ports, windowMsOf, askOwner, sendToAgent, traceparentOf }: KeyedCallsOptions): KeyedCalls => {
+export const createKeyedCalls = ({ clock, ports, windowMsOf, askOwner, sendToAgent, isSuspect, traceparentOf }: KeyedCallsOptions): KeyedCalls => {
   const live = new Map<string, LiveCall>()
   const incarnationByAddress = new Map<string, Incarnation>()
 
@@ -172,7 +174,7 @@
       heldBytes: 0,
       traceparent,
       core: createKeyedCall({
-        requestId, key: parsed.key, fingerprint, deadlineMs: deadlineAtMs, clock, body: encodeRequest({ request, traceparent })
+        requestId, key: parsed.key, fingerprint, deadlineMs: deadlineAtMs, clock, body: encodeRequest({ request, fingerprint, isSuspect: isSuspect(submitted), traceparent })
       })
     }
     live.set(requestId, call)
--- a/src/nodes/entry/membershipHub.ts
+++ b/src/nodes/entry/membershipHub.ts
@@ -39,6 +39,8 @@
   /** Agents of a pool that this entry links to. */
   subset (pool: string, subsetSize: number): PeerIdentity[]
   addressesFor (customer: string): AddressAnswer
+  /** Node ids of the entries in a customer's address set. */
+  customerEntryIds (customer: string): string[]
   noteAgentLinked (peer: PeerIdentity): void
   noteAgentLost (nodeId: string): void
   noteAgentDraining (nodeId: string): void
@@ -136,6 +138,11 @@
   const callerAddressOf = (nodeId: string) =>
     nodeId === self.nodeId ? self.callerAddress : members.get(nodeId)?.identity.callerAddress
 
+  const lookUp = (customer: string) => {
+    const [answer] = directory.handle({ kind: DirectoryMessageKind.LookupRequested, lookupId: LOOKUP_ID, customer })
+    return answer?.addresses ?? []
+  }
+
   return {
     entries,
     agents,
@@ -144,11 +151,9 @@
       const chosen = new Set(chooseSubset(self.nodeId, { entries: entries(), agents: candidates, subsetSize }))
       return candidates.filter(({ nodeId }) => chosen.has(nodeId))
     },
-    addressesFor: customer => {
-      const [answer] = directory.handle({ kind: DirectoryMessageKind.LookupRequested, lookupId: LOOKUP_ID, customer })
-      const addresses = (answer?.addresses ?? []).flatMap(({ nodeId }) => callerAddressOf(nodeId) ?? [])
-      return { addresses, lifetimeMs: addressLifetimeMs }
-    },
+    addressesFor: customer =>
+      ({ addresses: lookUp(customer).flatMap(({ nodeId }) => callerAddressOf(nodeId) ?? []), lifetimeMs: addressLifetimeMs }),
+    customerEntryIds: customer => lookUp(customer).map(({ nodeId }) => nodeId),
     noteAgentLinked: identity => {
       gossip.post({ kind: GossipMessageKind.AgentLinked, identity, isDraining: false, freeCapacityRequests: 0 })
     },
--- /dev/null
+++ b/src/nodes/entry/quarantineGate.ts
@@ -0,0 +1,159 @@
+import { type Clock, fingerprint as fingerprintOf, type Incarnation, ResultCode } from '../../core/index.js'
+import { BroadcastTopic } from '../../membership/index.js'
+import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
+import { type Metrics, MetricName } from '../../observe/index.js'
+import {
+  createQuarantine, type Notice, NoticeKind, parseNotice, QUARANTINE_TOPIC, type QuarantineEffect, QuarantineEffectKind,
+  type QuarantineMessage, QuarantineMessageKind
+} from '../../quarantine/index.js'
+import { RESUME_WAIT_MS, type SubmittedRequest } from '../../requests/index.js'
+
+const BROADCAST_ID_LENGTH_MAX = 128
+/** Just before the attempts on a lost host are given up, while it is still known what ran there. */
+const HOST_LOST_MS = RESUME_WAIT_MS - 200
+
+const TOPIC_OF_NOTICE: Record<NoticeKind, BroadcastTopic> = {
+  [NoticeKind.Suspects]: BroadcastTopic.Suspect,
+  [NoticeKind.Cleared]: BroadcastTopic.QuarantineVerdict,
+  [NoticeKind.Quarantined]: BroadcastTopic.QuarantineVerdict
+}
+
+/** Where a request may run. */
+export enum PlacementKind {
+  Anywhere = 'anywhere',
+  /** Alone, on one upstream. */
+  Alone = 'alone',
+  Refused = 'refused'
+}
+
+export type SuspectPlacement =
+  | { kind: PlacementKind.Anywhere }
+  | { kind: PlacementKind.Alone, agentId: string }
+  | { kind: PlacementKind.Refused, code: ResultCode }
+
+export interface QuarantineGateOptions {
+  clock: Clock
+  metrics: Metrics
+  broadcast: (topic: BroadcastTopic, id: string, payload: unknown, lifetimeMs: number) => void
+  /** Sends a frame to every linked agent of a pool. */
+  notifyAgents: (pool: string, frame: Frame) => void
+}
+
+/** Requests that crash upstreams, as one entry sees them; one core per pool. */
+export interface QuarantineGate {
+  place (request: SubmittedRequest): SuspectPlacement
+  noteDispatched (request: SubmittedRequest, agentId: string): void
+  noteEnded (request: SubmittedRequest): void
+  onStartedAlone (peer: PeerIdentity, frame: Frame): void
+  /** A notice of an agent over its link. */
+  onNotice (peer: PeerIdentity, frame: Frame): void
+  onBroadcast (id: string, payload: unknown): void
+  onAgentLinked (peer: PeerIdentity): void
+  onAgentUnlinked (peer: PeerIdentity): void
+  setUpstreams (pool: string, agentIds: readonly string[]): void
+  tick (): void
+}
+
+interface PoolNotice {
+  pool: string
+  notice: Notice
+}
+
+/**
+ * Creates the gate of one entry.
+ *
+ * @example
+ * const gate = createQuarantineGate({ clock, metrics, broadcast, notifyAgents })
+ * gate.place(request).kind // PlacementKind.Anywhere
+ */
+export const createQuarantineGate = (
+  { clock, metrics, broadcast, notifyAgents }: QuarantineGateOptions
+): QuarantineGate => {
+  const cores = new Map<string, ReturnType<typeof createQuarantine>>()
+  const lostTimers = new Map<string, { incarnation: Incarnation, timer: NodeJS.Timeout }>()
+
+  const coreOf = (pool: string) => {
+    const existing = cores.get(pool)
+    if (existing !== undefined) return existing
+    const created = createQuarantine({ clock })
+    cores.set(pool, created)
+    return created
+  }
+
+  const countNotice: Record<NoticeKind, (notice: Notice) => void> = {
+    [NoticeKind.Suspects]: notice => metrics.record(MetricName.SuspectsTotal, notice.kind === NoticeKind.Suspects ? notice.fingerprints.length : 0),
+    [NoticeKind.Cleared]: () => {},
+    [NoticeKind.Quarantined]: () => metrics.record(MetricName.QuarantinedTotal, 1)
+  }
+
+  const spread = (pool: string, effects: QuarantineEffect[]) => {
+    for (const effect of effects) {
+      if (effect.kind === QuarantineEffectKind.NotifyAgents) notifyAgents(pool, { kind: FrameKind.Notice, notice: effect.notice })
+      if (effect.kind !== QuarantineEffectKind.Broadcast) continue
+      const { id, payload, expiresMs } = effect.broadcast
+      const poolNotice: PoolNotice = { pool, notice: payload }
+      countNotice[payload.kind](payload)
+      const broadcastId = id.length > BROADCAST_ID_LENGTH_MAX ? fingerprintOf(id) : id
+      broadcast(TOPIC_OF_NOTICE[payload.kind], broadcastId, poolNotice, expiresMs - clock.nowMs())
+    }
+  }
+
+  const tell = (pool: string, message: QuarantineMessage) => spread(pool, coreOf(pool).handle(message))
+
+  const tellNotice = (pool: string, notice: Notice) => tell(pool, notice.kind === NoticeKind.Suspects
+    ? { kind: QuarantineMessageKind.SuspectsReceived, notice }
+    : { kind: QuarantineMessageKind.VerdictReceived, notice })
+
+  const noteHostLost = ({ pool, nodeId }: PeerIdentity, incarnation: Incarnation) => {
+    if (pool === undefined) return
+    tell(pool, { kind: QuarantineMessageKind.UpstreamDied, upstreamId: nodeId, crashId: `${nodeId}/${incarnation}`, hostLost: true })
+  }
+
+  const place = ({ requestId, pool, fingerprint }: SubmittedRequest): SuspectPlacement => {
+    const [effect] = coreOf(pool).handle({ kind: QuarantineMessageKind.CheckRequested, requestId, fingerprint })
+    if (effect?.kind === QuarantineEffectKind.Refuse) return { kind: PlacementKind.Refused, code: effect.code }
+    if (effect?.kind === QuarantineEffectKind.RunAlone) return { kind: PlacementKind.Alone, agentId: effect.upstreamId }
+    return { kind: PlacementKind.Anywhere }
+  }
+
+  return {
+    place,
+    noteDispatched: ({ requestId, pool, fingerprint }, upstreamId) =>
+      tell(pool, { kind: QuarantineMessageKind.Dispatched, requestId, fingerprint, upstreamId }),
+    noteEnded: ({ requestId, pool }) => tell(pool, { kind: QuarantineMessageKind.Ended, requestId }),
+    onStartedAlone: ({ pool }, { requestId }) => {
+      if (pool !== undefined && typeof requestId === 'string') tell(pool, { kind: QuarantineMessageKind.StartedAlone, requestId })
+    },
+    onNotice: ({ pool }, frame) => {
+      if (pool !== undefined) tellNotice(pool, parseNotice(frame.notice))
+    },
+    onBroadcast: (id, payload) => {
+      const { pool, notice } = payload as Partial<PoolNotice>
+      if (typeof pool !== 'string') return
+      const parsed = parseNotice(notice)
+      tell(pool, {
+        kind: QuarantineMessageKind.BroadcastReceived,
+        broadcast: { topic: QUARANTINE_TOPIC, id, payload: parsed, expiresMs: Number.MAX_SAFE_INTEGER }
+      })
+    },
+    onAgentLinked: peer => {
+      const lost = lostTimers.get(peer.nodeId)
+      lostTimers.delete(peer.nodeId)
+      clearTimeout(lost?.timer)
+      if (lost !== undefined && lost.incarnation !== peer.incarnation) noteHostLost(peer, lost.incarnation)
+    },
+    onAgentUnlinked: peer => {
+      const timer = setTimeout(() => {
+        lostTimers.delete(peer.nodeId)
+        noteHostLost(peer, peer.incarnation)
+      }, HOST_LOST_MS)
+      timer.unref()
+      clearTimeout(lostTimers.get(peer.nodeId)?.timer)
+      lostTimers.set(peer.nodeId, { incarnation: peer.incarnation, timer })
+    },
+    setUpstreams: (pool, upstreamIds) => tell(pool, { kind: QuarantineMessageKind.UpstreamsChanged, upstreamIds }),
+    tick: () => {
+      for (const pool of cores.keys()) tell(pool, { kind: QuarantineMessageKind.Tick })
+    }
+  }
+}
--- a/src/nodes/entry/requestPorts.ts
+++ b/src/nodes/entry/requestPorts.ts
@@ -1,49 +1,96 @@
-import type { Clock, TimestampMs } from '../../core/index.js'
+import { type Clock, ResultCode, type TimestampMs } from '../../core/index.js'
 import { type Metrics, MetricName } from '../../observe/index.js'
-import type { RequestPorts, SubmittedRequest } from '../../requests/index.js'
+import type { ChosenAgent, RequestPorts, SubmittedRequest } from '../../requests/index.js'
+import type { AdmissionGate } from './admissionGate.js'
 import type { PoolRouters } from './poolRouters.js'
+import { PlacementKind, type QuarantineGate, type SuspectPlacement } from './quarantineGate.js'
 import type { RequestSpans } from './requestSpans.js'
 
 export interface RequestPortsOptions {
   clock: Clock
   routers: PoolRouters
+  admission: AdmissionGate
+  quarantine: QuarantineGate
   spans: RequestSpans
   metrics: Metrics
+  /** Any live agent, also one outside the subset of this entry. */
+  findAgent: (agentId: string) => ChosenAgent | undefined
 }
 
-/** Connects the life of a request with routing, spans and metrics. */
-export const createRequestPorts = ({ clock, routers, spans, metrics }: RequestPortsOptions): RequestPorts => {
+/** Connects the life of a request with limits, quarantine, routing, spans and metrics. */
+export const createRequestPorts = ({
+  clock, routers, admission, quarantine, spans, metrics, findAgent
+}: RequestPortsOptions): RequestPorts => {
   const arrivedMs = new Map<string, TimestampMs>()
+  const runningAlone = new Set<string>()
   const ageMs = ({ requestId }: SubmittedRequest) => clock.nowMs() - (arrivedMs.get(requestId) ?? clock.nowMs())
 
+  const end = (request: SubmittedRequest, code: ResultCode) => {
+    admission.noteEnded(request)
+    metrics.record(MetricName.RequestsTotal, 1, { route: request.route, code: String(code) })
+    metrics.record(MetricName.RequestDurationMs, ageMs(request), { route: request.route })
+    arrivedMs.delete(request.requestId)
+    spans.endRequest(request, code)
+  }
+
+  const chooseAnywhere = (request: SubmittedRequest, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode => {
+    const agent = routers.choose(request, excludedAgentIds)
+    if (typeof agent === 'number' || excludedAgentIds.length > 0) return agent
+    return admission.admitPrediction(request, agent.choice.predictedFirstTokenMs) ?? agent
+  }
+
+  const chooseAlone = (request: SubmittedRequest, agentId: string, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode => {
+    if (excludedAgentIds.includes(agentId)) return ResultCode.SuspectBusy
+    const agent = findAgent(agentId)
+    if (agent === undefined) return ResultCode.NoUpstream
+    runningAlone.add(request.requestId)
+    return agent
+  }
+
+  type Chooser<Kind extends PlacementKind> =
+    (placement: Extract<SuspectPlacement, { kind: Kind }>, request: SubmittedRequest, excluded: readonly string[]) => ChosenAgent | ResultCode
+
+  const choosers: { [Kind in PlacementKind]: Chooser<Kind> } = {
+    [PlacementKind.Anywhere]: (_placement, request, excluded) => chooseAnywhere(request, excluded),
+    [PlacementKind.Alone]: ({ agentId }, request, excluded) => chooseAlone(request, agentId, excluded),
+    [PlacementKind.Refused]: ({ code }) => code
+  }
+
   return {
     admit: request => {
       arrivedMs.set(request.requestId, clock.nowMs())
       spans.startRequest(request)
-      return undefined
+      const code = admission.admitCustomer(request)
+      if (code !== undefined) end(request, code)
+      return code
+    },
+    choose: (request, excluded) => {
+      runningAlone.delete(request.requestId)
+      const placement = quarantine.place(request)
+      return (choosers[placement.kind] as Chooser<PlacementKind>)(placement, request, excluded)
     },
-    choose: (request, excludedAgentIds) => routers.choose(request, excludedAgentIds),
-    takeRetry: () => true,
-    isSuspect: () => false,
+    takeRetry: request => admission.takeRetry(request),
+    isSuspect: ({ requestId }) => runningAlone.has(requestId),
     onDispatched: (request, agent, attempt) => {
+      quarantine.noteDispatched(request, agent.agentId)
       routers.noteDispatched(request, agent.agentId)
       return spans.startAttempt(request, agent, attempt)
     },
     onResumed: (request, _agent, attempt) => spans.noteResume(request, attempt),
     onFirstBytes: (request, agent) => {
       routers.noteFirstBytes(request, agent.agentId)
+      admission.noteFirstBytes(request)
       metrics.record(MetricName.FirstTokenMs, ageMs(request), { route: request.route })
     },
     onAttemptEnded: (request, agent, attempt, result) => {
+      quarantine.noteEnded(request)
       routers.noteEnded(request, agent.agentId, result)
       spans.endAttempt(request, attempt, result)
       metrics.record(MetricName.AttemptsTotal, 1, { route: request.route, result })
     },
     onRequestEnded: (request, code) => {
-      metrics.record(MetricName.RequestsTotal, 1, { route: request.route, code: String(code) })
-      metrics.record(MetricName.RequestDurationMs, ageMs(request), { route: request.route })
-      arrivedMs.delete(request.requestId)
-      spans.endRequest(request, code)
+      runningAlone.delete(request.requestId)
+      end(request, code)
     }
   }
 }
--- a/src/nodes/entry/rowTable.ts
+++ b/src/nodes/entry/rowTable.ts
@@ -5,6 +5,7 @@
 export interface RowTable {
   apply (offset: number, versions: readonly RowVersion[]): void
   findRoute (path: string, model: string | undefined): RouteRow | undefined
+  route (name: string): RouteRow | undefined
   pool (name: string): PoolRow | undefined
   pools (): PoolRow[]
   /** Offset of the edit that a pool's row comes from. */
@@ -46,6 +47,7 @@
     },
     findRoute: (path, model) =>
       matchRoute(routes, model === undefined ? { path } : { path, model }),
+    route: name => routes.find(row => row.name === name),
     pool: name => {
       const row = poolVersion(name)?.row
       return row?.kind === RowKind.Pool ? row : undefined
--- a/src/nodes/requestCodec.ts
+++ b/src/nodes/requestCodec.ts
@@ -5,20 +5,28 @@
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
 
-const tracedRequestSchema = z.object({ request: upstreamRequestSchema, traceparent: z.string().max(256).optional() })
+const keyedRequestSchema = z.object({
+  request: upstreamRequestSchema,
+  fingerprint: z.string().max(256),
+  isSuspect: z.boolean(),
+  traceparent: z.string().max(256).optional()
+})
 
-/** A request with the trace context of its call. */
-export interface TracedRequest {
+/** A request with what the agent needs to run it. */
+export interface KeyedRequest {
   request: UpstreamRequest
+  fingerprint: string
+  /** Whether the upstream must run the request alone. */
+  isSuspect: boolean
   traceparent?: string | undefined
 }
 
 /** Encodes the request of a keyed call; the at-most-once slice carries it as opaque bytes. */
-export const encodeRequest = (traced: TracedRequest): Uint8Array => encoder.encode(traced)
+export const encodeRequest = (keyed: KeyedRequest): Uint8Array => encoder.encode(keyed)
 
 /** Decodes the request of a keyed call; throws FrameError if it is malformed. */
-export const decodeRequest = (bytes: Uint8Array): TracedRequest => {
-  const parsed = tracedRequestSchema.safeParse(encoder.decode(bytes))
+export const decodeRequest = (bytes: Uint8Array): KeyedRequest => {
+  const parsed = keyedRequestSchema.safeParse(encoder.decode(bytes))
   if (!parsed.success) throw new FrameError('request of a keyed call is malformed')
   return parsed.data
 }
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -62,8 +62,8 @@
 export const QUARANTINE_LIFETIME_MS = 3_600_000
 export const SUSPECTS_MAX = 4_096
 export const QUARANTINED_MAX = 4_096
-/** Fingerprints in one broadcast; a datagram holds 1,200 bytes. */
-export const BROADCAST_FINGERPRINTS_MAX = 40
+/** Fingerprints in one broadcast; its payload holds 400 bytes. */
+export const BROADCAST_FINGERPRINTS_MAX = 16
 
 /** Part of the upstreams on which suspects run alone; the others serve everyone else meanwhile. */
 export const SUSPECT_HOME_SHARE = 0.25
--- a/src/requests/createAgentRuns.ts
+++ b/src/requests/createAgentRuns.ts
@@ -90,7 +90,7 @@
       deadlineAtMs: clock.nowMs() + frame.remainingMs,
       forgetAtMs: undefined
     })
-    return [{ kind: AgentRunEffectKind.StartUpstream, runId, frame }]
+    return [{ kind: AgentRunEffectKind.StartUpstream, runId, linkId, frame }]
   }
 
   const onResume = (linkId: string, frame: ResumeFrame): AgentRunEffect[] => {
@@ -114,6 +114,15 @@
     return sendTo(run.linkId, toEndFrame(run.requestId, run.attempt, run.buffer.end(code)))
   }
 
+  /** Takes back a start that the upstream never saw; a late copy of its Run frame must not start it. */
+  const refuseRun = (run: AgentRun, code: ResultCode): AgentRunEffect[] => {
+    activeCount -= 1
+    runs.delete(run.runId)
+    startedUntilMs.delete(run.runId)
+    voidedUntilMs.set(run.runId, clock.nowMs() + VOID_KEEP_MS)
+    return run.linkId === undefined ? [] : refuse(run.linkId, run, code)
+  }
+
   const cancel = (run: AgentRun, code: ResultCode): AgentRunEffect[] => {
     if (run.buffer.ended !== undefined) return []
     return [{ kind: AgentRunEffectKind.CancelUpstream, runId: run.runId }, ...endRun(run, code)]
@@ -151,6 +160,7 @@
     [AgentRunMessageKind.UpstreamBytes]: ({ runId, bytes }) => withRun(runId, run =>
       sendTo(run.linkId, toChunkFrame(run.requestId, run.attempt, run.buffer.addBytes(bytes)))),
     [AgentRunMessageKind.UpstreamEnded]: ({ runId, code }) => withRun(runId, run => endRun(run, code)),
+    [AgentRunMessageKind.UpstreamRefused]: ({ runId, code }) => withRun(runId, run => refuseRun(run, code)),
     [AgentRunMessageKind.LinkLost]: ({ linkId }) => onLinkLost(linkId),
     [AgentRunMessageKind.DrainStarted]: () => {
       isDraining = true
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -84,7 +84,8 @@
         attempt,
         remainingMs: Math.max(0, submitted.deadlineAtMs - clock.nowMs()),
         fingerprint: submitted.fingerprint,
-        isSuspect: ports.isSuspect(submitted.fingerprint),
+        isSuspect: ports.isSuspect(submitted),
+        isRepeatable: submitted.repeat === RepeatPolicy.Idempotent,
         estimatedTokens: submitted.estimatedTokens,
         request: submitted.request,
         ...(traceparent === undefined ? {} : { traceparent })
--- a/src/requests/frames.ts
+++ b/src/requests/frames.ts
@@ -37,7 +37,10 @@
   attempt: counter,
   remainingMs: z.number().nonnegative(),
   fingerprint: id,
+  /** Whether the upstream must run the request alone. */
   isSuspect: z.boolean(),
+  /** Whether the run may be cancelled and repeated elsewhere. */
+  isRepeatable: z.boolean(),
   /** Prompt tokens; 0 for a plain service. */
   estimatedTokens: z.number().nonnegative(),
   traceparent: z.string().max(256).optional(),
--- a/src/requests/requestFaults.test.ts
+++ b/src/requests/requestFaults.test.ts
@@ -155,7 +155,7 @@
     bed.restoreLink('agent-1')
     expect(bed.started).toEqual(['agent-2/e-1/1'])
     const late: RunFrame = {
-      kind: FrameKind.Run, requestId: 'e-1', attempt: 0, remainingMs: 20_000, fingerprint: 'f', isSuspect: false, estimatedTokens: 1, request: submittedOf().request
+      kind: FrameKind.Run, requestId: 'e-1', attempt: 0, remainingMs: 20_000, fingerprint: 'f', isSuspect: false, isRepeatable: true, estimatedTokens: 1, request: submittedOf().request
     }
     bed.toAgent('agent-1', { kind: AgentRunMessageKind.RunRequested, linkId: 'l', frame: late })
     expect(bed.started).toEqual(['agent-2/e-1/1'])
@@ -231,6 +231,14 @@
     expect(bed.results).toEqual([])
   })
 
+  it('takes a run that was refused before it reached the upstream as proven not run', () => {
+    const bed = createBed()
+    bed.submit({ repeat: RepeatPolicy.AtMostOnce })
+    bed.toAgent('agent-1', { kind: AgentRunMessageKind.UpstreamRefused, runId: 'e-1/0', code: ResultCode.SuspectBusy })
+    expect(bed.started).toEqual(['agent-1/e-1/0', 'agent-2/e-1/1'])
+    expect(bed.results).toEqual([])
+  })
+
   it('passes a cancel on and frees the agent', () => {
     const bed = createBed()
     bed.submit()
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -46,7 +46,8 @@
   choose (request: SubmittedRequest, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode
   /** Takes one retry from the budgets of the customer and the pool. */
   takeRetry (request: SubmittedRequest): boolean
-  isSuspect (fingerprint: string): boolean
+  /** Whether the chosen upstream must run the request alone. */
+  isSuspect (request: SubmittedRequest): boolean
   /** May return the trace context of the attempt, which then goes to the agent. */
   onDispatched (request: SubmittedRequest, agent: ChosenAgent, attempt: number): string | undefined
   onResumed (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
@@ -95,6 +96,8 @@
   UpstreamHead = 'upstream-head',
   UpstreamBytes = 'upstream-bytes',
   UpstreamEnded = 'upstream-ended',
+  /** The run was refused before the upstream received anything. */
+  UpstreamRefused = 'upstream-refused',
   LinkLost = 'link-lost',
   DrainStarted = 'drain-started',
   Tick = 'tick'
@@ -107,6 +110,7 @@
   | { kind: AgentRunMessageKind.UpstreamHead, runId: string, head: ResponseHead }
   | { kind: AgentRunMessageKind.UpstreamBytes, runId: string, bytes: Uint8Array }
   | { kind: AgentRunMessageKind.UpstreamEnded, runId: string, code: ResultCode }
+  | { kind: AgentRunMessageKind.UpstreamRefused, runId: string, code: ResultCode }
   | { kind: AgentRunMessageKind.LinkLost, linkId: string }
   | { kind: AgentRunMessageKind.DrainStarted }
   | { kind: AgentRunMessageKind.Tick }
@@ -118,6 +122,6 @@
 }
 
 export type AgentRunEffect =
-  | { kind: AgentRunEffectKind.StartUpstream, runId: string, frame: RunFrame }
+  | { kind: AgentRunEffectKind.StartUpstream, runId: string, linkId: string, frame: RunFrame }
   | { kind: AgentRunEffectKind.CancelUpstream, runId: string }
   | { kind: AgentRunEffectKind.SendFrame, linkId: string, frame: ChunkFrame | EndFrame | RefusedFrame | Frame }
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -106,6 +106,9 @@
     waiting.length = 0
     running.clear()
     cachedBlocks.clear()
+    cacheEvents.length = 0
+    eventSequence = 0
+    loadSequence = 0
     app.server.closeAllConnections()
   }
 
