Bound the reads of a log follower and ignore late restarts

Cause: on review, a page that arrives late could end a gap with a restart from before the state, and a log that announces records it does not return was asked in a loop. Change: a restart counts only above the state's offset; a page without records and a gossiped offset during a gap wait for the next tick. Before: the two new tests fail.

--- a/bench/control/configurationWorld.ts
+++ b/bench/control/configurationWorld.ts
@@ -1,5 +1,6 @@
 import {
-  baseOffsetOf, type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind, type ConfigurationMessage,
+  baseOffsetOf, type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind,
+  type ConfigurationMessage,
   ConfigurationRecordKind, createConfigurationReader, type Edit, type EditRule, type EditVerdict, FollowerEffectKind,
   FollowerMessageKind, type FollowerRule, type PoolRow, type RouteRow, type Row, type RowIdentity, RowKind,
   rowKeyOf, type RowVersion
--- a/bench/control/fakeEngine.ts
+++ b/bench/control/fakeEngine.ts
@@ -1,5 +1,7 @@
 import type { Random } from '../../src/core/index.js'
-import { applyOrder, type EngineOrder, type EngineState, type GateMessage, GateMessageKind, OrderResult } from '../../src/orders/index.js'
+import {
+  applyOrder, type EngineOrder, type EngineState, type GateMessage, GateMessageKind, OrderResult
+} from '../../src/orders/index.js'
 
 interface SentOrder {
   orderId: string
--- a/bench/control/leaseWorld.ts
+++ b/bench/control/leaseWorld.ts
@@ -9,8 +9,8 @@
 import { createFakeEngine } from './fakeEngine.js'
 import { createFakeLog } from './fakeLog.js'
 import {
-  ADAPTERS, type Agent, CHECKS_FENCE, type Entry, ENTRY_COUNT, type LeaseFindings, type LeaseWorldOptions, MODELS, POOL, RESTART_SHARE, RETENTION_MS,
-  SETTLE_ROUNDS, tokenOfMessage
+  ADAPTERS, type Agent, CHECKS_FENCE, type Entry, ENTRY_COUNT, type LeaseFindings, type LeaseWorldOptions, MODELS, POOL,
+  RESTART_SHARE, RETENTION_MS, SETTLE_ROUNDS, tokenOfMessage
 } from './leaseWorldTypes.js'
 import { assignmentKeyOf, replayLeasesNaively } from './naiveLeases.js'
 
@@ -258,7 +258,8 @@
   }
 
   const actions: Array<[weight: number, action: () => void]> = [
-    [6, runCalmly], [12, deliver], [4, tick], [2, () => handleAtGate(anyAgent(), { kind: GateMessageKind.Tick })], [6, () => random.pick(agents).engine.step()],
+    [6, runCalmly], [12, deliver], [4, tick], [2, () => handleAtGate(anyAgent(), { kind: GateMessageKind.Tick })],
+    [6, () => random.pick(agents).engine.step()],
     [3, wantPlacements], [3, claimEarly], [3, resend], [2, appendLate], [2, () => loseConnection(anyAgent())],
     [2, failOver], [1, () => { random.pick(entries).isPaused = false }],
     [2, restartAgent], [1, restartEntry], [1, expire], [1, () => { isLogOut = !isLogOut }],
--- a/src/configuration/createConfigurationReader.test.ts
+++ b/src/configuration/createConfigurationReader.test.ts
@@ -243,6 +243,14 @@
   expect(readers.map(reader => codes(reader.verdicts()).some(([editId]) => editId === 'c'))).toEqual([true, true, true])
 })
 
+it('waits for its next tick when the log answers a read without the records it announces', () => {
+  const reader = setUp().createReader()
+  const [read] = reader.handle({ kind: FollowerMessageKind.Tick })
+  if (read?.kind !== FollowerEffectKind.ReadLog) throw new Error('no read')
+  const emptyPage = { kind: FollowerMessageKind.LogPageRead as const, readId: read.readId, records: [], firstOffset: 1, nextOffset: 5 }
+  expect(reader.handle(emptyPage)).toEqual([])
+})
+
 describe('read to the end', () => {
   it('does not count a page that was read before the request', () => {
     const { append, log, createReader } = setUp()
--- a/src/configuration/createLogFollower.ts
+++ b/src/configuration/createLogFollower.ts
@@ -140,7 +140,8 @@
     // The newest snapshot leaves the fewest records to replay.
     for (let i = records.length - 1; i >= 0; i--) {
       const record = records[i]!
-      const reset = hasGap() ? model.resetTo?.(record) : undefined
+      // A page that arrives late may hold a record from before the state.
+      const reset = hasGap() && record.offset > state.offset ? model.resetTo?.(record) : undefined
       if (reset !== undefined) effects.push(...replaceState(reset))
       const snapshot = model.snapshotOf(record.body)
       if (snapshot === undefined) continue
@@ -154,7 +155,9 @@
       effects.push({ kind: FollowerEffectKind.CaughtUp, offset: state.offset })
     }
     const readOffset = hasGap() ? Math.max(scanOffset, firstOffset) : state.offset + 1
-    if (readOffset < nextOffset || endRequests.needsRead()) effects.push(...readLog())
+    // A page without records makes no progress; asking again at once would only load the log.
+    const isMoreReadable = readOffset < nextOffset && records.length > 0
+    if (isMoreReadable || endRequests.needsRead()) effects.push(...readLog())
     return effects
   }
 
@@ -221,7 +224,7 @@
     [FollowerMessageKind.OffsetSeen]: ({ offset }) => {
       seenOffset = Math.max(seenOffset, offset)
       if (seenOffset <= state.offset) return []
-      return isLogFailing ? askPeers() : readLog()
+      return isLogFailing || hasGap() ? askPeers() : readLog()
     },
     [FollowerMessageKind.EndRequested]: ({ requestId }) =>
       endRequests.add(requestId, lastReadId) ? readLog() : [{ kind: FollowerEffectKind.EndFailed, requestId }],
--- a/src/orders/createLeaseHolder.ts
+++ b/src/orders/createLeaseHolder.ts
@@ -1,4 +1,6 @@
-import { type Clock, type Core, dispatch, type HandlerTable, type Incarnation, type Random, type TimestampMs } from '../core/index.js'
+import {
+  type Clock, type Core, dispatch, type HandlerTable, type Incarnation, type Random, type TimestampMs
+} from '../core/index.js'
 import {
   ASSIGNMENT_RETRY_MS, LEASE_CLAIM_JITTER_MS, LEASE_DURATION_MS, LEASE_RENEW_INTERVAL_MS, LEASE_VIEW_FRESH_MS,
   LeaseRecordKind
--- a/src/orders/createLeaseReader.test.ts
+++ b/src/orders/createLeaseReader.test.ts
@@ -96,6 +96,16 @@
     expect(documents[0]).toEqual(documents[1])
   })
 
+  it('is not ended by an earlier restart in a page that arrives late', () => {
+    const reader = createLeaseReader({ clock: createManualClock(), random: createRandom(1), retentionMs: 60_000 })
+    const bodies = [claim('x', 0), { kind: LeaseRecordKind.Restart as const, holder: 'y' }, claim('z', 2)]
+    const records = bodies.map((body, i) => ({ offset: i + 1, timeMs: 0, body }))
+    const page = { kind: FollowerMessageKind.LogPageRead as const, readId: 0, records, firstOffset: 1, nextOffset: 4 }
+    reader.handle(page)
+    reader.handle({ ...page, records: [], firstOffset: 9, nextOffset: 9 })
+    expect(reader.handle(page).filter(({ kind }) => kind === LeaseEffectKind.ClaimInEffect)).toEqual([])
+  })
+
   it('makes the holder append a restart', () => {
     const holder = createLeaseHolder({ self: 'me', clock: createManualClock(1), random: createRandom(1) })
     expect(holder.handle({ kind: HolderMessageKind.GapPersists })).toEqual([
