--- a/bench/control/configurationWorld.ts
+++ b/bench/control/configurationWorld.ts
@@ -1,5 +1,6 @@
 import {
-  baseOffsetOf, type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind, type ConfigurationMessage,
+  baseOffsetOf, type ConfigurationBody, type ConfigurationDocument, type ConfigurationEffect, ConfigurationEffectKind,
+  type ConfigurationMessage,
   ConfigurationRecordKind, createConfigurationReader, type Edit, type EditRule, type EditVerdict, FollowerEffectKind,
   FollowerMessageKind, type FollowerRule, type PoolRow, type RouteRow, type Row, type RowIdentity, RowKind,
   rowKeyOf, type RowVersion
@@ -114,6 +115,7 @@
         kind: FollowerMessageKind.PeerStateReceived, document: damageSome(document), retainedSinceMs
       }),
     [FollowerEffectKind.CaughtUp]: () => {},
+    [FollowerEffectKind.GapPersists]: () => {},
     [FollowerEffectKind.EndReached]: () => {},
     [FollowerEffectKind.EndFailed]: () => {},
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) =>
--- a/src/configuration/createConfigurationReader.test.ts
+++ b/src/configuration/createConfigurationReader.test.ts
@@ -223,6 +223,34 @@
   })
 })
 
+it('takes edits again after an outage longer than the retention time that swallowed an unread record', () => {
+  const { append, log, createReader } = setUp()
+  append(editOf('a', yard(1), 0))
+  const readers = [1, 2, 3].map(seed => createReader(seed))
+  for (const reader of readers) reader.follow()
+  append(editOf('b', yard(2), 1))
+  log.expireBelow(3)
+  append(editOf('c', samplePool('quotes'), 0))
+  for (let round = 0; round < 100; round++) {
+    for (const reader of readers) {
+      reader.follow()
+      const documents = readers.map(({ state }) => state())
+      for (const document of documents) {
+        reader.handle({ kind: FollowerMessageKind.PeerStateReceived, document, retainedSinceMs: 1 })
+      }
+    }
+  }
+  expect(readers.map(reader => codes(reader.verdicts()).some(([editId]) => editId === 'c'))).toEqual([true, true, true])
+})
+
+it('waits for its next tick when the log answers a read without the records it announces', () => {
+  const reader = setUp().createReader()
+  const [read] = reader.handle({ kind: FollowerMessageKind.Tick })
+  if (read?.kind !== FollowerEffectKind.ReadLog) throw new Error('no read')
+  const emptyPage = { kind: FollowerMessageKind.LogPageRead as const, readId: read.readId, records: [], firstOffset: 1, nextOffset: 5 }
+  expect(reader.handle(emptyPage)).toEqual([])
+})
+
 describe('read to the end', () => {
   it('does not count a page that was read before the request', () => {
     const { append, log, createReader } = setUp()
