--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -61,6 +61,8 @@
 export const ISOLATION_FAILED_PROBES = 3
 /** Covers the spread of a suspicion and of its refutation, about 3 s each at 340 entries under loss. */
 export const SUSPICION_MS = 6_000
+/** Peers that are asked for a refutation half way through a suspicion. */
+export const SUSPICION_ASKED_PEERS = 3
 /** Longer than for entries: a link that broke needs time to be opened again. */
 export const AGENT_SUSPICION_MS = 10_000
 /** A longer gap between ticks means that this process was paused; its timers prove nothing then. */
--- a/src/membership/createGossip.ts
+++ b/src/membership/createGossip.ts
@@ -5,7 +5,7 @@
   BROADCAST_PAYLOAD_BYTES_MAX, DatagramKind, LOAD_ANNOUNCE_INTERVAL_MS, LOAD_CHANGE_MIN, MemberStatus, PAUSE_GAP_MS,
   PROBE_HELPERS, RECORD_BYTES_MAX, RumorKind
 } from './constants.js'
-import { buildMemberRumor, createGossipContext } from './gossipContext.js'
+import { buildMemberRumor, createGossipContext, sendMembers } from './gossipContext.js'
 import { createGossipMembers, type IntakeResult, rumorsAboutSender } from './gossipMembers.js'
 import { createGossipProbes } from './gossipProbes.js'
 import { createGossipSync } from './gossipSync.js'
@@ -129,6 +129,7 @@
 
   const onDatagram = (datagram: Datagram, sourceAddress: string) => {
     const intake = members.intake(datagram.fromId, datagram.rumors)
+    if (!context.isOver) sendMembers(context, RumorKind.Status, intake.refutedIds, sourceAddress)
     if (!context.isOver) dispatch(datagramHandlers(sourceAddress, intake), datagram)
   }
 
--- a/src/membership/gossipContext.ts
+++ b/src/membership/gossipContext.ts
@@ -143,6 +143,22 @@
   nodeId: string
 ): void => queue.add(kind, nodeId, () => buildMemberRumor(table, kind, nodeId))
 
+/** Sends news about several members to one address, as far as one datagram holds it. */
+export const sendMembers = (
+  context: GossipContext, kind: RumorKind.Record | RumorKind.Status, nodeIds: readonly string[], address: string
+): void => {
+  let bytesLeft = DATAGRAM_BYTES_MAX - DATAGRAM_FIXED_BYTES - context.selfId.length
+  const rumors: Rumor[] = []
+  for (const nodeId of nodeIds) {
+    const rumor = buildMemberRumor(context.table, kind, nodeId)
+    if (rumor === undefined) continue
+    bytesLeft -= measureRumor(rumor)
+    if (bytesLeft < 0) break
+    rumors.push(rumor)
+  }
+  if (rumors.length > 0) context.send(address, { kind: DatagramKind.Gossip }, rumors)
+}
+
 /** Whether a member may accuse others: a node that is believed gone may only have lost its own path. */
 export const isTrusted = ({ table }: GossipContext, nodeId: string): boolean =>
   table.get(nodeId)?.record.status === MemberStatus.Alive
--- a/src/membership/gossipMembers.ts
+++ b/src/membership/gossipMembers.ts
@@ -1,7 +1,8 @@
 import { dispatch, type HandlerTable } from '../core/index.js'
 import { NodeRole, type PeerIdentity } from '../links/index.js'
 import {
-  AGENT_SUSPICION_MS, DEAD_FORGET_MS, MEMBERS_MAX, MemberStatus, RESTART_GRACE_MS, RumorKind, SUSPICION_MS
+  AGENT_SUSPICION_MS, DatagramKind, DEAD_FORGET_MS, MEMBERS_MAX, MemberStatus, RESTART_GRACE_MS, RumorKind,
+  SUSPICION_ASKED_PEERS, SUSPICION_MS
 } from './constants.js'
 import { broadcastKey } from './broadcastStore.js'
 import { buildMemberRumor, type GossipContext, isTrusted, queueMember } from './gossipContext.js'
@@ -13,6 +14,8 @@
   changedCount: number
   /** Full records that are older than the known ones; their sender lags. */
   olderIds: string[]
+  /** Members that the sender suspects or takes for gone although they have refuted that. */
+  refutedIds: string[]
 }
 
 /** Merging of news, refutation and the expiry of suspicions. */
@@ -169,15 +172,27 @@
   const intake = (fromId: string, rumors: readonly Rumor[]): IntakeResult => {
     const handlers = rumorHandlers(fromId)
     const olderIds: string[] = []
+    const refutedIds: string[] = []
     let changedCount = 0
     for (const rumor of rumors) {
       if (context.isOver) break
       const result = dispatch(handlers, rumor)
       if (result === MergeResult.Changed || result === MergeResult.NewIdentity) changedCount += 1
       if (result === MergeResult.Same) context.queue.heard(rumor.kind, subjectOf(rumor))
-      if (result === MergeResult.Older && rumor.kind === RumorKind.Record) olderIds.push(rumor.record.identity.nodeId)
+      const isOlder = result === MergeResult.Older
+      if (isOlder && rumor.kind === RumorKind.Status && rumor.status !== MemberStatus.Alive) refutedIds.push(rumor.nodeId)
+      if (isOlder && rumor.kind === RumorKind.Record) olderIds.push(rumor.record.identity.nodeId)
+    }
+    return { changedCount, olderIds, refutedIds }
+  }
+
+  /** A member that heard a refutation answers with it; the news of it may have missed this entry. */
+  const askAbout = (nodeId: string) => {
+    const rumor = buildMemberRumor(table, RumorKind.Status, nodeId)
+    if (rumor === undefined) return
+    for (const { record } of context.pickPeers(SUSPICION_ASKED_PEERS, nodeId)) {
+      context.send(record.identity.address, { kind: DatagramKind.Gossip }, [rumor])
     }
-    return { changedCount, olderIds }
   }
 
   const expire = () => {
@@ -190,8 +205,12 @@
       }
       const { record, statusSinceMs } = row
       const elapsedMs = nowMs - statusSinceMs
-      if (record.status === MemberStatus.Suspect && elapsedMs >= SUSPICION_MS_BY_ROLE[record.identity.role]) {
+      const suspicionMs = SUSPICION_MS_BY_ROLE[record.identity.role]
+      if (record.status === MemberStatus.Suspect && elapsedMs >= suspicionMs) {
         apply({ ...record, status: MemberStatus.Dead })
+      } else if (record.status === MemberStatus.Suspect && !row.isAsked && elapsedMs >= suspicionMs / 2) {
+        row.isAsked = true
+        askAbout(nodeId)
       } else if (isGone(record.status) && elapsedMs >= DEAD_FORGET_MS) {
         timedIds.delete(nodeId)
         table.forget(nodeId)
--- a/src/membership/gossipSync.ts
+++ b/src/membership/gossipSync.ts
@@ -2,7 +2,7 @@
   DATAGRAM_BYTES_MAX, DATAGRAM_FIXED_BYTES, DatagramKind, RumorKind, START_MS, START_SYNC_INTERVAL_MS, SYNC_BUCKETS,
   SYNC_INTERVAL_MS, SYNC_RETRY_MS, SYNC_TRIES
 } from './constants.js'
-import { buildMemberRumor, type GossipContext } from './gossipContext.js'
+import { buildMemberRumor, type GossipContext, sendMembers } from './gossipContext.js'
 import { type IntakeResult, rumorsAboutSender } from './gossipMembers.js'
 import { measureRumor } from './rumorSize.js'
 import type { Datagram, Rumor } from './types.js'
@@ -114,25 +114,12 @@
     context.send(sourceAddress, { kind: DatagramKind.SyncPage, nextBucket }, page)
   }
 
-  /** Sends back what the sender of a page doesn't know yet. */
-  const pushBack = (nodeIds: readonly string[], address: string) => {
-    let bytesLeft = DATAGRAM_BYTES_MAX - DATAGRAM_FIXED_BYTES - context.selfId.length
-    const newer: Rumor[] = []
-    for (const nodeId of nodeIds) {
-      const rumor = buildMemberRumor(table, RumorKind.Record, nodeId)
-      if (rumor === undefined) continue
-      bytesLeft -= measureRumor(rumor)
-      if (bytesLeft < 0) break
-      newer.push(rumor)
-    }
-    if (newer.length > 0) context.send(address, { kind: DatagramKind.Gossip }, newer)
-  }
-
   const onSyncPage = (
     { nextBucket }: DatagramOf<DatagramKind.SyncPage>, { changedCount, olderIds }: IntakeResult, sourceAddress: string
   ) => {
     pending = undefined
-    pushBack(olderIds, sourceAddress)
+    // The sender of the page lags behind in these.
+    sendMembers(context, RumorKind.Record, olderIds, sourceAddress)
     // A page without anything new ends the comparison: the other side may only lack what we have.
     if (nextBucket >= 0 && changedCount > 0) request(nextBucket, 1)
   }
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -19,6 +19,8 @@
   incarnationHash: number
   /** Local time of the last change of status. */
   statusSinceMs: TimestampMs
+  /** Whether other members were asked about this suspicion. */
+  isAsked: boolean
   bucket: number
   digestHash: number
 }
@@ -79,6 +81,7 @@
       record,
       incarnationHash: previous?.record.identity.incarnation === incarnation ? previous.incarnationHash : hash32(incarnation),
       statusSinceMs: previous !== undefined && isSameStatus ? previous.statusSinceMs : nowMs,
+      isAsked: false,
       digestHash: digestHashOf(record)
     }
     // Rows keep their identity as objects, so that lists of rows stay valid.
