--- /dev/null
+++ b/bench/routing/quietCustomers.ts
@@ -0,0 +1,84 @@
+import type { CustomerLimit } from '../../src/configuration/index.js'
+import { createRandom } from '../../src/core/index.js'
+import { type Figure, percentile } from '../harness/index.js'
+import { createRouters } from './dispatchers.js'
+import type { BenchRequest } from './engineFake.js'
+import { createLimitFleet, entryIdOf } from './limitFleet.js'
+import { type Dispatcher, ENTRY_COUNT, runScenario, type ScenarioContext, type ScenarioSettings } from './scenario.js'
+import { REQUESTS_PER_S_PER_ENGINE, selectionSettings } from './selection.js'
+
+const ENGINE_COUNT = 12
+const CUSTOMER_COUNT = 10
+const NOISY = 'customer-0'
+const NOISY_FACTOR = 10
+const DURATION_MS = 80_000
+const PER_CUSTOMER_PER_S = REQUESTS_PER_S_PER_ENGINE * ENGINE_COUNT / CUSTOMER_COUNT
+
+/** Every customer may send twice the mean: popularity differs between customers and moves. */
+const LIMIT: CustomerLimit = { requestsPerS: 2 * PER_CUSTOMER_PER_S, concurrentMax: 100, burstRequests: 15 }
+
+/** Multiplies the requests of the noisy customer; 0 removes them. */
+const scaleNoisy = (factor: number, seed: number) => (requests: BenchRequest[]): BenchRequest[] => {
+  const random = createRandom(seed + 9)
+  let counter = requests.length
+  return requests.flatMap(request => {
+    if (request.customer !== NOISY) return [request]
+    return Array.from({ length: factor }, () => {
+      const id = counter++
+      const delayMs = random.int(0, 1_000)
+      const blocks = request.blocks.map(block => block.startsWith('r') ? `r${id}.${block}` : block)
+      return { ...request, requestId: `r${id}`, blocks, arrivedMs: request.arrivedMs + delayMs, deadlineMs: request.deadlineMs + delayMs }
+    })
+  }).sort((a, b) => a.arrivedMs - b.arrivedMs)
+}
+
+/** The product's routers behind its customer limits. */
+const createLimitedRouters = (context: ScenarioContext): Dispatcher => {
+  const { queue, random, refuse } = context
+  const allIds = Array.from({ length: ENTRY_COUNT }, (_, entry) => entryIdOf(entry))
+  const fleet = createLimitFleet({
+    queue,
+    random,
+    entryCount: ENTRY_COUNT,
+    membersOf: () => allIds,
+    untilMs: DURATION_MS,
+    faults: { delayMinMs: 1, delayMaxMs: 20, lossRatio: 0.01, duplicateRatio: 0 }
+  })
+  const inner = createRouters()(context)
+  return {
+    ...inner,
+    arrive: (entry, request) => {
+      if (!fleet.admit(entryIdOf(entry), request.requestId, `model/${request.customer}`, LIMIT)) return refuse(request)
+      inner.arrive(entry, request)
+    },
+    ended: (entry, request, engine, finished) => {
+      fleet.end(entryIdOf(entry), request.requestId)
+      inner.ended?.(entry, request, engine, finished)
+    }
+  }
+}
+
+/** Measures the first tokens of quiet customers beside one at ten times its usual demand. */
+export const measureQuietCustomers = (seed: number): Figure[] => {
+  const settings = (factor: number): ScenarioSettings => ({
+    ...selectionSettings(seed, ENGINE_COUNT),
+    durationMs: DURATION_MS,
+    warmUpMs: 30_000,
+    editRequests: scaleNoisy(factor, seed),
+    isMeasured: ({ customer }) => customer !== NOISY
+  })
+  const alone = runScenario(settings(0), createLimitedRouters)
+  const beside = runScenario(settings(NOISY_FACTOR), createLimitedRouters)
+  const naive = runScenario(settings(NOISY_FACTOR), createRouters())
+  const p95 = ({ firstTokenMs }: { firstTokenMs: number[] }) => percentile(firstTokenMs, 0.95)
+  return [{
+    suite: 'routing',
+    figure: 'quiet_customer_p95_ratio',
+    unit: 'ratio',
+    baseline: p95(naive) / p95(alone),
+    value: p95(beside) / p95(alone),
+    seed,
+    target: { max: 1.2 },
+    note: `alone ${p95(alone).toFixed(0)} ms, beside ${p95(beside).toFixed(0)} ms, ${beside.refusedCount} of ${beside.arrivedCount} quiet requests refused; baseline without limits`
+  }]
+}
--- a/src/limits/constants.ts
+++ b/src/limits/constants.ts
@@ -62,14 +62,20 @@
 export const RETRY_TOKENS_INITIAL = 1
 
 /**
- * Part of the time left before the deadline that the predicted first token may take, by
- * priority: refusal starts at `from` and is certain at `to`. The range keeps entries that see
- * the same late reports from opening and closing together.
+ * Longest wait for the start of processing that admission builds up, and the users' target for the
+ * first token. Longer queues finish no more requests: at twice the capacity, queues of several
+ * seconds spread prompts over all caches and cost a tenth of the goodput.
+ */
+export const START_WAIT_LIMIT_MS = 1_300
+/**
+ * Part of the start wait limit, or of the time left if that is shorter, at which requests are
+ * refused by priority: some at `from`, all at `to`. The range keeps entries that see the same late
+ * reports from opening and closing together.
  */
 export const ADMISSION_RANGE: Record<Priority, { from: number, to: number }> = {
   [Priority.Interactive]: { from: 0.5, to: 0.85 },
   [Priority.Standard]: { from: 0.3, to: 0.7 },
-  [Priority.Batch]: { from: 0.1, to: 0.35 }
+  [Priority.Batch]: { from: 0.15, to: 0.35 }
 }
 /** Factor on the range for customers that use more than their share. */
 export const OVER_SHARE_FACTOR = 0.5
--- a/src/limits/createAdmission.ts
+++ b/src/limits/createAdmission.ts
@@ -1,7 +1,7 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
 import {
   ADMISSION_RANGE, AdmissionEffectKind, AdmissionMessageKind, LIMIT_KEYS_MAX, OVER_SHARE_FACTOR, OVER_SHARE_RATIO,
-  RETRY_AFTER_MS, USE_HALF_LIFE_MS
+  RETRY_AFTER_MS, START_WAIT_LIMIT_MS, USE_HALF_LIFE_MS
 } from './constants.js'
 import type { AdmissionEffect, AdmissionMessage } from './types.js'
 
@@ -15,7 +15,7 @@
  *
  * @example
  * const admission = createAdmission({ clock, random })
- * admission.handle({ kind: AdmissionMessageKind.AdmitRequested, requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs })
+ * admission.handle({ kind: AdmissionMessageKind.AdmitRequested, requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs, predictedWaitMs })
  */
 export const createAdmission = ({ clock, random }: { clock: Clock, random: Random }): Core<AdmissionMessage, AdmissionEffect> => {
   /** Admitted work by customer with exponential decay. */
@@ -40,7 +40,7 @@
   }
 
   const onAdmit = (message: MessageOf<AdmissionMessageKind.AdmitRequested>): AdmissionEffect[] => {
-    const { requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs } = message
+    const { requestId, customer, priority, tokens, deadlineMs, predictedFirstTokenMs, predictedWaitMs } = message
     const leftMs = deadlineMs - clock.nowMs() - streamMs
     const refuse = (code: ResultCode, reason: string): AdmissionEffect[] =>
       [{ kind: AdmissionEffectKind.Refused, requestId, code, retryAfterMs: RETRY_AFTER_MS, reason }]
@@ -48,12 +48,12 @@
       return refuse(ResultCode.DeadlineUnreachable, `first token in ${Math.round(predictedFirstTokenMs)} ms, ${Math.round(leftMs)} ms left`)
     }
     const { from, to } = ADMISSION_RANGE[priority]
-    const usedPart = predictedFirstTokenMs / leftMs
+    const usedPart = predictedWaitMs / Math.min(START_WAIT_LIMIT_MS, leftMs)
     // The share is worked out only under pressure, as it visits all customers.
     const factor = usedPart > from * OVER_SHARE_FACTOR && isOverShare(customer) ? OVER_SHARE_FACTOR : 1
     const refusalShare = (usedPart - from * factor) / ((to - from) * factor)
     if (refusalShare > 0 && random.next() < refusalShare) {
-      return refuse(ResultCode.Overloaded, `first token takes ${usedPart.toFixed(2)} of the time left, priority ${priority}`)
+      return refuse(ResultCode.Overloaded, `wait of ${Math.round(predictedWaitMs)} ms, priority ${priority}`)
     }
     noteUse(customer, tokens)
     return [{ kind: AdmissionEffectKind.Admitted, requestId }]
--- a/src/limits/types.ts
+++ b/src/limits/types.ts
@@ -88,6 +88,8 @@
     deadlineMs: TimestampMs
     /** Prediction of the router for the chosen upstream. */
     predictedFirstTokenMs: number
+    /** Part of the prediction before the request's own processing starts. */
+    predictedWaitMs: number
   }
   | {
     kind: AdmissionMessageKind.Ended
--- a/src/routing/chooseUpstream.ts
+++ b/src/routing/chooseUpstream.ts
@@ -1,7 +1,7 @@
 import { hash32, type Random, type TimestampMs } from '../core/index.js'
-import { HOLDER_CHOICES, HOME_CHOICES, PLAIN_CHOICES, RANDOM_CHOICES, UpstreamState, WORK_PER_S_DEFAULT } from './constants.js'
+import { HOLDER_CHOICES, HOME_CHOICES, IDLE_WAIT_MS, PLAIN_CHOICES, RANDOM_CHOICES, UpstreamState, WORK_PER_S_DEFAULT } from './constants.js'
 import type { Upstream } from './getDefaultUpstream.js'
-import { predict, type Prediction } from './predict.js'
+import { estimateQueue, predict, type Prediction } from './predict.js'
 import type { ChooseRequest } from './types.js'
 
 /** Numbers of upstreams that are compared for a request. */
@@ -38,14 +38,20 @@
     .slice(0, count)
     .map(({ upstream }) => upstream)
 
-const pickCandidates = (available: readonly Upstream[], blocks: ChooseRequest['blocks'], counts: ChoiceCounts, random: Random) => {
+const pickCandidates = (available: readonly Upstream[], blocks: ChooseRequest['blocks'], counts: ChoiceCounts, random: Random, isIdle: (upstream: Upstream) => boolean) => {
   const candidates = new Set<Upstream>()
-  const randomCount = blocks.length === 0 ? Math.max(PLAIN_CHOICES, counts.random) : counts.random
-  for (let i = 0; i < randomCount; i++) candidates.add(random.pick(available))
-  if (blocks.length === 0) return candidates
+  if (blocks.length === 0) {
+    for (let i = 0; i < PLAIN_CHOICES; i++) candidates.add(random.pick(available))
+    return candidates
+  }
   const homeKey = blocks[Math.min(HOME_BLOCKS, blocks.length) - 1]!
   for (const upstream of takeBest(available, counts.holders, ({ prefix }) => prefix.matchBlocks(blocks))) candidates.add(upstream)
   for (const upstream of takeBest(available, counts.homes, ({ upstreamId }) => 1 + hash32(`${homeKey}/${upstreamId}`))) candidates.add(upstream)
+  // A random upstream has to load the prefix and evicts others; only an idle one is worth that.
+  for (let i = 0; i < counts.random; i++) {
+    const upstream = random.pick(available)
+    if (isIdle(upstream)) candidates.add(upstream)
+  }
   return candidates
 }
 
@@ -64,7 +70,11 @@
   { counts, random, nowMs }: { counts: ChoiceCounts, random: Random, nowMs: TimestampMs }
 ): Prediction[] => {
   const poolTokensPerS = medianSpeed(available)
-  return [...pickCandidates(available, request.blocks, counts, random)]
+  const isIdle = (upstream: Upstream) => {
+    const tokensPerS = upstream.report?.tokensPerS || poolTokensPerS
+    return estimateQueue(upstream, tokensPerS, nowMs).tokens / tokensPerS * 1_000 < IDLE_WAIT_MS
+  }
+  return [...pickCandidates(available, request.blocks, counts, random, isIdle)]
     .map(upstream => predict(upstream, request, { poolTokensPerS, nowMs }))
     .sort((a, b) => a.costMs - b.costMs)
 }
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -55,9 +55,11 @@
 /** Random upstreams compared for a request without a prefix: the power of two choices. */
 export const PLAIN_CHOICES = 2
 /**
- * Random upstreams compared besides the holders of a prefix. More of them spread a prefix over
- * too many caches: near saturation, six random ones halved the hit ratio.
+ * Queue below which an upstream counts as idle and may be drawn at random for a prompt with a
+ * prefix. Without this condition overloaded entries spread every prefix over all caches.
  */
+export const IDLE_WAIT_MS = 10
+/** Upstreams drawn at random for a prompt with a prefix, besides holders and homes. */
 export const RANDOM_CHOICES = 1
 /** Holders of the longest known prefix that are compared. */
 export const HOLDER_CHOICES = 2
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -120,12 +120,13 @@
       return [{ kind: RouterEffectKind.NoneAvailable, requestId, code: ResultCode.NoUpstream, explanation }]
     }
     const predictions = compareUpstreams(available, message, { counts, random, nowMs })
-    const { upstream, firstTokenMs } = predictions[0]!
+    const { upstream, firstTokenMs, uncachedTokens, tokensPerS } = predictions[0]!
     return [{
       kind: RouterEffectKind.Chosen,
       requestId,
       upstreamId: upstream.upstreamId,
       predictedFirstTokenMs: firstTokenMs,
+      predictedWaitMs: firstTokenMs - uncachedTokens / tokensPerS * 1_000,
       meetsDeadline: nowMs + firstTokenMs <= deadlineMs,
       explanation: explainChoice(predictions, predictions.length, available.length)
     }]
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -72,6 +72,8 @@
   requestId: string
   upstreamId: string
   predictedFirstTokenMs: number
+  /** Part of the prediction before the request's own processing starts. */
+  predictedWaitMs: number
   /** Whether the predicted first token comes before the deadline. */
   meetsDeadline: boolean
   /** One line for operators: what was compared and why this upstream won. */
