Leave less garbage in a plan and spread its last phase over slices

Cause: the last slice built the map and its hash with arrays that grow, 2 to 4 ms, and its garbage was collected within timed slices (up to 13 ms on a loaded machine). Conclusion: the work of a slice is below 5 ms; a pause of the collector or the scheduler can exceed it, and no slicing prevents that.

--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -27,7 +27,7 @@
 /** Search steps in one plan; reweights cost no copy and need their own bound. */
 export const PLAN_STEPS_MAX = 600
 /** Work units in one slice. A unit costs a few microseconds, so a slice stays far below 5 ms. */
-export const PLAN_UNITS_PER_SLICE = 24
+export const PLAN_UNITS_PER_SLICE = 16
 /** Items indexed for one unit of work. */
 export const PLAN_ITEMS_PER_UNIT = 32
 /** Growth of the load limit when no rank can take more below it. */
--- a/src/expertMaps/createPlanner.ts
+++ b/src/expertMaps/createPlanner.ts
@@ -57,7 +57,7 @@
 
 interface Session {
   base: ExpertMap
-  search: Generator<void, PlanOutcome>
+  search: Generator<number, PlanOutcome>
 }
 
 /** With reports from fewer ranks the skew says more about the gaps than about the load. */
@@ -133,12 +133,14 @@
 
   const onAdvance = (): PlanEffect[] => {
     if (session === undefined) return []
-    for (let unit = 0; unit < PLAN_UNITS_PER_SLICE; unit++) {
+    for (let units = 0; units < PLAN_UNITS_PER_SLICE;) {
       const { done, value } = session.search.next()
-      if (!done) continue
-      const { base } = session
-      session = undefined
-      return finish(base, value)
+      if (done) {
+        const { base } = session
+        session = undefined
+        return finish(base, value)
+      }
+      units += value
     }
     return [{ kind: PlanEffectKind.ContinueRequested }]
   }
--- a/src/expertMaps/expertMap.ts
+++ b/src/expertMaps/expertMap.ts
@@ -15,17 +15,41 @@
   return even + Math.max(SPARE_SLOTS_MIN, Math.ceil(even * SPARE_SLOT_RATIO))
 }
 
-const writeItem = (bytes: number[], item: ItemIndex, replicas: readonly Replica[]) => {
-  bytes.push(item & 0xff, (item >> 8) & 0xff, (item >> 16) & 0xff, replicas.length)
-  for (const { rank, share } of replicas) bytes.push(rank & 0xff, rank >> 8, Math.round(share * SHARE_UNITS))
-}
+/** Item index (3 bytes) and replica count. */
+const ITEM_HEADER_BYTES = 4
+/** Rank (2 bytes) and share. */
+const REPLICA_BYTES = 3
 
-const hashOf = (layers: Replica[][][]): string => {
-  const bytes: number[] = []
-  layers.flat().forEach((replicas, item) => writeItem(bytes, item, replicas))
-  return fingerprint(Uint8Array.from(bytes))
+/**
+ * Encodes the replicas of some items; without `items` of all. Writes into one buffer of known size,
+ * because a plan runs between requests and should leave little garbage.
+ */
+const encodeItems = (replicasByItem: ReadonlyArray<readonly Replica[]>, items?: readonly ItemIndex[]): Uint8Array => {
+  const count = items?.length ?? replicasByItem.length
+  let size = 0
+  for (let i = 0; i < count; i++) {
+    size += ITEM_HEADER_BYTES + REPLICA_BYTES * replicasByItem[items === undefined ? i : items[i]!]!.length
+  }
+  const bytes = new Uint8Array(size)
+  let at = 0
+  for (let i = 0; i < count; i++) {
+    const item = items === undefined ? i : items[i]!
+    const replicas = replicasByItem[item]!
+    bytes[at++] = item & 0xff
+    bytes[at++] = (item >> 8) & 0xff
+    bytes[at++] = (item >> 16) & 0xff
+    bytes[at++] = replicas.length
+    for (const { rank, share } of replicas) {
+      bytes[at++] = rank & 0xff
+      bytes[at++] = rank >> 8
+      bytes[at++] = Math.round(share * SHARE_UNITS)
+    }
+  }
+  return bytes
 }
 
+const hashOf = (layers: Replica[][][]): string => fingerprint(encodeItems(layers.flat()))
+
 /** Creates a map from its replicas and works out its hash. */
 export const createMap = (version: number, layers: Replica[][][]): ExpertMap =>
   ({ id: { version, hash: hashOf(layers) }, layers })
@@ -68,12 +92,13 @@
  * three bytes for each replica.
  */
 export const encodeChanges = (base: ExpertMap, map: ExpertMap): Uint8Array => {
-  const bytes: number[] = []
   const baseItems = base.layers.flat()
-  map.layers.flat().forEach((replicas, item) => {
-    if (!isSameReplicas(replicas, baseItems[item]!)) writeItem(bytes, item, replicas)
-  })
-  return Uint8Array.from(bytes)
+  const mapItems = map.layers.flat()
+  const changed: ItemIndex[] = []
+  for (let item = 0; item < mapItems.length; item++) {
+    if (!isSameReplicas(mapItems[item]!, baseItems[item]!)) changed.push(item)
+  }
+  return encodeItems(mapItems, changed)
 }
 
 /**
--- a/src/expertMaps/planSearch.ts
+++ b/src/expertMaps/planSearch.ts
@@ -1,7 +1,7 @@
 import {
-  PLAN_COPIES_MAX, PLAN_ITEMS_PER_UNIT, PLAN_LIMIT_STEP_RATIO, PLAN_STEPS_MAX, SKEW_GOAL_RATIO, SKEW_START_RATIO
+  PLAN_COPIES_MAX, PLAN_ITEMS_PER_UNIT, PLAN_LIMIT_STEP_RATIO, PLAN_STEPS_MAX, PLAN_UNITS_PER_SLICE, SKEW_GOAL_RATIO, SKEW_START_RATIO
 } from './constants.js'
-import { copiesBetween, createMap, itemCountOf } from './expertMap.js'
+import { createMap, itemCountOf } from './expertMap.js'
 import { copyCost } from './objective.js'
 import { createPlanState, type PlanState } from './planState.js'
 import { relieve, retireReplica } from './planSteps.js'
@@ -41,20 +41,25 @@
   return layers
 }
 
+/** A unit of work that is long enough for a slice of its own. */
+const WHOLE_SLICE = PLAN_UNITS_PER_SLICE
+const ONE_UNIT = 1
+
 /**
- * Searches a better map from the current one and yields after each unit of work, so that the
- * caller decides how many units run in one slice.
+ * Searches a better map from the current one and yields the units of work done since it last
+ * yielded, so that the caller decides how many of them run in one slice.
  *
  * The slowest rank is relieved again and again; the sequence is then cut where the objective was
  * lowest. A high `moveWeight` thus cuts early, and no weight changes the order of the steps.
  */
-export function * searchPlan (input: PlanInput): Generator<void, PlanOutcome> {
+export function * searchPlan (input: PlanInput): Generator<number, PlanOutcome> {
   const { shape, weights, base, loads, speeds, shouldSearch } = input
   const state = createPlanState({ shape, base, loads, speeds })
+  yield WHOLE_SLICE
   const itemCount = itemCountOf(shape)
   for (let item = 0; item < itemCount; item++) {
     state.index(item)
-    if (item % PLAN_ITEMS_PER_UNIT === PLAN_ITEMS_PER_UNIT - 1) yield
+    if (item % PLAN_ITEMS_PER_UNIT === PLAN_ITEMS_PER_UNIT - 1) yield ONE_UNIT
   }
   const skewBefore = skewIn(state)
   const unchanged: PlanOutcome =
@@ -64,7 +69,7 @@
   let retiredCount = 0
   for (let rank = 0; rank < shape.ranks; rank++) {
     if (retireReplica(state, rank)) retiredCount += 1
-    yield
+    yield ONE_UNIT
   }
 
   const perCopy = copyCost(shape, weights)
@@ -78,19 +83,19 @@
     if (relieve(state, from) === undefined) {
       isStuck = skewIn(state) > SKEW_START_RATIO
       state.limitTime *= PLAN_LIMIT_STEP_RATIO
-      yield
+      yield ONE_UNIT
       continue
     }
     const value = weights.skewWeight * skewIn(state) + perCopy * state.copies
     if (value < best.value) best = { position: state.position, value }
-    yield
+    yield ONE_UNIT
   }
   state.undoTo(best.position)
   if (state.position === 0) return { ...unchanged, isStuck }
-  yield
+  yield WHOLE_SLICE
   const map = createMap(base.id.version + 1, toLayers(state.replicas, shape.experts))
-  yield
-  const copies = copiesBetween(base, map)
+  yield WHOLE_SLICE
+  const copies = state.listCopies()
   const skewAfter = skewIn(state)
   return {
     skewBefore,
--- a/src/expertMaps/planState.ts
+++ b/src/expertMaps/planState.ts
@@ -1,7 +1,7 @@
 import { STAGING_SLOTS_MIN } from './constants.js'
 import { slotsPerRank } from './expertMap.js'
 import { idealTimeOf } from './objective.js'
-import type { ExpertMap, GroupShape, ItemIndex, Replica } from './types.js'
+import type { Copy, ExpertMap, GroupShape, ItemIndex, Replica } from './types.js'
 
 /** Replicas of one item before a change, to undo it. */
 interface JournalEntry {
@@ -36,6 +36,8 @@
   hasRoom (rank: number): boolean
   set (item: ItemIndex, replicas: readonly Replica[]): void
   undoTo (position: number): void
+  /** Copies that the changes so far need, by item. */
+  listCopies (): Copy[]
 }
 
 const hosts = (replicas: readonly Replica[], rank: number) => replicas.some(replica => replica.rank === rank)
@@ -117,6 +119,8 @@
         const { item, before } = journal.pop()!
         replace(item, before)
       }
-    }
+    },
+    listCopies: () => [...new Set(journal.map(({ item }) => item))].sort((a, b) => a - b).flatMap(item =>
+      replicas[item]!.filter(({ rank }) => !hosts(baseItems[item]!, rank)).map(({ rank }) => ({ item, toRank: rank })))
   }
 }
