--- a/bench/maps/driftFigures.ts
+++ b/bench/maps/driftFigures.ts
@@ -1,5 +1,5 @@
 import {
-  COPY_SLOWDOWN_RATIO, copyCost, type GroupShape, PEER_COPY_BYTES_PER_MS, PLAN_HORIZON_MS, type PlanWeights
+  COPY_SLOWDOWN_RATIO, copyCost, type GroupShape, PEER_COPY_BYTES_PER_MS, PLACEMENT_HORIZONS, PLAN_HORIZON_MS, type PlanWeights
 } from '../../src/expertMaps/index.js'
 import { type Figure, mean } from '../harness/index.js'
 import { Firm, SHAPES, WEIGHTS } from './deployments.js'
@@ -85,7 +85,7 @@
  */
 const runObjective = (weights: PlanWeights, { season, shape, result }: DriftRun): number => {
   const horizons = timelineOf(season).endS * 1000 / PLAN_HORIZON_MS
-  return weights.skewWeight * (result.meanSkew - 1) + copyCost(shape, weights) * result.copies / horizons
+  return weights.skewWeight * (result.meanSkew - 1) + copyCost(shape, weights) * PLACEMENT_HORIZONS * result.copies / horizons
 }
 
 const choiceFigure = (runs: readonly DriftRun[], firm: Firm, seed: number): Figure => {
--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -46,8 +46,10 @@
 export const PEER_COPY_BYTES_PER_MS = 1_000_000
 /** Slowdown of the steps of a rank that sends or receives a copy. */
 export const COPY_SLOWDOWN_RATIO = 0.1
-/** Time over which the wait for copies is weighed against the skew. */
+/** The objective counts the skew and the moves of this time. */
 export const PLAN_HORIZON_MS = 60_000
+/** Horizons for which a placement usually stays useful under drift; its copies are paid once for all of them. */
+export const PLACEMENT_HORIZONS = 2
 
 /** Steps between the last known step and the hold; acks and release arrive within it, also after one resend. */
 export const HOLD_MARGIN_STEPS = 12
--- a/src/expertMaps/objective.ts
+++ b/src/expertMaps/objective.ts
@@ -1,4 +1,4 @@
-import { COPY_SLOWDOWN_RATIO, PEER_COPY_BYTES_PER_MS, PLAN_HORIZON_MS } from './constants.js'
+import { COPY_SLOWDOWN_RATIO, PEER_COPY_BYTES_PER_MS, PLACEMENT_HORIZONS, PLAN_HORIZON_MS } from './constants.js'
 import { copiesBetween, itemCountOf, rankLoads } from './expertMap.js'
 import type { ExpertMap, GroupShape, PlanWeights } from './types.js'
 
@@ -25,7 +25,7 @@
 /** Cost of one copy in units of the objective. */
 export const copyCost = (shape: GroupShape, { moveWeight, movesAtOnceMax }: PlanWeights): number => {
   const waitMs = shape.expertBytes / PEER_COPY_BYTES_PER_MS / movesAtOnceMax * COPY_SLOWDOWN_RATIO
-  return moveWeight * (1 / itemCountOf(shape) + waitMs / PLAN_HORIZON_MS)
+  return moveWeight * (1 / itemCountOf(shape) + waitMs / PLAN_HORIZON_MS) / PLACEMENT_HORIZONS
 }
 
 /**
@@ -49,5 +49,6 @@
   const movedRatio = copies / itemCountOf(shape)
   const waitMs = copies * shape.expertBytes / PEER_COPY_BYTES_PER_MS / weights.movesAtOnceMax * COPY_SLOWDOWN_RATIO
   const waitRatio = waitMs / PLAN_HORIZON_MS
-  return { skew, movedRatio, waitRatio, value: weights.skewWeight * skew + weights.moveWeight * (movedRatio + waitRatio) }
+  const value = weights.skewWeight * skew + weights.moveWeight * (movedRatio + waitRatio) / PLACEMENT_HORIZONS
+  return { skew, movedRatio, waitRatio, value }
 }
