--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -30,6 +30,8 @@
 export const PLAN_UNITS_PER_SLICE = 16
 /** Items indexed for one unit of work. */
 export const PLAN_ITEMS_PER_UNIT = 32
+/** Load limits, relative to the perfect split, from which a plan searches. */
+export const PLAN_LIMIT_RATIOS: readonly number[] = [1, 1.02, 1.05, 1.1, 1.2]
 /** Growth of the load limit when no rank can take more below it. */
 export const PLAN_LIMIT_STEP_RATIO = 1.005
 /** Search stops here: a smaller skew drowns in the noise of single steps. */
--- /dev/null
+++ b/src/expertMaps/createLoadAccount.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest'
+import { createRandom } from '../core/index.js'
+import {
+  createLoadAccount, DropReason, type LoadEffect, LoadEffectKind, LoadMessageKind, type LoadSnapshot
+} from './createLoadAccount.js'
+import { createInitialMap, createMap, hostedItems, replicasOf } from './expertMap.js'
+import { STRAGGLER_REPORTS } from './constants.js'
+import type { ExpertMap, GroupShape, RankReport } from './types.js'
+
+const shape: GroupShape = { ranks: 4, experts: 8, layers: 2, expertBytes: 1_000 }
+const initial = createInitialMap(shape)
+/** Item 0 on two ranks, so that a missing rank hides half of its tokens. */
+const replicated = createMap(1, initial.layers.map((layer, index) => index > 0
+  ? layer
+  : [[{ rank: 0, share: 0.5 }, { rank: 1, share: 0.5 }], ...layer.slice(1)]))
+const loadOf = (item: number) => 50 + 10 * item
+const STEPS = 50
+
+const reportOf = (map: ExpertMap, rank: number, round: number, speed = 1): RankReport => {
+  const tokens = hostedItems(map, rank).map(item =>
+    STEPS * loadOf(item) * replicasOf(map, item).find(replica => replica.rank === rank)!.share)
+  const total = tokens.reduce((sum, count) => sum + count, 0)
+  return { rank, incarnation: 'a', step: round * STEPS, steps: STEPS, durationMs: total / speed, mapHash: map.id.hash, tokens }
+}
+
+const createSubject = (map = replicated) => {
+  const account = createLoadAccount({ shape })
+  account.handle({ kind: LoadMessageKind.MapAdopted, map })
+  const report = (message: RankReport): LoadEffect[] => account.handle({ kind: LoadMessageKind.RankReported, report: message })
+  const snapshot = (): LoadSnapshot => {
+    const effect = account.handle({ kind: LoadMessageKind.SnapshotRequested })[0]!
+    if (effect.kind !== LoadEffectKind.SnapshotReady) throw new Error('no snapshot')
+    return effect.snapshot
+  }
+  return { account, report, snapshot }
+}
+
+const expectLoads = ({ loads }: LoadSnapshot) => {
+  loads.forEach((load, item) => expect(load).toBeCloseTo(loadOf(item), 6))
+}
+
+describe('load account', () => {
+  it.each<[string, (reports: RankReport[]) => RankReport[]]>([
+    ['complete', reports => reports],
+    ['doubled', reports => reports.flatMap(report => [report, report])],
+    ['reordered', reports => createRandom(1).shuffle(reports)],
+    ['a third lost', reports => reports.filter((_report, index) => index % 3 !== 0)],
+    ['late by one round', reports => [...reports.slice(4), ...reports.slice(0, 4)]],
+    ['missing from one rank after the first round', reports => reports.filter(({ rank, step }) => rank !== 1 || step <= STEPS)]
+  ])('finds the true load from reports that are %s', (_case, deliver) => {
+    // Guards against averages that sink when the report of one host of an expert is missing.
+    const { report, snapshot } = createSubject()
+    const reports = Array.from({ length: 6 }, (_round, round) =>
+      Array.from({ length: shape.ranks }, (_rank, rank) => reportOf(replicated, rank, round + 1))).flat()
+    deliver(reports).forEach(report)
+    expectLoads(snapshot())
+  })
+
+  it.each<[string, DropReason, Partial<RankReport>]>([
+    ['of an unknown map', DropReason.UnknownMap, { mapHash: 'none' }],
+    ['with the wrong number of counts', DropReason.Malformed, { tokens: [1] }],
+    ['of an unknown rank', DropReason.Malformed, { rank: 9 }],
+    ['delivered twice', DropReason.Duplicate, { step: 100 * STEPS }],
+    ['far behind the newest', DropReason.TooOld, { step: STEPS }]
+  ])('drops a report %s', (_case, reason, change) => {
+    const { report, snapshot } = createSubject()
+    for (let rank = 0; rank < shape.ranks; rank++) report(reportOf(replicated, rank, 100))
+    const dropped = report({ ...reportOf(replicated, 0, 101), ...change })
+    expect(dropped).toEqual([{ kind: LoadEffectKind.ReportDropped, rank: change.rank ?? 0, reason }])
+    expectLoads(snapshot())
+  })
+
+  it('counts reports of the map before a switch', () => {
+    const { account, report, snapshot } = createSubject(initial)
+    account.handle({ kind: LoadMessageKind.MapAdopted, map: replicated })
+    for (let rank = 0; rank < shape.ranks; rank++) {
+      expect(report(reportOf(initial, rank, 1))).toEqual([])
+      expect(report(reportOf(replicated, rank, 2))).toEqual([])
+    }
+    expectLoads(snapshot())
+  })
+
+  it('starts a restarted rank afresh and drops late reports of its earlier run', () => {
+    const { report } = createSubject()
+    report(reportOf(replicated, 0, 9))
+    expect(report({ ...reportOf(replicated, 0, 9), incarnation: 'b' })).toEqual([])
+    expect(report(reportOf(replicated, 0, 10))[0]).toMatchObject({ reason: DropReason.TooOld })
+  })
+
+  it('detects a straggler and its recovery only after several reports', () => {
+    // Guards against moving experts for one slow step, and against never giving load back.
+    const { report, snapshot } = createSubject()
+    const kinds: string[] = []
+    const speeds = [1, 0.5, 1, ...Array.from({ length: STRAGGLER_REPORTS }, () => 0.5), ...Array.from({ length: 8 }, () => 1)]
+    speeds.forEach((speed, index) => {
+      for (let rank = 0; rank < shape.ranks; rank++) {
+        report(reportOf(replicated, rank, index + 1, rank === 2 ? speed : 1)).forEach(({ kind }) => kinds.push(kind))
+      }
+      if (index === 2 + STRAGGLER_REPORTS) expect(snapshot().speeds[2]).toBeCloseTo(0.5, 6)
+    })
+    expect(kinds).toEqual([LoadEffectKind.StragglerDetected, LoadEffectKind.StragglerRecovered])
+    expect(snapshot().speeds[2]).toBeGreaterThan(0.95)
+  })
+
+  it('says how many ranks it heard from', () => {
+    const { report, snapshot } = createSubject()
+    report(reportOf(replicated, 0, 1))
+    expect(snapshot().coverage).toBe(0.25)
+  })
+})
--- a/src/expertMaps/planSearch.ts
+++ b/src/expertMaps/planSearch.ts
@@ -1,5 +1,5 @@
 import {
-  PLAN_COPIES_MAX, PLAN_ITEMS_PER_UNIT, PLAN_LIMIT_STEP_RATIO, PLAN_STEPS_MAX, PLAN_UNITS_PER_SLICE, SKEW_GOAL_RATIO, SKEW_START_RATIO
+  PLAN_COPIES_MAX, PLAN_ITEMS_PER_UNIT, PLAN_LIMIT_RATIOS, PLAN_LIMIT_STEP_RATIO, PLAN_STEPS_MAX, PLAN_UNITS_PER_SLICE, SKEW_GOAL_RATIO, SKEW_START_RATIO
 } from './constants.js'
 import { createMap, itemCountOf } from './expertMap.js'
 import { copyCost } from './objective.js'
@@ -45,12 +45,45 @@
 const WHOLE_SLICE = PLAN_UNITS_PER_SLICE
 const ONE_UNIT = 1
 
+interface Descent {
+  limitRatio: number
+  isStuck: boolean
+  /** Journal position at which the objective was lowest. */
+  position: number
+  value: number
+}
+
+/**
+ * Relieves the slowest rank again and again, up to a limit on the load that the others take. The
+ * limit rises when no rank can take more below it, for instance while a straggler sheds a lot.
+ */
+function * relieveRepeatedly (
+  state: PlanState, { shape, weights }: PlanInput, limitRatio: number
+): Generator<number, Descent> {
+  const perCopy = copyCost(shape, weights)
+  const best: Descent =
+    { limitRatio, isStuck: false, position: state.position, value: weights.skewWeight * skewIn(state) + perCopy * state.copies }
+  state.limitTime = state.idealTime * limitRatio
+  for (let step = 0; step < PLAN_STEPS_MAX && state.copies < PLAN_COPIES_MAX; step++) {
+    const from = state.slowestRank()
+    if (state.timeOf(from) <= state.limitTime * SKEW_GOAL_RATIO) break
+    if (relieve(state, from) === undefined) {
+      best.isStuck = skewIn(state) > SKEW_START_RATIO
+      state.limitTime *= PLAN_LIMIT_STEP_RATIO
+    }
+    const value = weights.skewWeight * skewIn(state) + perCopy * state.copies
+    if (value < best.value) Object.assign(best, { position: state.position, value })
+    yield ONE_UNIT
+  }
+  return best
+}
+
 /**
  * Searches a better map from the current one and yields the units of work done since it last
  * yielded, so that the caller decides how many of them run in one slice.
  *
- * The slowest rank is relieved again and again; the sequence is then cut where the objective was
- * lowest. A high `moveWeight` thus cuts early, and no weight changes the order of the steps.
+ * Each descent is cut where the objective was lowest, so a high `moveWeight` cuts early. Several
+ * limits are tried: a low one ends with the evener ranks, a high one needs fewer copies.
  */
 export function * searchPlan (input: PlanInput): Generator<number, PlanOutcome> {
   const { shape, weights, base, loads, speeds, shouldSearch } = input
@@ -72,26 +105,16 @@
     yield ONE_UNIT
   }
 
-  const perCopy = copyCost(shape, weights)
-  const start = { position: state.position, value: weights.skewWeight * skewIn(state) }
-  let best = start
-  let isStuck = false
-  // The limit rises when no rank can take more below it, for instance while a straggler sheds a lot.
-  for (let step = 0; step < PLAN_STEPS_MAX && state.copies < PLAN_COPIES_MAX; step++) {
-    const from = state.slowestRank()
-    if (state.timeOf(from) <= state.limitTime * SKEW_GOAL_RATIO) break
-    if (relieve(state, from) === undefined) {
-      isStuck = skewIn(state) > SKEW_START_RATIO
-      state.limitTime *= PLAN_LIMIT_STEP_RATIO
-      yield ONE_UNIT
-      continue
-    }
-    const value = weights.skewWeight * skewIn(state) + perCopy * state.copies
-    if (value < best.value) best = { position: state.position, value }
-    yield ONE_UNIT
+  const start = state.position
+  let best = { limitRatio: 1, isStuck: false, position: start, value: weights.skewWeight * skewIn(state) }
+  for (const limitRatio of PLAN_LIMIT_RATIOS) {
+    const found = yield * relieveRepeatedly(state, input, limitRatio)
+    if (found.value < best.value) best = found
+    state.undoTo(start)
   }
+  if (best.position > start) yield * relieveRepeatedly(state, input, best.limitRatio)
   state.undoTo(best.position)
-  if (state.position === 0) return { ...unchanged, isStuck }
+  if (state.position === 0) return { ...unchanged, isStuck: best.isStuck }
   yield WHOLE_SLICE
   const map = createMap(base.id.version + 1, toLayers(state.replicas, shape.experts))
   yield WHOLE_SLICE
@@ -102,9 +125,9 @@
     skewAfter,
     copies,
     gain: weights.skewWeight * (skewBefore - skewAfter),
-    cost: perCopy * copies.length,
+    cost: copyCost(shape, weights) * copies.length,
     retiredCount,
-    isStuck,
+    isStuck: best.isStuck,
     map
   }
 }
