--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -51,7 +51,7 @@
 /** The objective counts the skew and the moves of this time. */
 export const PLAN_HORIZON_MS = 60_000
 /** Horizons for which a placement usually stays useful under drift; its copies are paid once for all of them. */
-export const PLACEMENT_HORIZONS = 2
+export const PLACEMENT_HORIZONS = 3
 
 /** Steps between the last known step and the hold; acks and release arrive within it, also after one resend. */
 export const HOLD_MARGIN_STEPS = 12
