--- a/src/expertMaps/constants.ts
+++ b/src/expertMaps/constants.ts
@@ -27,9 +27,11 @@
 /** Search steps in one plan; reweights cost no copy and need their own bound. */
 export const PLAN_STEPS_MAX = 600
 /** Work units in one slice. A unit costs a few microseconds, so a slice stays far below 5 ms. */
-export const PLAN_UNITS_PER_SLICE = 24
+export const PLAN_UNITS_PER_SLICE = 16
 /** Items indexed for one unit of work. */
 export const PLAN_ITEMS_PER_UNIT = 32
+/** Load limits, relative to the perfect split, from which a plan searches. */
+export const PLAN_LIMIT_RATIOS: readonly number[] = [1, 1.02, 1.05, 1.1, 1.2]
 /** Growth of the load limit when no rank can take more below it. */
 export const PLAN_LIMIT_STEP_RATIO = 1.005
 /** Search stops here: a smaller skew drowns in the noise of single steps. */
@@ -46,8 +48,10 @@
 export const PEER_COPY_BYTES_PER_MS = 1_000_000
 /** Slowdown of the steps of a rank that sends or receives a copy. */
 export const COPY_SLOWDOWN_RATIO = 0.1
-/** Time over which the wait for copies is weighed against the skew. */
+/** The objective counts the skew and the moves of this time. */
 export const PLAN_HORIZON_MS = 60_000
+/** Horizons for which a placement usually stays useful under drift; its copies are paid once for all of them. */
+export const PLACEMENT_HORIZONS = 3
 
 /** Steps between the last known step and the hold; acks and release arrive within it, also after one resend. */
 export const HOLD_MARGIN_STEPS = 12
