--- a/src/configuration/followerTask.ts
+++ b/src/configuration/followerTask.ts
@@ -22,6 +22,8 @@
   onEnd?: (requestId: string, isReached: boolean) => void
   /** Called after each page that leaves no record unread. */
   onCaughtUp?: (offset: number) => void
+  /** Called while neither the log nor any peer leads over a gap. */
+  onGapPersists?: (offset: number) => void
   /** Called when a call to the log fails. */
   onLogFailure?: () => void
 }
@@ -40,7 +42,7 @@
  * task.post({ kind: FollowerMessageKind.OffsetSeen, offset: 12 })
  */
 export const createFollowerTask = <Body, Document extends StateDocument, Own extends { kind: string }>({
-  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onEnd, onCaughtUp, onLogFailure
+  stream, client, core, toPage, toSnapshotRecord, askPeers, sendState, onOwnEffect, onEnd, onCaughtUp, onGapPersists, onLogFailure
 }: FollowerTaskOptions<Body, Document, Own>): Task<FollowerMessage<Body, Document>> => {
   const reportFailure = (error: unknown) => {
     if (!(error instanceof LogUnavailableError)) throw error
@@ -70,6 +72,10 @@
     [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => askPeers(aboveOffset),
     [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) => sendState(peerId, document, retainedSinceMs),
     [FollowerEffectKind.CaughtUp]: ({ offset }) => onCaughtUp?.(offset),
+    [FollowerEffectKind.GapPersists]: ({ offset }) => {
+      log('stream %s has a gap after offset %d that no peer can fill', stream, offset)
+      onGapPersists?.(offset)
+    },
     [FollowerEffectKind.EndReached]: ({ requestId }) => onEnd?.(requestId, true),
     [FollowerEffectKind.EndFailed]: ({ requestId }) => onEnd?.(requestId, false),
     [FollowerEffectKind.AppendSnapshot]: ({ snapshot }) => { append(snapshot) }
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -16,6 +16,13 @@
   shuffle<T> (items: readonly T[]): T[]
 }
 
+/** Spreads neighbouring seeds over all bits; the generator's first numbers would hardly differ without it. */
+const mixSeed = (seed: number): number => {
+  let mixed = Math.imul(seed ^ (seed >>> 16), 0x21f0aaad)
+  mixed = Math.imul(mixed ^ (mixed >>> 15), 0x735a2d97)
+  return mixed ^ (mixed >>> 15)
+}
+
 /**
  * Returns a random source for one component.
  *
@@ -24,7 +31,7 @@
  * const delayMs = random.int(10, 20)
  */
 export const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed | 0)
+  const generator = xoroshiro128plus(mixSeed(seed | 0))
   const next = () => uniformFloat64(generator)
   const int = (min: number, max: number) => uniformInt(generator, min, max)
   const pick = <T>(items: readonly T[]): T => {
--- a/src/nodes/entry/admissionGate.ts
+++ b/src/nodes/entry/admissionGate.ts
@@ -7,6 +7,7 @@
 } from '../../limits/index.js'
 import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
 import type { SubmittedRequest } from '../../requests/index.js'
+import type { Choice } from '../../routing/index.js'
 
 export interface AdmissionGateOptions {
   clock: Clock
@@ -20,12 +21,15 @@
   sendToEntry: (nodeId: string, frame: Frame) => void
 }
 
+/** When the router expects the first token of a request. */
+export type StartPrediction = Pick<Choice, 'predictedFirstTokenMs' | 'predictedWaitMs'>
+
 /** Customer limits, retry budgets and the refusal of work that would be late, at one entry. */
 export interface AdmissionGate {
   /** Takes the request against its customer's share; returns a code if it is refused. */
   admitCustomer (request: SubmittedRequest): ResultCode | undefined
   /** Refuses a request whose predicted first token would come too late. */
-  admitPrediction (request: SubmittedRequest, predictedFirstTokenMs: number): ResultCode | undefined
+  admitPrediction (request: SubmittedRequest, prediction: StartPrediction): ResultCode | undefined
   takeRetry (request: SubmittedRequest): boolean
   noteFirstBytes (request: SubmittedRequest): void
   noteEnded (request: SubmittedRequest): void
@@ -108,7 +112,7 @@
       })
       return effect?.kind === CustomerLimitsEffectKind.Refused ? effect.code : undefined
     },
-    admitPrediction: (request, predictedFirstTokenMs) => {
+    admitPrediction: (request, { predictedFirstTokenMs, predictedWaitMs }) => {
       const { requestId, customer, deadlineAtMs, estimatedTokens, pool: poolName } = request
       const isService = pool(poolName)?.upstreamKind === UpstreamKind.Service
       const [effect] = admissionOf(poolName).handle({
@@ -118,7 +122,8 @@
         priority: route(request.route)?.priority ?? Priority.Standard,
         tokens: isService ? 1 : estimatedTokens,
         deadlineMs: deadlineAtMs,
-        predictedFirstTokenMs
+        predictedFirstTokenMs,
+        predictedWaitMs
       })
       return effect?.kind === AdmissionEffectKind.Refused ? effect.code : undefined
     },
--- a/src/nodes/entry/requestPorts.ts
+++ b/src/nodes/entry/requestPorts.ts
@@ -36,7 +36,7 @@
   const chooseAnywhere = (request: SubmittedRequest, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode => {
     const agent = routers.choose(request, excludedAgentIds)
     if (typeof agent === 'number' || excludedAgentIds.length > 0) return agent
-    return admission.admitPrediction(request, agent.choice.predictedFirstTokenMs) ?? agent
+    return admission.admitPrediction(request, agent.choice) ?? agent
   }
 
   const chooseAlone = (request: SubmittedRequest, agentId: string, excludedAgentIds: readonly string[]): ChosenAgent | ResultCode => {
--- a/src/nodes/localFleet.ts
+++ b/src/nodes/localFleet.ts
@@ -31,7 +31,7 @@
 }
 
 const randomIncarnation = () => randomBytes(8).toString('hex')
-const POLL_MS = 20
+const POLL_MS = 50
 
 /**
  * Starts a log stand-in and returns a fleet to add nodes to.
