Place models, versions, roles and adapters by the lease holder

Cause: the orders slice had no tasks; operators' edits of a pool did not reach engines. Change: placement task at the entry (lease stream, holder, planning from asked engine states), orders task at the agent with the fencing gate, order client on one connection, peer states per stream. The first claim of an empty stream waits for the jitter only. Before: engines kept what they ran. Conclusion: all streams of the log now have their readers.

--- a/src/links/constants.ts
+++ b/src/links/constants.ts
@@ -28,7 +28,11 @@
   LimitShare = 'limit-share',
   Notice = 'notice',
   StartedAlone = 'started-alone',
-  GroupRoster = 'group-roster'
+  GroupRoster = 'group-roster',
+  EngineStateRequest = 'engine-state-request',
+  EngineState = 'engine-state',
+  FenceQuery = 'fence-query',
+  FenceConfirmed = 'fence-confirmed'
 }
 
 /** Role of a process that opens or accepts a link. */
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -6,12 +6,13 @@
   type PeerIdentity, splitAddress
 } from '../../links/index.js'
 import { MetricName } from '../../observe/index.js'
-import { createUpstreamClient } from '../../platform/index.js'
+import { createOrderClient, createUpstreamClient } from '../../platform/index.js'
 import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
 import { waitForDrain } from '../waitForDrain.js'
 import { createGuardTask } from './guardTask.js'
 import { createKeyedRunsTask } from './keyedRunsTask.js'
+import { createOrdersTask } from './ordersTask.js'
 import { createPoolRowHolder } from './poolRowHolder.js'
 import { createRegistration } from './registration.js'
 import { createRunsTask } from './runsTask.js'
@@ -77,7 +78,13 @@
   })
   const runs = createRunsTask({ clock, agentId: settings.nodeId, upstream, guard, tracing, sendTo })
   const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, guard, tracing, sendTo })
-  const poolRow = createPoolRowHolder(row => keyedRuns.setWindow(row.onceWindowMs))
+  const orderClient = createOrderClient(settings.upstreamUrl)
+  const pickEntryLink = () => [...openLinks.values()].find(({ peer }) => peer.role === NodeRole.Entry)?.link.linkId
+  const orders = createOrdersTask({ clock, client: orderClient, sendTo, pickEntryLink })
+  const poolRow = createPoolRowHolder(row => {
+    keyedRuns.setWindow(row.onceWindowMs)
+    orders.setRow(row)
+  })
 
   const frameHandlers: Partial<Record<FrameKind, (linkId: string, frame: Frame) => void>> = {
     [FrameKind.Run]: runs.onRun,
@@ -87,7 +94,10 @@
     [FrameKind.VoidIfUnseen]: keyedRuns.onVoidIfUnseen,
     [FrameKind.Detach]: keyedRuns.onDetach,
     [FrameKind.Rows]: (_linkId, frame) => poolRow.offer(frame),
-    [FrameKind.Notice]: (_linkId, frame) => guard.onNotice(frame)
+    [FrameKind.Notice]: (_linkId, frame) => guard.onNotice(frame),
+    [FrameKind.Assignment]: (_linkId, frame) => orders.onAssignment(frame),
+    [FrameKind.FenceConfirmed]: (_linkId, frame) => orders.onFenceConfirmed(frame),
+    [FrameKind.EngineStateRequest]: linkId => orders.onEngineStateRequest(linkId)
   }
 
   const forgetLink = (linkId: string) => {
@@ -149,10 +159,11 @@
     runs.stop()
     keyedRuns.stop()
     guard.stop()
+    orders.stop()
     registration.stop()
     pool.close()
     await server.close()
-    await Promise.all([upstream.stop(), metrics.close(), tracing.close()])
+    await Promise.all([upstream.stop(), orderClient.close(), metrics.close(), tracing.close()])
   }
 
   let stopping: Promise<void> | undefined
--- a/src/nodes/entry/configurationFeed.ts
+++ b/src/nodes/entry/configurationFeed.ts
@@ -1,12 +1,12 @@
-import { type Clock, createLog, type Random } from '../../core/index.js'
+import { type Clock, createLog, FrameError, type Random, type Task } from '../../core/index.js'
 import {
   CONFIGURATION_STREAM, type ConfigurationDocument, configurationDocumentSchema, ConfigurationEffectKind,
   type ConfigurationMessage, type ConfigurationOwnEffect, ConfigurationRecordKind, createConfigurationReader,
   createFollowerTask, FollowerMessageKind, toConfigurationPage, toConfigurationRecord
 } from '../../configuration/index.js'
-import { FrameError, type Task } from '../../core/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import type { Frame } from '../../links/index.js'
 import type { LogClient } from '../../platform/index.js'
+import { parsePeerState, parsePeerStateRequest, toPeerState, toPeerStateRequest } from './peerStateFrames.js'
 import type { RowTable } from './rowTable.js'
 
 const log = createLog('configuration')
@@ -34,16 +34,6 @@
   stop (): void
 }
 
-const asText = (value: unknown): string => {
-  if (typeof value !== 'string') throw new FrameError('field is not text')
-  return value
-}
-
-const asOffset = (value: unknown): number => {
-  if (typeof value !== 'number' || !Number.isInteger(value)) throw new FrameError('field is not an offset')
-  return value
-}
-
 /**
  * Follows the configuration stream into the row table of an entry and exchanges the state with
  * other entries while the log is out.
@@ -69,29 +59,24 @@
     core: createConfigurationReader({ clock, random, retentionMs }),
     toPage: toConfigurationPage,
     toSnapshotRecord: snapshot => toConfigurationRecord({ kind: ConfigurationRecordKind.Snapshot, snapshot }),
-    askPeers: aboveOffset =>
-      sendToPeers({ kind: FrameKind.PeerStateRequest, aboveOffset, replyAddress: ownAddress() }),
+    askPeers: aboveOffset => sendToPeers(toPeerStateRequest(CONFIGURATION_STREAM, aboveOffset, ownAddress())),
     sendState: (peerAddress, document: ConfigurationDocument, retainedSinceMs) =>
-      sendToPeer(peerAddress, { kind: FrameKind.PeerState, document, retainedSinceMs: retainedSinceMs ?? null }),
+      sendToPeer(peerAddress, toPeerState(CONFIGURATION_STREAM, document, retainedSinceMs)),
     onOwnEffect: effect => (onOwnEffect[effect.kind] as (effect: ConfigurationOwnEffect) => void)(effect),
     onLogFailure
   })
 
   return {
     onPeerStateRequest: frame => {
-      task.post({
-        kind: FollowerMessageKind.PeerStateRequested,
-        peerId: asText(frame.replyAddress),
-        aboveOffset: asOffset(frame.aboveOffset)
-      })
+      const { replyAddress, aboveOffset } = parsePeerStateRequest(frame)
+      task.post({ kind: FollowerMessageKind.PeerStateRequested, peerId: replyAddress, aboveOffset })
     },
     onPeerState: frame => {
-      const parsed = configurationDocumentSchema.safeParse(frame.document)
+      const { document, retainedSinceMs } = parsePeerState(frame)
+      const parsed = configurationDocumentSchema.safeParse(document)
       if (!parsed.success) throw new FrameError('peer state is not a configuration document')
       task.post({
-        kind: FollowerMessageKind.PeerStateReceived,
-        document: parsed.data,
-        retainedSinceMs: typeof frame.retainedSinceMs === 'number' ? frame.retainedSinceMs : undefined
+        kind: FollowerMessageKind.PeerStateReceived, document: parsed.data, retainedSinceMs: retainedSinceMs ?? undefined
       })
     },
     noteOffsetSeen: offset => task.post({ kind: FollowerMessageKind.OffsetSeen, offset }),
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -2,7 +2,7 @@
   type Clock, createLog, createRandom, createRequestIds, dispatch, FrameError, type HandlerTable, hash32, type Incarnation,
   ResultCode
 } from '../../core/index.js'
-import { RepeatPolicy } from '../../configuration/index.js'
+import { CONFIGURATION_STREAM, RepeatPolicy } from '../../configuration/index.js'
 import {
   createLinkPool, FrameKind, type Frame, type LinkEvent, LinkEventKind, listenForLinks, NodeRole, type PeerIdentity,
   splitAddress
@@ -10,6 +10,7 @@
 import { BroadcastTopic } from '../../membership/index.js'
 import { MetricName } from '../../observe/index.js'
 import type { BindRequest } from '../../once/index.js'
+import { LEASE_STREAM } from '../../orders/index.js'
 import { createLogClient } from '../../platform/index.js'
 import { cacheEventsFrameSchema, type ChosenAgent, parseFrame, reportFrameSchema, REQUEST_TICK_MS } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
@@ -21,6 +22,7 @@
 import { createKeyedCalls } from './keyedCalls.js'
 import { type MembershipHub, startMembershipHub } from './membershipHub.js'
 import { createOwnerTask, toBoundFrame } from './ownerTask.js'
+import { createPlacementTask, type PlacementTask } from './placementTask.js'
 import { createPoolRouters } from './poolRouters.js'
 import { createQuarantineGate, PlacementKind } from './quarantineGate.js'
 import { createRequestPorts } from './requestPorts.js'
@@ -165,7 +167,10 @@
     owner.setWindow(Math.max(ONCE_WINDOW_DEFAULT_MS, ...table.pools().map(({ onceWindowMs }) => onceWindowMs)))
     hub?.broadcast(BroadcastTopic.ConfigurationOffset, String(offset), { offset }, OFFSET_BROADCAST_LIFETIME_MS)
     onMembersChanged()
-    subsetAgents().forEach(sendRow)
+    subsetAgents().forEach(peer => {
+      sendRow(peer)
+      placement.sendAssignment(peer)
+    })
   }
 
   const feed = createConfigurationFeed({
@@ -174,13 +179,30 @@
     random,
     retentionMs: settings.logRetentionMs,
     table,
-    sendToPeers: frame => random.shuffle(peersOrSeeds()).slice(0, PEERS_ASKED).forEach(address => sendTo(address, frame)),
+    sendToPeers: frame => sendToPeers(frame),
     sendToPeer: sendTo,
     ownAddress: () => linkAddress,
     onRowsChanged,
     onLogFailure: () => metrics.record(MetricName.LogFailuresTotal, 1)
   })
 
+  const sendToPeers = (frame: Frame) =>
+    random.shuffle(peersOrSeeds()).slice(0, PEERS_ASKED).forEach(address => sendTo(address, frame))
+
+  const placement = createPlacementTask({
+    client: logClient,
+    clock,
+    random,
+    incarnation,
+    retentionMs: settings.logRetentionMs,
+    pools: table.pools,
+    agents: name => hub?.agents(name) ?? [],
+    linkedAgents: subsetOf,
+    sendTo,
+    sendToPeers,
+    ownAddress: () => linkAddress
+  })
+
   const onReport = (peer: PeerIdentity, frame: Frame) => {
     const report = parseFrame(reportFrameSchema, frame)
     if (report.isUp) routers.addAgent(peer)
@@ -188,13 +210,18 @@
     routers.noteReport(peer.nodeId, report)
   }
 
+  const streamOwners: Record<string, Pick<PlacementTask, 'onPeerStateRequest' | 'onPeerState'>> =
+    { [CONFIGURATION_STREAM]: feed, [LEASE_STREAM]: placement }
+
   const frameHandlers: Partial<Record<FrameKind, (peer: PeerIdentity, frame: Frame) => void>> = {
     ...requests.frameHandlers,
     [FrameKind.Report]: onReport,
     [FrameKind.CacheEvents]: (peer, frame) => routers.noteCacheEvents(peer.nodeId, parseFrame(cacheEventsFrameSchema, frame)),
     [FrameKind.Drain]: peer => routers.setDraining(peer.nodeId),
-    [FrameKind.PeerStateRequest]: (_peer, frame) => feed.onPeerStateRequest(frame),
-    [FrameKind.PeerState]: (_peer, frame) => feed.onPeerState(frame),
+    [FrameKind.PeerStateRequest]: (_peer, frame) => streamOwners[String(frame.stream)]?.onPeerStateRequest(frame),
+    [FrameKind.PeerState]: (_peer, frame) => streamOwners[String(frame.stream)]?.onPeerState(frame),
+    [FrameKind.EngineState]: (peer, frame) => placement.onEngineState(peer, frame),
+    [FrameKind.FenceQuery]: peer => placement.onFenceQuery(peer),
     [FrameKind.Bind]: (_peer, frame) => owner.onBind(frame),
     [FrameKind.Bound]: (_peer, frame) => keyedCalls.onBound(frame),
     [FrameKind.KeyReply]: (peer, frame) => keyedCalls.onKeyReply(peer, frame),
@@ -219,6 +246,7 @@
       if (peer.role !== NodeRole.Agent) return
       routers.addAgent(peer)
       sendRow(peer)
+      placement.sendAssignment(peer)
       quarantine.onAgentLinked(peer)
       keyedCalls.onAgentLinked(peer)
       requests.onAgentLinked(peer)
@@ -236,7 +264,8 @@
 
   /** Agents register by a link of their own, for which this entry vouches in gossip. */
   const onRegistrationFrame: Partial<Record<FrameKind, (peer: PeerIdentity) => void>> = {
-    [FrameKind.Drain]: ({ nodeId }) => hub?.noteAgentDraining(nodeId)
+    [FrameKind.Drain]: ({ nodeId }) => hub?.noteAgentDraining(nodeId),
+    [FrameKind.FenceQuery]: peer => placement.onFenceQuery(peer)
   }
 
   const acceptedHandlers: HandlerTable<LinkEvent, void> = {
@@ -278,6 +307,8 @@
       liveRequests: liveCount(),
       linkedAgents: routers.agentCount,
       ownedShards: owner.ownedCount,
+      holdsPlacementLease: placement.isHolder,
+      leaseClaimOffset: placement.claimOffset,
       entries: hub?.entries() ?? [],
       agents: hub?.agents() ?? []
     }),
@@ -332,6 +363,7 @@
     requests.stop()
     owner.stop()
     feed.stop()
+    placement.stop()
     pool.close()
     await front.close()
     await Promise.all([server.close(), membership.stop(), logClient.close(), metrics.close(), tracing.close()])
--- /dev/null
+++ b/src/nodes/entry/placementTask.ts
@@ -0,0 +1,223 @@
+import { createFollowerTask, FollowerMessageKind, type PoolRow, UpstreamKind } from '../../configuration/index.js'
+import {
+  type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type Incarnation, LogUnavailableError,
+  type Random, type Task, type TimestampMs
+} from '../../core/index.js'
+import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
+import {
+  createLeaseHolder, createLeaseReader, engineStateFrameSchema, type EngineState, type HolderEffect, HolderEffectKind,
+  type HolderMessage, HolderMessageKind, LEASE_STREAM, type LeaseDocument, leaseDocumentSchema, LeaseEffectKind,
+  LeaseRecordKind, type LeaseMessage, type LeaseOwnEffect, type Placement, planPlacement, type PoolAssignment, toLeasePage
+} from '../../orders/index.js'
+import type { LogClient } from '../../platform/index.js'
+import { parseFrame } from '../../requests/index.js'
+import { parsePeerState, parsePeerStateRequest, toPeerState, toPeerStateRequest } from './peerStateFrames.js'
+
+const log = createLog('orders')
+
+const HOLDER_TICK_MS = 500
+const PLAN_INTERVAL_MS = 2_000
+/** The holder asks engines that changed recently more often than settled ones. */
+const STATE_INTERVAL_MS = 30_000
+const CHANGING_STATE_INTERVAL_MS = 2_000
+/** A new holder plans without agents that have not answered after this time. */
+const STATE_WAIT_MS = 10_000
+
+export interface PlacementTaskOptions {
+  client: LogClient
+  clock: Clock
+  random: Random
+  incarnation: Incarnation
+  retentionMs: number
+  pools: () => PoolRow[]
+  /** Live agents of a pool over the whole fleet. */
+  agents: (pool: string) => PeerIdentity[]
+  /** Agents of a pool that this entry is linked to. */
+  linkedAgents: (pool: string) => PeerIdentity[]
+  sendTo: (address: string, frame: Frame) => void
+  sendToPeers: (frame: Frame) => void
+  ownAddress: () => string
+}
+
+/** Follows the lease stream, passes assignments to linked agents and plans them while it holds the lease. */
+export interface PlacementTask {
+  /** Sends an agent its assignment and the claim in effect. */
+  sendAssignment (peer: PeerIdentity): void
+  onEngineState (peer: PeerIdentity, frame: Frame): void
+  onFenceQuery (peer: PeerIdentity): void
+  onPeerStateRequest (frame: Frame): void
+  onPeerState (frame: Frame): void
+  readonly isHolder: boolean
+  readonly claimOffset: number
+  stop (): void
+}
+
+/**
+ * Creates the task of one entry. Any entry may become the holder; with the log out, placements
+ * stand still and serving goes on.
+ *
+ * @example
+ * const placement = createPlacementTask({ client, clock, random, incarnation, retentionMs, ... })
+ * placement.sendAssignment(peer)
+ */
+export const createPlacementTask = (options: PlacementTaskOptions): PlacementTask => {
+  const { client, clock, random, incarnation, retentionMs, pools, agents, linkedAgents, sendTo, sendToPeers, ownAddress } = options
+  const assignments = new Map<string, PoolAssignment>()
+  const engineStates = new Map<string, { state: EngineState, incarnation: Incarnation }>()
+  const askedMs = new Map<string, TimestampMs>()
+  const fenceWaiters = new Map<string, PeerIdentity>()
+  let claimOffset = 0
+  let isHolder = false
+  let holderSinceMs = 0
+  let fenceQueryCount = 0
+
+  const placementOf = ({ nodeId, pool }: PeerIdentity): { assignment: PoolAssignment, placement: Placement } | undefined => {
+    const assignment = pool === undefined ? undefined : assignments.get(pool)
+    const placement = assignment?.placements.find(({ agentId }) => agentId === nodeId)
+    return assignment && placement && { assignment, placement }
+  }
+
+  const assignmentFor = (peer: PeerIdentity) => {
+    const found = placementOf(peer)
+    if (found === undefined) return {}
+    const { assignment: { claimOffset: token, sequence }, placement: { role, model, version, adapters } } = found
+    return { assignment: { token, sequence, desired: { role, model, adapters, ...(version === undefined ? {} : { version }) } } }
+  }
+
+  const sendAssignment = (peer: PeerIdentity) => {
+    if (claimOffset === 0) return
+    sendTo(peer.address, { kind: FrameKind.Assignment, claimOffset, ...assignmentFor(peer) })
+  }
+
+  const enginePools = () => pools().filter(({ upstreamKind }) => upstreamKind === UpstreamKind.Engine)
+  const sendToLinked = (pool: string) => linkedAgents(pool).forEach(sendAssignment)
+
+  const readerHandlers: { [Kind in LeaseOwnEffect['kind']]: (effect: Extract<LeaseOwnEffect, { kind: Kind }>) => void } = {
+    [LeaseEffectKind.ClaimInEffect]: ({ claim }) => {
+      claimOffset = claim.offset
+      holder.post({ kind: HolderMessageKind.ClaimInEffect, claim })
+      enginePools().forEach(({ name }) => sendToLinked(name))
+    },
+    [LeaseEffectKind.HolderSeen]: () => { holder.post({ kind: HolderMessageKind.HolderSeen }) },
+    [LeaseEffectKind.AssignmentAccepted]: ({ assignment }) => {
+      assignments.set(assignment.pool, assignment)
+      holder.post({ kind: HolderMessageKind.AssignmentAccepted, assignment })
+      sendToLinked(assignment.pool)
+    },
+    [LeaseEffectKind.RecordVoided]: ({ offset, reason }) => log('record %d of the lease stream is void: %s', offset, reason)
+  }
+
+  const reader: Task<LeaseMessage> = createFollowerTask({
+    stream: LEASE_STREAM,
+    client,
+    core: createLeaseReader({ clock, random, retentionMs }),
+    toPage: toLeasePage,
+    toSnapshotRecord: snapshot => ({ kind: LeaseRecordKind.Snapshot, snapshot }),
+    askPeers: aboveOffset => sendToPeers(toPeerStateRequest(LEASE_STREAM, aboveOffset, ownAddress())),
+    sendState: (address, document: LeaseDocument, retainedSinceMs) => sendTo(address, toPeerState(LEASE_STREAM, document, retainedSinceMs)),
+    onOwnEffect: effect => (readerHandlers[effect.kind] as (effect: LeaseOwnEffect) => void)(effect),
+    onCaughtUp: () => holder.post({ kind: HolderMessageKind.LogRead }),
+    onGapPersists: () => holder.post({ kind: HolderMessageKind.GapPersists }),
+    onEnd: (requestId, isReached) => {
+      const peer = fenceWaiters.get(requestId)
+      fenceWaiters.delete(requestId)
+      if (peer !== undefined && isReached) sendTo(peer.address, { kind: FrameKind.FenceConfirmed, claimOffset })
+    }
+  })
+
+  const append = async (record: Extract<HolderEffect, { kind: HolderEffectKind.AppendRecord }>['record']) => {
+    try {
+      await client.append(LEASE_STREAM, record)
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error
+      log('%s', error.message)
+    }
+  }
+
+  const holderPerformers: HandlerTable<HolderEffect, void> = {
+    [HolderEffectKind.AppendRecord]: ({ record }) => { append(record) },
+    [HolderEffectKind.HoldingChanged]: effect => {
+      isHolder = effect.isHolder
+      holderSinceMs = clock.nowMs()
+      log(isHolder ? 'this entry holds the placement lease' : 'another entry holds the placement lease')
+    }
+  }
+
+  const holder: Task<HolderMessage> = createTask({
+    name: 'orders', core: createLeaseHolder({ self: incarnation, clock, random }), perform: effect => dispatch(holderPerformers, effect)
+  })
+  holder.tickEvery(HOLDER_TICK_MS, () => ({ kind: HolderMessageKind.Tick }))
+
+  const runningOf = ({ nodeId, incarnation: run }: PeerIdentity): EngineState | undefined => {
+    const known = engineStates.get(nodeId)
+    return known?.incarnation === run ? known.state : undefined
+  }
+
+  const isSettled = (peer: PeerIdentity): boolean => {
+    const running = runningOf(peer)
+    const wanted = placementOf(peer)?.placement
+    return running !== undefined && wanted !== undefined && running.model === wanted.model && running.role === wanted.role &&
+      running.version === wanted.version
+  }
+
+  const askState = (peer: PeerIdentity) => {
+    const intervalMs = isSettled(peer) ? STATE_INTERVAL_MS : CHANGING_STATE_INTERVAL_MS
+    if (clock.nowMs() - (askedMs.get(peer.nodeId) ?? 0) < intervalMs) return
+    askedMs.set(peer.nodeId, clock.nowMs())
+    sendTo(peer.address, { kind: FrameKind.EngineStateRequest })
+  }
+
+  const planPool = (pool: PoolRow) => {
+    const live = agents(pool.name)
+    live.forEach(askState)
+    // Without the state of its engine an agent can't be told from one that is changing.
+    const known = live.filter(peer => runningOf(peer) !== undefined)
+    const isWaiting = known.length < live.length && clock.nowMs() - holderSinceMs < STATE_WAIT_MS
+    if (known.length === 0 || isWaiting) return
+    const placements = planPlacement({
+      pool,
+      agents: known.map(peer => ({ agentId: peer.nodeId, failureDomain: peer.failureDomain, running: runningOf(peer) })),
+      current: assignments.get(pool.name)?.placements ?? []
+    })
+    holder.post({ kind: HolderMessageKind.PlacementsWanted, pool: pool.name, placements })
+  }
+
+  const plan = () => {
+    if (!isHolder) return
+    const names = new Set(enginePools().map(({ name }) => name))
+    for (const pool of assignments.keys()) if (!names.has(pool)) holder.post({ kind: HolderMessageKind.PoolRemoved, pool })
+    enginePools().forEach(planPool)
+  }
+
+  const planTimer = setInterval(plan, PLAN_INTERVAL_MS)
+  planTimer.unref()
+
+  return {
+    sendAssignment,
+    onEngineState: ({ nodeId, incarnation: run }, frame) => {
+      engineStates.set(nodeId, { state: parseFrame(engineStateFrameSchema, frame).state, incarnation: run })
+    },
+    onFenceQuery: peer => {
+      const requestId = `fence-${fenceQueryCount++}`
+      fenceWaiters.set(requestId, peer)
+      reader.post({ kind: FollowerMessageKind.EndRequested, requestId })
+    },
+    onPeerStateRequest: frame => {
+      const { replyAddress, aboveOffset } = parsePeerStateRequest(frame)
+      reader.post({ kind: FollowerMessageKind.PeerStateRequested, peerId: replyAddress, aboveOffset })
+    },
+    onPeerState: frame => {
+      const { document, retainedSinceMs } = parsePeerState(frame)
+      const parsed = leaseDocumentSchema.safeParse(document)
+      if (!parsed.success) throw new FrameError('peer state is not a lease document')
+      reader.post({ kind: FollowerMessageKind.PeerStateReceived, document: parsed.data, retainedSinceMs: retainedSinceMs ?? undefined })
+    },
+    get isHolder () { return isHolder },
+    get claimOffset () { return claimOffset },
+    stop: () => {
+      clearInterval(planTimer)
+      holder.stop()
+      reader.stop()
+    }
+  }
+}
--- a/src/orders/createLeaseHolder.ts
+++ b/src/orders/createLeaseHolder.ts
@@ -80,7 +80,8 @@
 
   const restartSilence = () => {
     silentSinceMs = clock.nowMs()
-    claimAfterMs = LEASE_DURATION_MS + random.next() * LEASE_CLAIM_JITTER_MS
+    // Without a claim there is no holder whose pause must be awaited.
+    claimAfterMs = (claim === undefined ? 0 : LEASE_DURATION_MS) + random.next() * LEASE_CLAIM_JITTER_MS
   }
   restartSilence()
 
--- /dev/null
+++ b/src/platform/createOrderClient.ts
@@ -0,0 +1,33 @@
+import { createJsonClient } from './httpJson.js'
+import { type EngineState, engineStateAnswerSchema, OrderResult } from '../orders/index.js'
+
+const ORDER_TIMEOUT_MS = 600_000
+/** Orders and questions must reach the engine in order, and a loss must mean a closed connection. */
+const ORDER_CONNECTIONS = 1
+
+/** An engine's interface for orders. */
+export interface OrderClient {
+  /** Rejects if the answer is lost; the order may have been carried out. */
+  order (token: number, order: unknown): Promise<OrderResult>
+  readState (): Promise<{ state: EngineState, isBusy: boolean }>
+  close (): Promise<void>
+}
+
+/**
+ * Creates the client for an engine's orders; it uses one connection.
+ *
+ * @example
+ * const client = createOrderClient('http://127.0.0.1:7301')
+ * await client.order(token, { kind: OrderKind.LoadModel, model: 'quote-model' })
+ */
+export const createOrderClient = (baseUrl: string): OrderClient => {
+  const json = createJsonClient(baseUrl, ORDER_TIMEOUT_MS, ORDER_CONNECTIONS)
+  return {
+    order: async (token, order) => {
+      const { accepted } = await json.call<{ accepted: boolean }>('POST', '/orders', { fence: token, order })
+      return accepted ? OrderResult.Done : OrderResult.RefusedStale
+    },
+    readState: async () => engineStateAnswerSchema.parse(await json.call('GET', '/state')),
+    close: () => json.close()
+  }
+}
--- a/src/platform/createUpstreamClient.ts
+++ b/src/platform/createUpstreamClient.ts
@@ -48,8 +48,6 @@
   run (call: UpstreamCall, listener: UpstreamListener): () => void
   load (): Promise<UpstreamLoad>
   cacheEvents (afterSequence: number): Promise<CacheEvent[]>
-  /** Gives the engine an order; throws BaobabdriftError with FenceSuperseded if it refuses the fencing token. */
-  order (fence: number, order: unknown): Promise<void>
   close (): Promise<void>
 }
 
@@ -122,10 +120,6 @@
     run,
     load: () => json.call('GET', '/load'),
     cacheEvents: afterSequence => json.call('GET', `/cache-events?after=${afterSequence}`),
-    order: async (fence, order) => {
-      const { accepted } = await json.call<{ accepted: boolean }>('POST', '/orders', { fence, order })
-      if (!accepted) throw new BaobabdriftError(ResultCode.FenceSuperseded)
-    },
     close: async () => {
       await Promise.all([pool.destroy(), json.close()])
     }
--- a/src/platform/httpJson.ts
+++ b/src/platform/httpJson.ts
@@ -18,9 +18,9 @@
  * const client = createJsonClient('http://127.0.0.1:7001', 2_000)
  * const page = await client.call<LogPage>('GET', '/streams/configuration/records?from=1')
  */
-export const createJsonClient = (baseUrl: string, timeoutMs: number): JsonClient => {
+export const createJsonClient = (baseUrl: string, timeoutMs: number, connections = CONNECTIONS_MAX): JsonClient => {
   const pool = new Pool(baseUrl, {
-    connections: CONNECTIONS_MAX, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: { timeout: timeoutMs }
+    connections, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, connect: { timeout: timeoutMs }
   })
   return {
     call: async <T>(method: 'GET' | 'POST', path: string, body?: unknown): Promise<T> => {
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -1,5 +1,6 @@
 import fastify, { type FastifyReply } from 'fastify'
 import { fingerprint } from '../core/index.js'
+import { applyOrder, type EngineOrder, type EngineState } from '../orders/index.js'
 import type { CacheEvent } from '../platform/index.js'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
 
@@ -28,7 +29,8 @@
   readonly startedRuns: number
   readonly crashCount: number
   /** Orders that were carried out, with their fencing tokens. */
-  readonly orders: ReadonlyArray<{ fence: number, order: unknown }>
+  readonly orders: ReadonlyArray<{ fence: number, order: EngineOrder }>
+  readonly state: EngineState
   /** Drops all connections and refuses new ones for the restart time. */
   crash (): void
 }
@@ -63,7 +65,8 @@
 }: EngineStandInOptions = {}): Promise<EngineStandIn> => {
   const waiting: Generation[] = []
   const running = new Set<Generation>()
-  const orders: { fence: number, order: unknown }[] = []
+  const orders: { fence: number, order: EngineOrder }[] = []
+  let state: EngineState = { adapters: [] }
   const cachedBlocks = new Set<string>()
   const cacheEvents: CacheEvent[] = []
   let highestFence = 0
@@ -109,6 +112,7 @@
     cacheEvents.length = 0
     eventSequence = 0
     loadSequence = 0
+    state = { adapters: [] }
     app.server.closeAllConnections()
   }
 
@@ -178,13 +182,16 @@
   app.get<{ Querystring: { after?: string } }>('/cache-events', async request =>
     cacheEvents.filter(({ sequence }) => sequence > Number(request.query.after ?? 0)))
 
-  app.post<{ Body: { fence: number, order: unknown } }>('/orders', async ({ body }) => {
+  app.post<{ Body: { fence: number, order: EngineOrder } }>('/orders', async ({ body }) => {
     if (checksFence && body.fence < highestFence) return { accepted: false }
     highestFence = Math.max(highestFence, body.fence)
     orders.push(body)
+    state = applyOrder(state, body.order)
     return { accepted: true }
   })
 
+  app.get('/state', async () => ({ state, isBusy: false }))
+
   const timer = setInterval(step, tokenIntervalMs)
   const server = await listenOnLoopback(app, port)
   return {
@@ -192,6 +199,7 @@
     get startedRuns () { return startedRuns },
     get crashCount () { return crashCount },
     orders,
+    get state () { return state },
     crash,
     close: async () => {
       clearInterval(timer)
