Make a start of the whole fleet cheaper

Cause: 120 entries that start at once took over 30 s to see each other; entries that share an agent announced it several times, and members used up their budgets on small pages. Change: another announcer is no news, pages are asked for once per tick, a record is pushed twice only.

--- a/bench/control/fleetRun.ts
+++ b/bench/control/fleetRun.ts
@@ -1,14 +1,15 @@
 import type { Random } from '../../src/core/index.js'
 import { NodeRole, type PeerIdentity } from '../../src/links/index.js'
 import {
-  assignSubsets, BroadcastTopic, type GossipEffect, GossipEffectKind, GossipMessageKind, isGone, MemberStatus
+  assignSubsets, BroadcastTopic, type GossipEffect, GossipEffectKind, GossipMessageKind, isGone, MemberStatus, START_MS
 } from '../../src/membership/index.js'
 import { mean, percentile } from '../harness/index.js'
 import { createConfigurationFake } from './configurationFake.js'
 import { createGossipFleet, type FleetNode, type GossipFleet } from './gossipFleet.js'
 import { agentsFor, LOSSY, POOLS, SUBSET_SIZE } from './sizes.js'
 
-const START_UP_MS = 45_000
+/** The larger send budget of a start ends before the steady part begins. */
+const START_UP_MS = START_MS + 10_000
 const STEADY_MS = 60_000
 const CHANGE_INTERVAL_MS = 4_000
 const LOAD_CHANGE_MS = 5_000
--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -85,7 +85,7 @@
 export const SEND_BURST_BYTES = 7_200
 /** A process that starts fetches the whole list, 90 KB at full size, and may pay for it at once. */
 export const START_SEND_BYTES_PER_S = 12_000
-export const START_MS = 30_000
+export const START_MS = 60_000
 /** Load news is batched, because a datagram costs about 100 bytes before its first rumor. */
 export const LOAD_FLUSH_INTERVAL_MS = 1_000
 /** Each node passes on load news this often; a member that misses one gets the next. */
--- a/src/membership/gossipMembers.ts
+++ b/src/membership/gossipMembers.ts
@@ -79,12 +79,12 @@
     const { nodeId } = incoming.identity
     const { result, before, after } = merge(incoming)
     if (after === undefined || result === MergeResult.Same || result === MergeResult.Older) return result
-    const isLoadOnly = before !== undefined && before.version === after.version && before.status === after.status &&
-      before.isDraining === after.isDraining && before.announcerId === after.announcerId
-    const rumorKind = result === MergeResult.NewIdentity
-      ? RumorKind.Record
-      : isLoadOnly ? RumorKind.Load : RumorKind.Status
-    queueMember(context, rumorKind, nodeId)
+    const isSameState = before !== undefined && before.version === after.version && before.status === after.status &&
+      before.isDraining === after.isDraining
+    if (result === MergeResult.NewIdentity) queueMember(context, RumorKind.Record, nodeId)
+    else if (!isSameState) queueMember(context, RumorKind.Status, nodeId)
+    // Another announcer of the same version is no news.
+    else if (before.loadVersion !== after.loadVersion) queueMember(context, RumorKind.Load, nodeId)
     const isNowGone = isGone(after.status) && (before === undefined || !isGone(before.status))
     if (isNowGone && after.identity.role === NodeRole.Entry) orphanAgents(nodeId)
     return result
--- a/src/membership/gossipSync.ts
+++ b/src/membership/gossipSync.ts
@@ -5,6 +5,7 @@
 import { buildMemberRumor, type GossipContext, sendMembers } from './gossipContext.js'
 import { type IntakeResult, rumorsAboutSender } from './gossipMembers.js'
 import { measureRumor } from './rumorSize.js'
+import type { TableRow } from './memberTable.js'
 import type { Datagram, Rumor } from './types.js'
 
 type DatagramOf<Kind extends DatagramKind> = Extract<Datagram, { kind: Kind }>
@@ -30,6 +31,8 @@
 export const createGossipSync = (context: GossipContext): GossipSync => {
   const { clock, random, table, broadcasts } = context
   let pending: { sentMs: number, fromBucket: number, tries: number } | undefined
+  /** Bucket from which an unfinished comparison goes on. */
+  let resumeBucket: number | undefined
   // The first comparison follows the first contact with a member.
   let nextSyncMs = 0
 
@@ -61,6 +64,11 @@
       else pending = undefined
       return
     }
+    if (resumeBucket !== undefined) {
+      request(resumeBucket, 1)
+      resumeBucket = undefined
+      return
+    }
     if (context.isSyncWanted) {
       context.isSyncWanted = false
       nextSyncMs = Math.min(nextSyncMs, nowMs + random.int(0, SYNC_INTERVAL_MS / 10))
@@ -72,12 +80,18 @@
     request(random.int(0, SYNC_BUCKETS - 1), 1)
   }
 
-  /** Rows that differ, from a bucket on around the circle, in random order inside each bucket. */
-  const differingRows = (digest: Uint8Array, fromBucket: number) => {
+  /** Rows that differ, from a bucket on around the circle, from a random one on inside each bucket. */
+  const differingRows = (digest: Uint8Array, fromBucket: number): TableRow[] => {
     const view = new DataView(digest.buffer, digest.byteOffset, digest.byteLength)
-    const distance = (bucket: number) => (bucket - fromBucket + SYNC_BUCKETS) % SYNC_BUCKETS
-    const differing = [...table.values()].filter(({ bucket }) => view.getUint32(bucket * 4) !== table.digest[bucket])
-    return random.shuffle(differing).sort((a, b) => distance(a.bucket) - distance(b.bucket))
+    const byDistance: TableRow[][] = Array.from({ length: SYNC_BUCKETS }, () => [])
+    for (const row of table.values()) {
+      if (view.getUint32(row.bucket * 4) === table.digest[row.bucket]) continue
+      byDistance[(row.bucket - fromBucket + SYNC_BUCKETS) % SYNC_BUCKETS]!.push(row)
+    }
+    return byDistance.flatMap(rows => {
+      const first = rows.length < 2 ? 0 : random.int(0, rows.length - 1)
+      return [...rows.slice(first), ...rows.slice(0, first)]
+    })
   }
 
   const differingBroadcasts = (digest: Uint8Array): Rumor[] => {
@@ -121,7 +135,9 @@
     // The sender of the page lags behind in these.
     sendMembers(context, RumorKind.Record, olderIds, sourceAddress)
     // A page without anything new ends the comparison: the other side may only lack what we have.
-    if (nextBucket >= 0 && changedCount > 0) request(nextBucket, 1)
+    // The next page is asked for at the next tick: in a fleet that starts at once, faster requests use
+    // up the budgets of all members on small pages.
+    if (nextBucket >= 0 && changedCount > 0) resumeBucket = nextBucket
   }
 
   return {
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -44,11 +44,12 @@
   STATUS_RANK[a.status] - STATUS_RANK[b.status] ||
   compareText(a.announcerId ?? '', b.announcerId ?? '')
 
-// Gone members are left out: nodes forget them at different times and would differ for no reason.
-const digestHashOf = ({ identity, version, status, isDraining, announcerId }: MemberRecord) =>
+// Gone members are left out: nodes forget them at different times and would differ for no reason. So is
+// the announcer: several entries announce an agent at once, and members may keep different ones.
+const digestHashOf = ({ identity, version, status, isDraining }: MemberRecord) =>
   isGone(status)
     ? 0
-    : hash32(`${identity.nodeId}/${identity.incarnation}/${version}/${status}/${isDraining}/${announcerId ?? ''}`)
+    : hash32(`${identity.nodeId}/${identity.incarnation}/${version}/${status}/${isDraining}`)
 
 /** The member list with a digest by buckets for comparing two lists cheaply. */
 export interface MemberTable {
--- a/src/membership/rumorQueue.ts
+++ b/src/membership/rumorQueue.ts
@@ -16,6 +16,9 @@
   countEntries: () => number
 }
 
+/** No rumor is smaller, so less room is not worth a search. */
+const RUMOR_BYTES_MIN = 30
+
 /** News waiting to be passed on, the least sent first. */
 export interface RumorQueue {
   add (rumorKind: RumorKind, subject: string, build: () => Rumor | undefined): void
@@ -43,7 +46,7 @@
 
   const urgentSends = () => Math.ceil(1.5 * Math.log2(countEntries() + 2))
   // Whole records are large and list comparison makes up for lost ones.
-  const recordSends = () => Math.ceil(0.5 * Math.log2(countEntries() + 2)) + 1
+  const recordSends = () => 2
   const sendsOf: Record<RumorKind, () => number> = {
     [RumorKind.Record]: recordSends,
     [RumorKind.Status]: urgentSends,
@@ -84,13 +87,23 @@
     if (item !== undefined) spend(item)
   }
 
+  /** Urgent news first, then the least sent; by counting, since a full queue holds a thousand items. */
+  const ordered = (): QueuedRumor[] => {
+    const bySendsLeft: QueuedRumor[][] = []
+    const load: QueuedRumor[] = []
+    for (const item of queued.values()) {
+      if (item.isUrgent) (bySendsLeft[item.sendsLeft] ??= []).push(item)
+      else load.push(item)
+    }
+    return [...bySendsLeft.reverse().flatMap(items => items ?? []), ...load]
+  }
+
   const take = (bytesMax: number): Rumor[] => {
     const rumors: Rumor[] = []
     let bytesLeft = bytesMax
-    const ordered = [...queued.values()]
-      .sort((a, b) => Number(b.isUrgent) - Number(a.isUrgent) || b.sendsLeft - a.sendsLeft)
-    for (const item of ordered) {
-      if (bytesLeft < 20) break
+    if (bytesLeft < RUMOR_BYTES_MIN || queued.size === 0) return rumors
+    for (const item of ordered()) {
+      if (bytesLeft < RUMOR_BYTES_MIN) break
       const rumor = item.build()
       if (rumor === undefined) {
         remove(item)
