List records one by one while a comparison finds much to send

Change: a request lists two bytes for each of up to 200 records, and the page holds the missing ones.

--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -46,7 +46,7 @@
 /** Upper bound of the bytes of a datagram besides its rumors, sender and target: key id, MAC, kind, sequence. */
 export const DATAGRAM_FIXED_BYTES = 120
 /** A record must leave room for the sender and the target of the datagram that carries it. */
-export const RECORD_BYTES_MAX = 600
+export const RECORD_BYTES_MAX = 500
 export const MAC_BYTES = 16
 export const KEY_ID_BYTES_MAX = 64
 
@@ -95,6 +95,8 @@
 export const LOAD_CHANGE_MIN = 0.125
 
 export const SYNC_BUCKETS = 64
+/** Records that a request lists one by one while much differs, so that the answer holds only missing ones. */
+export const SYNC_LISTED_ROWS_MAX = 200
 export const RELAYS_MAX = 256
 export const BROADCASTS_MAX = 4_096
 export const BROADCAST_PAYLOAD_BYTES_MAX = 400
--- a/src/membership/datagramCodec.ts
+++ b/src/membership/datagramCodec.ts
@@ -147,8 +147,13 @@
   },
   [DatagramKind.Gossip]: { pack: () => [], unpack: () => ({}) },
   [DatagramKind.SyncRequest]: {
-    pack: ({ digest, fromBucket }) => [digest, fromBucket],
-    unpack: ([digest, fromBucket]) => ({ digest: toDigest(digest), fromBucket: toCount(fromBucket) })
+    pack: ({ digest, fromBucket, listedBuckets, rowHashes }) => [digest, fromBucket, listedBuckets, rowHashes],
+    unpack: ([digest, fromBucket, listedBuckets, rowHashes]) => ({
+      digest: toDigest(digest),
+      fromBucket: toCount(fromBucket),
+      listedBuckets: toCount(listedBuckets),
+      rowHashes: toBytes(rowHashes, DATAGRAM_BYTES_MAX)
+    })
   },
   [DatagramKind.SyncPage]: {
     // Shifted by one, since -1 stands for the last page.
--- a/src/membership/gossipContext.ts
+++ b/src/membership/gossipContext.ts
@@ -49,8 +49,10 @@
   'self' | 'emit' | 'takeEffects' | 'peers' | 'pickPeers' | 'forgetPeers' | 'send' | 'availableBytes' | 'refill'
 >
 
-const DIGEST_BYTES_ESTIMATE = 270
-const bodyBytes = (body: DatagramBody) => body.kind === DatagramKind.SyncRequest ? DIGEST_BYTES_ESTIMATE : 0
+/** Digest and bucket numbers of a request, without its row hashes. */
+export const DIGEST_BYTES_ESTIMATE = 280
+const bodyBytes = (body: DatagramBody) =>
+  body.kind === DatagramKind.SyncRequest ? DIGEST_BYTES_ESTIMATE + body.rowHashes.length : 0
 
 /** Creates the services around the shared state. */
 export const createGossipContext = (parts: GossipContextParts): GossipContext => {
--- a/src/membership/gossipSync.ts
+++ b/src/membership/gossipSync.ts
@@ -1,8 +1,8 @@
 import {
   DATAGRAM_BYTES_MAX, DATAGRAM_FIXED_BYTES, DatagramKind, RumorKind, START_MS, START_SYNC_INTERVAL_MS, SYNC_BUCKETS,
-  SYNC_INTERVAL_MS, SYNC_RETRY_MS, SYNC_TRIES
+  SYNC_INTERVAL_MS, SYNC_LISTED_ROWS_MAX, SYNC_RETRY_MS, SYNC_TRIES
 } from './constants.js'
-import { buildMemberRumor, type GossipContext, sendMembers } from './gossipContext.js'
+import { buildMemberRumor, DIGEST_BYTES_ESTIMATE, type GossipContext, sendMembers } from './gossipContext.js'
 import { type IntakeResult, rumorsAboutSender } from './gossipMembers.js'
 import { measureRumor } from './rumorSize.js'
 import type { TableRow } from './memberTable.js'
@@ -27,6 +27,9 @@
  */
 const PAGE_BYTES_MIN = 360
 
+/** Two bytes of the state of a row; a record that is missed for an equal hash is found by its next change. */
+const shortHash = ({ digestHash }: TableRow): number => digestHash & 0xffff
+
 /** Creates the handlers of list comparison of one gossip core. */
 export const createGossipSync = (context: GossipContext): GossipSync => {
   const { clock, random, table, broadcasts } = context
@@ -43,17 +46,45 @@
     return new Uint8Array(view.buffer)
   }
 
-  const send = (address: string, fromBucket: number) => {
+  /** Rows by their distance from a bucket around the circle. */
+  const rowsByDistance = (fromBucket: number): TableRow[][] => {
+    const byDistance: TableRow[][] = Array.from({ length: SYNC_BUCKETS }, () => [])
+    for (const row of table.values()) byDistance[(row.bucket - fromBucket + SYNC_BUCKETS) % SYNC_BUCKETS]!.push(row)
+    return byDistance
+  }
+
+  const listRows = (fromBucket: number, rowsMax: number) => {
+    const hashes: number[] = []
+    let listedBuckets = 0
+    for (const rows of rowsByDistance(fromBucket)) {
+      if (hashes.length + rows.length > rowsMax) break
+      hashes.push(...rows.map(shortHash))
+      listedBuckets += 1
+    }
+    const view = new DataView(new ArrayBuffer(hashes.length * 2))
+    hashes.forEach((hash, i) => view.setUint16(i * 2, hash))
+    return { listedBuckets, rowHashes: new Uint8Array(view.buffer) }
+  }
+
+  const send = (address: string, fromBucket: number, isListed: boolean) => {
     const self = buildMemberRumor(table, RumorKind.Record, context.selfId)
-    const body = { kind: DatagramKind.SyncRequest as const, digest: ownDigest(), fromBucket }
-    context.send(address, body, self === undefined ? [] : [self])
+    const leading = self === undefined ? [] : [self]
+    const roomBytes = DATAGRAM_BYTES_MAX - DATAGRAM_FIXED_BYTES - DIGEST_BYTES_ESTIMATE - context.selfId.length -
+      leading.reduce((sum, rumor) => sum + measureRumor(rumor), 0)
+    const rowsMax = isListed ? Math.min(SYNC_LISTED_ROWS_MAX, Math.floor(roomBytes / 2)) : 0
+    const listing = isListed ? listRows(fromBucket, rowsMax) : { listedBuckets: 0, rowHashes: new Uint8Array(0) }
+    context.send(address, { kind: DatagramKind.SyncRequest, digest: ownDigest(), fromBucket, ...listing }, leading)
   }
 
+  const isStarting = () => clock.nowMs() - context.startedMs < START_MS
+
   const request = (fromBucket: number, tries: number) => {
     const [peer] = context.pickPeers(1)
     if (peer === undefined) return
+    // Outside of a start and of an unfinished comparison almost nothing differs.
+    const isListed = isStarting() || resumeBucket !== undefined
     pending = { sentMs: clock.nowMs(), fromBucket, tries }
-    send(peer.record.identity.address, fromBucket)
+    send(peer.record.identity.address, fromBucket, isListed)
   }
 
   const tick = () => {
@@ -74,23 +105,22 @@
       nextSyncMs = Math.min(nextSyncMs, nowMs + random.int(0, SYNC_INTERVAL_MS / 10))
     }
     if (nowMs < nextSyncMs || context.peers().length === 0) return
-    const isStarting = nowMs - context.startedMs < START_MS
-    const intervalMs = isStarting ? START_SYNC_INTERVAL_MS : SYNC_INTERVAL_MS
+    const intervalMs = isStarting() ? START_SYNC_INTERVAL_MS : SYNC_INTERVAL_MS
     nextSyncMs = nowMs + random.int(intervalMs / 2, intervalMs * 3 / 2)
     request(random.int(0, SYNC_BUCKETS - 1), 1)
   }
 
   /** Rows that differ, from a bucket on around the circle, from a random one on inside each bucket. */
-  const differingRows = (digest: Uint8Array, fromBucket: number): TableRow[] => {
-    const view = new DataView(digest.buffer, digest.byteOffset, digest.byteLength)
-    const byDistance: TableRow[][] = Array.from({ length: SYNC_BUCKETS }, () => [])
-    for (const row of table.values()) {
-      if (view.getUint32(row.bucket * 4) === table.digest[row.bucket]) continue
-      byDistance[(row.bucket - fromBucket + SYNC_BUCKETS) % SYNC_BUCKETS]!.push(row)
-    }
-    return byDistance.flatMap(rows => {
-      const first = rows.length < 2 ? 0 : random.int(0, rows.length - 1)
-      return [...rows.slice(first), ...rows.slice(0, first)]
+  const differingRows = ({ digest, fromBucket, listedBuckets, rowHashes }: DatagramOf<DatagramKind.SyncRequest>): TableRow[] => {
+    const digestView = new DataView(digest.buffer, digest.byteOffset, digest.byteLength)
+    const hashView = new DataView(rowHashes.buffer, rowHashes.byteOffset, rowHashes.byteLength)
+    const listed = new Set(Array.from({ length: rowHashes.length >> 1 }, (_, i) => hashView.getUint16(i * 2)))
+    return rowsByDistance(fromBucket % SYNC_BUCKETS).flatMap((rows, distance) => {
+      const bucket = rows[0]?.bucket
+      if (bucket === undefined || digestView.getUint32(bucket * 4) === table.digest[bucket]) return []
+      const missing = distance < listedBuckets ? rows.filter(row => !listed.has(shortHash(row))) : rows
+      const first = missing.length < 2 ? 0 : random.int(0, missing.length - 1)
+      return [...missing.slice(first), ...missing.slice(0, first)]
     })
   }
 
@@ -100,7 +130,8 @@
     return random.shuffle(broadcasts.activeKeys()).map(broadcasts.toRumor).filter(rumor => rumor !== undefined)
   }
 
-  const onSyncRequest = ({ fromId, digest, fromBucket }: DatagramOf<DatagramKind.SyncRequest>, sourceAddress: string) => {
+  const onSyncRequest = (syncRequest: DatagramOf<DatagramKind.SyncRequest>, sourceAddress: string) => {
+    const { fromId, digest } = syncRequest
     const roomBytes = Math.min(
       DATAGRAM_BYTES_MAX - DATAGRAM_FIXED_BYTES - context.selfId.length,
       Math.max(PAGE_BYTES_MIN, context.availableBytes())
@@ -120,7 +151,7 @@
     // Half of the page stays for members, however many broadcasts are under way.
     for (const rumor of differingBroadcasts(digest)) if (!take(rumor, roomBytes / 2)) break
     let nextBucket = -1
-    for (const { record, bucket } of differingRows(digest, fromBucket % SYNC_BUCKETS)) {
+    for (const { record, bucket } of differingRows(syncRequest)) {
       if (take({ kind: RumorKind.Record, record }, 0)) continue
       nextBucket = bucket
       break
@@ -143,7 +174,7 @@
   return {
     tick,
     hasten: () => { nextSyncMs = 0 },
-    requestFrom: address => send(address, random.int(0, SYNC_BUCKETS - 1)),
+    requestFrom: address => send(address, random.int(0, SYNC_BUCKETS - 1), isStarting()),
     onSyncRequest,
     onSyncPage
   }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -52,7 +52,15 @@
   | DatagramBase & { kind: DatagramKind.Ack, sequence: number }
   | DatagramBase & { kind: DatagramKind.PingRequest, sequence: number, targetAddress: string }
   | DatagramBase & { kind: DatagramKind.Gossip }
-  | DatagramBase & { kind: DatagramKind.SyncRequest, digest: Uint8Array, fromBucket: number }
+  | DatagramBase & {
+    kind: DatagramKind.SyncRequest
+    digest: Uint8Array
+    fromBucket: number
+    /** Number of buckets from `fromBucket` on whose records are listed one by one in `rowHashes`. */
+    listedBuckets: number
+    /** Two bytes for each record of the listed buckets. */
+    rowHashes: Uint8Array
+  }
   /** `nextBucket` is -1 if the page holds all that differs. */
   | DatagramBase & { kind: DatagramKind.SyncPage, nextBucket: number }
 
