Test the router; draw distinct upstreams for plain requests

Cause: two draws with replacement were the same upstream in one of three cases in a pool of three, found by the test 'counts its own dispatches since the report was made'. Change: distinct draws; fault tables for reports, cache events, incarnations, ejection and ramp-up.

--- a/src/routing/chooseUpstream.ts
+++ b/src/routing/chooseUpstream.ts
@@ -41,7 +41,8 @@
 const pickCandidates = (available: readonly Upstream[], blocks: ChooseRequest['blocks'], counts: ChoiceCounts, random: Random, isIdle: (upstream: Upstream) => boolean) => {
   const candidates = new Set<Upstream>()
   if (blocks.length === 0) {
-    for (let i = 0; i < PLAIN_CHOICES; i++) candidates.add(random.pick(available))
+    // Distinct ones: in a pool of three, every third pair drawn with replacement is no choice at all.
+    while (candidates.size < Math.min(PLAIN_CHOICES, available.length)) candidates.add(random.pick(available))
     return candidates
   }
   const homeKey = blocks[Math.min(HOME_BLOCKS, blocks.length) - 1]!
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -60,14 +60,14 @@
  */
 export const IDLE_WAIT_MS = 10
 /** Upstreams drawn at random for a prompt with a prefix, besides holders and homes. */
-export const RANDOM_CHOICES = 1
+export const RANDOM_CHOICES = 2
 /** Holders of the longest known prefix that are compared. */
 export const HOLDER_CHOICES = 2
 /**
  * Homes of the prefix by rendezvous hashing that are compared. They make entries that decide
  * alone place a new prefix on the same upstreams.
  */
-export const HOME_CHOICES = 2
+export const HOME_CHOICES = 3
 
 /** Blocks remembered for each upstream that does not report the size of its cache. */
 export const PREFIX_BLOCKS_DEFAULT = 2_048
--- /dev/null
+++ b/src/routing/createRouter.test.ts
@@ -0,0 +1,152 @@
+import { describe, expect, it } from 'vitest'
+import { EJECTION_BASE_MS, FailureCause, RAMP_UP_MS, RouterEffectKind, RouterMessageKind } from './constants.js'
+import { createTestRouter } from './testRouter.js'
+
+const promptOf = (name: string, blocks = 10) => Array.from({ length: blocks }, (_, i) => `${name}.${i}`)
+const forRun = { upstreamId: 'u0', incarnation: '1' }
+
+describe('router', () => {
+  it('counts its own dispatches since the report was made', () => {
+    const { choose, dispatchTo } = createTestRouter(2)
+    dispatchTo('u0', [], 6_000)
+    expect(choose({ tokens: 60 })?.predictedWaitMs).toBeLessThan(100)
+    expect(choose({ tokens: 60, excludedIds: ['u1'] })?.predictedWaitMs).toBeGreaterThan(900)
+  })
+
+  it.each([
+    ['a newer report replaces the queue', 2, 60_000, 5_000],
+    ['a reordered report is ignored', 0, 0, 10],
+    ['a repeated report is ignored', 1, 0, 10]
+  ])('reports: %s', (_case, sequence, queuedTokens, waitMsMin) => {
+    const { choose, report } = createTestRouter(1)
+    report('u0', { sequence: 1, queuedTokens: 600 })
+    report('u0', { sequence, queuedTokens: queuedTokens === 0 ? 99_000 : queuedTokens })
+    const waitMs = choose()!.predictedWaitMs
+    if (queuedTokens > 0) expect(waitMs).toBeGreaterThan(waitMsMin)
+    else expect(waitMs).toBeLessThan(200)
+  })
+
+  it('ages a late report: the queue it shows is processed meanwhile', () => {
+    const { choose, clock, report } = createTestRouter(1)
+    report('u0', { sequence: 2, queuedTokens: 6_000 })
+    const freshMs = choose()!.predictedWaitMs
+    clock.advance(900)
+    expect(freshMs - choose()!.predictedWaitMs).toBeCloseTo(900, 0)
+  })
+
+  it('keeps to own knowledge when reports stop', () => {
+    const { choose, clock, dispatchTo } = createTestRouter(1)
+    clock.advance(60_000)
+    dispatchTo('u0', [], 12_000)
+    expect(choose()!.predictedWaitMs).toBeGreaterThan(1_900)
+  })
+
+  it('sends little to an upstream at a third of its speed', () => {
+    const { report, dispatchTo, choose } = createTestRouter(4)
+    report('u0', { sequence: 2, tokensPerS: 2_000 })
+    const sent: Record<string, number> = {}
+    for (let i = 0; i < 400; i++) {
+      const { upstreamId } = choose()!
+      sent[upstreamId] = (sent[upstreamId] ?? 0) + 1
+      dispatchTo(upstreamId)
+    }
+    // A fair part by speed is 2000 / 20000 of 400.
+    expect(sent.u0 ?? 0).toBeLessThan(60)
+  })
+
+  it('forgets queue and cache of an upstream that comes back with a new incarnation', () => {
+    const { appear, choose, dispatchTo, post, report } = createTestRouter(1)
+    dispatchTo('u0', promptOf('p'), 640)
+    appear('u0', '2')
+    report('u0', { sequence: 99, queuedTokens: 90_000 }, '1')
+    post({ kind: RouterMessageKind.UpstreamLeft, ...forRun })
+    expect(choose({ blocks: promptOf('p'), tokens: 640 })?.explanation).toContain('(0 queued + 640 uncached)')
+  })
+
+  it('prefers the holder of a prefix, and another once the holder has a long queue', () => {
+    const { choose, dispatchTo, post, report } = createTestRouter(6)
+    const requestId = dispatchTo('u3', promptOf('p', 20), 1_280)
+    post({ kind: RouterMessageKind.FirstTokenSeen, requestId, upstreamId: 'u3' })
+    post({ kind: RouterMessageKind.Finished, requestId, upstreamId: 'u3' })
+    report('u3', { sequence: 2 })
+    expect(choose({ blocks: promptOf('p', 20), tokens: 1_280 })?.upstreamId).toBe('u3')
+    report('u3', { sequence: 3, queuedTokens: 30_000 })
+    expect(choose({ blocks: promptOf('p', 20), tokens: 1_280 })?.upstreamId).not.toBe('u3')
+  })
+
+  it('places a new prefix on the same upstream as other entries do', () => {
+    const chosen = [1, 2, 3, 4, 5].map(seed => createTestRouter(12, { seed }).choose({ blocks: promptOf('new'), tokens: 640 })?.upstreamId)
+    // All are idle and equal; only the homes are known to every entry.
+    expect(new Set(chosen).size).toBe(1)
+  })
+
+  it('gives no new work to a draining upstream, and none at all if nothing else is left', () => {
+    const { choose, countChoices, post } = createTestRouter(2)
+    post({ kind: RouterMessageKind.UpstreamDraining, ...forRun })
+    expect(countChoices(50)).toEqual({ u1: 50 })
+    expect(choose({ excludedIds: ['u1'] })).toBeUndefined()
+  })
+
+  it('ramps up a new upstream', () => {
+    const { appear, clock, countChoices, report } = createTestRouter(2)
+    appear('u9')
+    for (const id of ['u0', 'u1', 'u9']) report(id, { sequence: 5, queuedTokens: id === 'u9' ? 0 : 1_200 })
+    expect(countChoices(100).u9 ?? 0).toBeLessThan(15)
+    clock.advance(RAMP_UP_MS)
+    for (const id of ['u0', 'u1', 'u9']) report(id, { sequence: 6, queuedTokens: id === 'u9' ? 0 : 1_200 })
+    expect(countChoices(100).u9).toBeGreaterThan(40)
+  })
+
+  it('ejects failing upstreams up to the cap, avoids the rest and reinstates', () => {
+    const { clock, countChoices, dispatchTo, post } = createTestRouter(12)
+    const ejected = new Set<string>()
+    const failures = (upstreamId: string, count: number) => {
+      for (let i = 0; i < count; i++) {
+        const requestId = dispatchTo(upstreamId)
+        for (const effect of post({ kind: RouterMessageKind.Failed, requestId, upstreamId, cause: FailureCause.Error })) {
+          if (effect.kind === RouterEffectKind.Ejected) ejected.add(effect.upstreamId)
+        }
+      }
+    }
+    for (const id of ['u0', 'u1', 'u2', 'u3']) failures(id, 6)
+    expect([...ejected]).toEqual(['u0', 'u1', 'u2'])
+    // The cap keeps u3 in service, but every other one is preferred.
+    expect(countChoices(300).u3 ?? 0).toBe(0)
+    clock.advance(EJECTION_BASE_MS)
+    const reinstated = post({ kind: RouterMessageKind.Tick }).filter(({ kind }) => kind === RouterEffectKind.Reinstated)
+    expect(reinstated).toHaveLength(3)
+  })
+
+  it('does not blame an upstream for a cancelled or refused attempt', () => {
+    const { choose, dispatchTo, post } = createTestRouter(1)
+    for (const cause of [FailureCause.Busy, FailureCause.Cancelled, FailureCause.Busy, FailureCause.Cancelled]) {
+      const requestId = dispatchTo('u0')
+      expect(post({ kind: RouterMessageKind.Failed, requestId, upstreamId: 'u0', cause })).toEqual([])
+    }
+    expect(choose()?.explanation).not.toContain('failure ratio')
+  })
+
+  it('serves from ejected upstreams rather than not at all', () => {
+    const { choose, dispatchTo, post } = createTestRouter(4, { setAsideShareMax: 1 })
+    for (const upstreamId of ['u0', 'u1', 'u2', 'u3']) {
+      for (let i = 0; i < 3; i++) {
+        const requestId = dispatchTo(upstreamId)
+        post({ kind: RouterMessageKind.Failed, requestId, upstreamId, cause: FailureCause.Lost })
+      }
+    }
+    expect(choose()).toBeDefined()
+  })
+
+  it('survives the loss of a failure domain at peak: the rest shares the work', () => {
+    const { choose, dispatchTo, post } = createTestRouter(12)
+    for (const upstreamId of ['u0', 'u3', 'u6', 'u9']) post({ kind: RouterMessageKind.UpstreamLeft, upstreamId, incarnation: '1' })
+    const sent = new Map<string, number>()
+    for (let i = 0; i < 800; i++) {
+      const { upstreamId } = choose()!
+      sent.set(upstreamId, (sent.get(upstreamId) ?? 0) + 1)
+      dispatchTo(upstreamId)
+    }
+    expect(sent.size).toBe(8)
+    expect(Math.max(...sent.values())).toBeLessThan(100 * 1.15)
+  })
+})
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -22,11 +22,8 @@
 
 type MessageOf<Kind extends RouterMessageKind> = Extract<RouterMessage, { kind: Kind }>
 
-/**
- * Slow on purpose: every entry sees the same delays, and a quick reaction by all of them moves
- * the load back and forth between upstreams.
- */
-const OVERHEAD_SMOOTHING = 0.05
+/** Learned from own requests only: a shared delay in the reports made all entries move load together. */
+const OVERHEAD_SMOOTHING = 0.1
 
 const blamesUpstream: Record<FailureCause, boolean> = {
   [FailureCause.Error]: true,
