--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -118,3 +118,6 @@
  * it costs more than its own time; with a weight of 1 entries near saturation give up their caches.
  */
 export const MISS_WEIGHT = 2
+/** The weight grows by one for each such queue: the longer it is, the more requests a miss delays. */
+export const MISS_WEIGHT_QUEUE_MS = 100
+export const MISS_WEIGHT_MAX = 8
--- a/src/routing/predict.ts
+++ b/src/routing/predict.ts
@@ -1,5 +1,5 @@
 import type { TimestampMs } from '../core/index.js'
-import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, UTILISATION_MAX } from './constants.js'
+import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, MISS_WEIGHT_MAX, MISS_WEIGHT_QUEUE_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, UTILISATION_MAX } from './constants.js'
 import type { Upstream } from './getDefaultUpstream.js'
 import type { ChooseRequest } from './types.js'
 
@@ -75,6 +75,8 @@
   const uncachedTokens = Math.max(Math.min(1, tokens), tokens - cachedTokens)
   const waitMs = placeWaitMs(upstream, queue.requests)
   const firstTokenMs = waitMs + upstream.overheadMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000
-  const costMs = (firstTokenMs + (MISS_WEIGHT - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
+  const queueMs = queue.tokens / tokensPerS * 1_000
+  const missWeight = Math.min(MISS_WEIGHT_MAX, MISS_WEIGHT + queueMs / MISS_WEIGHT_QUEUE_MS)
+  const costMs = (firstTokenMs + (missWeight - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
   return { upstream, queuedTokens: queue.tokens, uncachedTokens, tokensPerS, placeWaitMs: waitMs, firstTokenMs, costMs }
 }
