--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -60,14 +60,14 @@
  */
 export const IDLE_WAIT_MS = 10
 /** Upstreams drawn at random for a prompt with a prefix, besides holders and homes. */
-export const RANDOM_CHOICES = 1
+export const RANDOM_CHOICES = 2
 /** Holders of the longest known prefix that are compared. */
 export const HOLDER_CHOICES = 2
 /**
  * Homes of the prefix by rendezvous hashing that are compared. They make entries that decide
  * alone place a new prefix on the same upstreams.
  */
-export const HOME_CHOICES = 2
+export const HOME_CHOICES = 3
 
 /** Blocks remembered for each upstream that does not report the size of its cache. */
 export const PREFIX_BLOCKS_DEFAULT = 2_048
@@ -118,3 +118,6 @@
  * it costs more than its own time; with a weight of 1 entries near saturation give up their caches.
  */
 export const MISS_WEIGHT = 2
+/** The weight grows by one for each such queue: the longer it is, the more requests a miss delays. */
+export const MISS_WEIGHT_QUEUE_MS = 100
+export const MISS_WEIGHT_MAX = 8
