Test the switch message by message and fault by fault

Cause: only random schedules covered the switch. Change: tables for each message lost, late or doubled, for a coordinator that dies or pauses at each phase, two coordinators, a rank restarted while holding and a slow or refusing store; bounds on messages, concurrent copies and bytes; every safety rule is switched off once and its absence is seen.

--- a/bench/maps/controlBytes.ts
+++ b/bench/maps/controlBytes.ts
@@ -51,10 +51,10 @@
     network: { delayMinMs: 1, delayMaxMs: 4, lossRatio: 0, duplicateRatio: 0 },
     copyMs: COPY_MS,
     onSend: (message, from, to) => {
-      if (from === to || (from !== 0 && to !== 0)) return true
+      if (from === to || (from !== 0 && to !== 0)) return [0]
       const timeMs = sim.queue.clock.nowMs()
       if (timeMs >= startedMs) sent.push({ timeMs, bytes: encodeFrame({ kind: FrameKind.Switch, switch: message }).length })
-      return true
+      return [0]
     }
   })
   const isIdle = () => sim.outcomes.length === requested
--- a/bench/maps/switchSimulation.ts
+++ b/bench/maps/switchSimulation.ts
@@ -26,8 +26,10 @@
   movesAtOnceMax?: number
   /** Replaces the cores, for the naive switch. */
   createCores?: (options: CoreOptions) => ProcessCores
-  /** Sees every message before it is sent; false drops it. */
-  onSend?: (message: SwitchMessage, from: number, to: number) => boolean
+  /** Whether ranks send weights to one another; otherwise all come from the store. */
+  hasPeerCopies?: boolean
+  /** Sees every message and gives the delays with which copies of it enter the network; none loses it. */
+  onSend?: (message: SwitchMessage, from: number, to: number) => readonly number[]
 }
 
 export interface CoreOptions {
@@ -66,7 +68,8 @@
 export const createSwitchSimulation = (options: SimulationOptions) => {
   const {
     seed, shape, network: faults, rules = ALL_SWITCH_RULES, stepMs = 64, copyMs = 40, movesAtOnceMax = 2,
-    createCores = createProtocolCores, onSend = () => true
+    hasPeerCopies = true,
+    createCores = createProtocolCores, onSend = () => [0]
   } = options
   const random = createRandom(seed)
   const queue = createEventQueue()
@@ -74,6 +77,8 @@
   let store = options.store ?? StoreBehaviour.Ready
   const outcomes: SwitchOutcome[] = []
   const activated: ExpertMap[] = []
+  let loadsAtOnce = 0
+  let loadsAtOnceMax = 0
 
   const start = (rank: number, run: number): Process => {
     const incarnation = `r${rank}-${run}`
@@ -90,12 +95,19 @@
   })
 
   const transmit = (from: number, to: number, message: SwitchMessage, deliver: () => void) => {
-    if (onSend(message, from, to)) network.send(`p${from}`, `p${to}`, deliver)
+    if (!processes[from]!.isUp) return
+    for (const delayMs of onSend(message, from, to)) {
+      if (delayMs === 0) network.send(`p${from}`, `p${to}`, deliver)
+      else queue.after(delayMs, () => network.send(`p${from}`, `p${to}`, deliver))
+    }
   }
 
   const finishLoad = (rank: number, item: number, delayMs: number, isDone: () => boolean, retryAfterMs?: number) => {
     const process = processes[rank]!
+    loadsAtOnce += 1
+    loadsAtOnceMax = Math.max(loadsAtOnceMax, loadsAtOnce)
     queue.after(delayMs, () => {
+      loadsAtOnce -= 1
       if (processes[rank] !== process || !process.isUp) return
       toRank(rank, { kind: RankMessageKind.LoadFinished, item, isDone: isDone(), retryAfterMs })
     })
@@ -110,7 +122,7 @@
     [RankEffectKind.CoordinatorSuspected]: (rank, effect) =>
       toCoordinator(rank, { kind: CoordinatorMessageKind.CoordinatorSuspected, rank: effect.rank }),
     [WeightEffectKind.CopyFromPeer]: (rank, { item, fromRank }) =>
-      finishLoad(rank, item, copyMs, () => processes[fromRank]!.isUp),
+      finishLoad(rank, item, copyMs, () => hasPeerCopies && processes[fromRank]!.isUp),
     [WeightEffectKind.LoadFromStore]: (rank, { item }) =>
       finishLoad(rank, item, STORE_MS[store], () => store !== StoreBehaviour.Refusing, 500),
     [WeightEffectKind.DropWeights]: () => {}
@@ -167,6 +179,12 @@
     engine,
     outcomes,
     faults,
+    /** Highest number of loads under way at once since this was called last. */
+    takeLoadsAtOnceMax: () => {
+      const taken = loadsAtOnceMax
+      loadsAtOnceMax = loadsAtOnce
+      return taken
+    },
     /** Map that each rank used last. */
     activated,
     setStore: (behaviour: StoreBehaviour) => { store = behaviour },
