--- a/src/expertMaps/createLoadAccount.test.ts
+++ b/src/expertMaps/createLoadAccount.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createRandom } from '../core/index.js'
 import {
-  createLoadAccount, DropReason, type LoadEffect, LoadEffectKind, LoadMessageKind, type LoadSnapshot
+  createLoadAccount, DropReason, type LoadEffect, LoadEffectKind, LoadMessageKind, type LoadRules, type LoadSnapshot
 } from './createLoadAccount.js'
 import { createInitialMap, createMap, hostedItems, replicasOf } from './expertMap.js'
 import { STRAGGLER_REPORTS } from './constants.js'
@@ -23,8 +23,8 @@
   return { rank, incarnation: 'a', step: round * STEPS, steps: STEPS, durationMs: total / speed, mapHash: map.id.hash, tokens }
 }
 
-const createSubject = (map = replicated) => {
-  const account = createLoadAccount({ shape })
+const createSubject = (map = replicated, rules?: LoadRules) => {
+  const account = createLoadAccount({ shape, rules })
   account.handle({ kind: LoadMessageKind.MapAdopted, map })
   const report = (message: RankReport): LoadEffect[] => account.handle({ kind: LoadMessageKind.RankReported, report: message })
   const snapshot = (): LoadSnapshot => {
@@ -87,9 +87,21 @@
     expect(report(reportOf(replicated, 0, 10))[0]).toMatchObject({ reason: DropReason.TooOld })
   })
 
-  it('detects a straggler and its recovery only after several reports', () => {
+  it('would lose half of the load of a replicated expert without weighing by share', () => {
+    const { report, snapshot } = createSubject(replicated, { weighsByShare: false, confirmsStragglers: true })
+    for (let round = 1; round <= 6; round++) {
+      for (let rank = 0; rank < shape.ranks; rank++) report(reportOf(replicated, rank, round))
+    }
+    expect(snapshot().loads[0]).toBeLessThan(0.6 * loadOf(0))
+  })
+
+  it.each([
+    ['after several reports', true, [LoadEffectKind.StragglerDetected, LoadEffectKind.StragglerRecovered], 0],
+    ['at once without the rule, also for one slow step', false,
+      [LoadEffectKind.StragglerDetected, LoadEffectKind.StragglerRecovered], 2]
+  ])('detects a straggler and its recovery %s', (_case, confirmsStragglers, cycle, extraKinds) => {
     // Guards against moving experts for one slow step, and against never giving load back.
-    const { report, snapshot } = createSubject()
+    const { report, snapshot } = createSubject(replicated, { weighsByShare: true, confirmsStragglers })
     const kinds: string[] = []
     const speeds = [1, 0.5, 1, ...Array.from({ length: STRAGGLER_REPORTS }, () => 0.5), ...Array.from({ length: 8 }, () => 1)]
     speeds.forEach((speed, index) => {
@@ -98,7 +110,7 @@
       }
       if (index === 2 + STRAGGLER_REPORTS) expect(snapshot().speeds[2]).toBeCloseTo(0.5, 6)
     })
-    expect(kinds).toEqual([LoadEffectKind.StragglerDetected, LoadEffectKind.StragglerRecovered])
+    expect(kinds).toEqual([...cycle.slice(0, extraKinds), ...cycle])
     expect(snapshot().speeds[2]).toBeGreaterThan(0.95)
   })
 
--- a/src/expertMaps/createLoadAccount.ts
+++ b/src/expertMaps/createLoadAccount.ts
@@ -47,6 +47,14 @@
   | { kind: LoadEffectKind.StragglerRecovered, rank: number, speed: number }
   | { kind: LoadEffectKind.ReportDropped, rank: number, reason: DropReason }
 
+/** Rules that a test switches off to show that it sees their absence. */
+export interface LoadRules {
+  /** A report moves an average only by the share of the expert that the rank computes. */
+  weighsByShare: boolean
+  /** A rank changes between straggler and healthy only after several reports. */
+  confirmsStragglers: boolean
+}
+
 interface RankState {
   incarnation: string
   /** The run before this one; its late reports no longer count. */
@@ -106,7 +114,10 @@
  * account.handle({ kind: LoadMessageKind.MapAdopted, map })
  * account.handle({ kind: LoadMessageKind.RankReported, report })
  */
-export const createLoadAccount = ({ shape }: { shape: GroupShape }): Core<LoadMessage, LoadEffect> => {
+export const createLoadAccount = (
+  { shape, rules = { weighsByShare: true, confirmsStragglers: true } }: { shape: GroupShape, rules?: LoadRules }
+): Core<LoadMessage, LoadEffect> => {
+  const stragglerReports = rules.confirmsStragglers ? STRAGGLER_REPORTS : 1
   const loads = new Float64Array(itemCountOf(shape))
   /** Observed weight by item, approaching 1; corrects the bias of an average that started at zero. */
   const certainty = new Float64Array(loads.length)
@@ -125,7 +136,7 @@
     const decay = 0.5 ** (age / LOAD_HALF_LIFE_STEPS)
     const weight = (1 - 0.5 ** (steps / LOAD_HALF_LIFE_STEPS)) * decay
     items.forEach((item, i) => {
-      const share = shares[i]!
+      const share = rules.weighsByShare ? shares[i]! : 1
       loads[item]! += weight * (tokens[i]! / steps - share * loads[item]!)
       certainty[item]! += weight * share * (1 - certainty[item]!)
     })
@@ -136,7 +147,7 @@
     const ratio = typical === 0 ? 1 : rate / typical
     const contradicts = state.isStraggler ? ratio > RECOVERED_SPEED_RATIO : ratio < STRAGGLER_SPEED_RATIO
     state.contradictions = contradicts ? state.contradictions + 1 : 0
-    if (state.contradictions < STRAGGLER_REPORTS) return []
+    if (state.contradictions < stragglerReports) return []
     state.isStraggler = !state.isStraggler
     state.contradictions = 0
     // The smoothed speed still contains the time before the change.
