Switch expert maps through the agents of a group

Cause: the expert map cores had no tasks, and a group had no one to start it. Change: maps task and planning at the agent, rank client and rank group stand-in, rosters from the entries, the planner's one-line reasons in the status of entries, schemas typed against the slice's messages (casts had hidden a changed ballot). Before: no group ran.

--- a/src/links/constants.ts
+++ b/src/links/constants.ts
@@ -32,7 +32,8 @@
   EngineStateRequest = 'engine-state-request',
   EngineState = 'engine-state',
   FenceQuery = 'fence-query',
-  FenceConfirmed = 'fence-confirmed'
+  FenceConfirmed = 'fence-confirmed',
+  MapExplanation = 'map-explanation'
 }
 
 /** Role of a process that opens or accepts a link. */
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -6,12 +6,13 @@
   type PeerIdentity, splitAddress
 } from '../../links/index.js'
 import { MetricName } from '../../observe/index.js'
-import { createOrderClient, createUpstreamClient } from '../../platform/index.js'
+import { createOrderClient, createRankClient, createUpstreamClient } from '../../platform/index.js'
 import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
 import { waitForDrain } from '../waitForDrain.js'
 import { createGuardTask } from './guardTask.js'
 import { createKeyedRunsTask } from './keyedRunsTask.js'
+import { createMapsTask } from './mapsTask.js'
 import { createOrdersTask } from './ordersTask.js'
 import { createPoolRowHolder } from './poolRowHolder.js'
 import { createRegistration } from './registration.js'
@@ -81,9 +82,21 @@
   const orderClient = createOrderClient(settings.upstreamUrl)
   const pickEntryLink = () => [...openLinks.values()].find(({ peer }) => peer.role === NodeRole.Entry)?.link.linkId
   const orders = createOrdersTask({ clock, client: orderClient, sendTo, pickEntryLink })
+  const rankClient = settings.group && createRankClient(settings.upstreamUrl)
+  const maps = settings.group && rankClient && createMapsTask({
+    clock,
+    incarnation,
+    settings: settings.group,
+    client: rankClient,
+    weightStoreUrl: settings.weightStoreUrl,
+    metrics,
+    sendTo: (address, frame) => pool.send(address, frame),
+    onExplanation: line => broadcast({ kind: FrameKind.MapExplanation, group: settings.group?.name, line })
+  })
   const poolRow = createPoolRowHolder(row => {
     keyedRuns.setWindow(row.onceWindowMs)
     orders.setRow(row)
+    maps?.setRow(row)
   })
 
   const frameHandlers: Partial<Record<FrameKind, (linkId: string, frame: Frame) => void>> = {
@@ -97,7 +110,9 @@
     [FrameKind.Notice]: (_linkId, frame) => guard.onNotice(frame),
     [FrameKind.Assignment]: (_linkId, frame) => orders.onAssignment(frame),
     [FrameKind.FenceConfirmed]: (_linkId, frame) => orders.onFenceConfirmed(frame),
-    [FrameKind.EngineStateRequest]: linkId => orders.onEngineStateRequest(linkId)
+    [FrameKind.EngineStateRequest]: linkId => orders.onEngineStateRequest(linkId),
+    [FrameKind.Switch]: (_linkId, frame) => maps?.onSwitchFrame(frame),
+    [FrameKind.GroupRoster]: (_linkId, frame) => maps?.onRoster(frame)
   }
 
   const forgetLink = (linkId: string) => {
@@ -160,10 +175,11 @@
     keyedRuns.stop()
     guard.stop()
     orders.stop()
+    maps?.stop()
     registration.stop()
     pool.close()
     await server.close()
-    await Promise.all([upstream.stop(), orderClient.close(), metrics.close(), tracing.close()])
+    await Promise.all([upstream.stop(), orderClient.close(), rankClient?.close(), metrics.close(), tracing.close()])
   }
 
   let stopping: Promise<void> | undefined
--- /dev/null
+++ b/src/nodes/agent/mapsTask.ts
@@ -0,0 +1,212 @@
+import type { PoolRow } from '../../configuration/index.js'
+import { type Clock, createLog, createTask, dispatch, type HandlerTable, hash32, type Incarnation, createRandom, type Task } from '../../core/index.js'
+import {
+  CoordinatorMessageKind, type CoordinatorEffect, CoordinatorEffectKind, type CoordinatorMessage, createSwitchCoordinator,
+  createSwitchRank, type ExpertMap, type GroupMember, type GroupShape, groupRosterSchema, isRankBound, type RankEffect,
+  RankEffectKind, type RankMessage, RankMessageKind, switchFrameSchema, type SwitchMessage, SwitchOutcome, WeightEffectKind
+} from '../../expertMaps/index.js'
+import { FrameKind, type Frame } from '../../links/index.js'
+import { type Metrics, MetricName } from '../../observe/index.js'
+import { fetchWeights, type RankClient, WeightStoreBusyError } from '../../platform/index.js'
+import { parseFrame } from '../../requests/index.js'
+import type { AgentSettings } from '../settings.js'
+import { createMapPlanning, type MapPlanning } from './mapPlanning.js'
+
+const log = createLog('maps')
+
+const TICK_MS = 100
+const ENGINE_RETRY_MS = 500
+
+export interface MapsTaskOptions {
+  clock: Clock
+  incarnation: Incarnation
+  settings: NonNullable<AgentSettings['group']>
+  client: RankClient
+  weightStoreUrl: string | undefined
+  metrics: Metrics
+  sendTo: (address: string, frame: Frame) => void
+  /** Called with one line when the planner has decided. */
+  onExplanation: (line: string) => void
+}
+
+/** The expert map of one rank, and of its group while this rank coordinates. */
+export interface MapsTask {
+  /** Starts with the group's shape from the pool row; later rows change the weights only. */
+  setRow (row: PoolRow): void
+  onSwitchFrame (frame: Frame): void
+  onRoster (frame: Frame): void
+  stop (): void
+}
+
+interface RunningGroup {
+  shape: GroupShape
+  rankTask: Task<RankMessage>
+  coordinatorTask: Task<CoordinatorMessage>
+  planning: MapPlanning
+}
+
+/**
+ * Creates the task of an agent whose engine is a rank of a group.
+ *
+ * @example
+ * const maps = createMapsTask({ clock, incarnation, settings: settings.group, client, ... })
+ * maps.setRow(row)
+ */
+export const createMapsTask = ({
+  clock, incarnation, settings, client, weightStoreUrl, metrics, sendTo, onExplanation
+}: MapsTaskOptions): MapsTask => {
+  const { name: group, rank, reportIntervalMs, planIntervalMs } = settings
+  const random = createRandom(hash32(incarnation))
+  let members: GroupMember[] = []
+  let running: RunningGroup | undefined
+  /** Grows when a step is abandoned; the answer of an abandoned step is ignored. */
+  let stepGeneration = 0
+
+  const sendToRank = (to: number, fields: Record<string, unknown>) => {
+    const member = members.find(candidate => candidate.rank === to)
+    if (member !== undefined) sendTo(member.address, { kind: FrameKind.Switch, group, fromRank: rank, ...fields })
+  }
+
+  const deliver = (from: number, message: SwitchMessage) => {
+    if (isRankBound(message)) running?.rankTask.post({ kind: RankMessageKind.SwitchReceived, from, message })
+    else running?.coordinatorTask.post({ kind: CoordinatorMessageKind.SwitchReceived, from, message })
+  }
+
+  const send = (to: number, message: SwitchMessage) => {
+    if (to === rank) deliver(rank, message)
+    else sendToRank(to, { message })
+  }
+
+  const requestStep = (step: number) => running?.rankTask.post({ kind: RankMessageKind.StepRequested, step })
+
+  const askNextStep = async () => {
+    const generation = stepGeneration
+    try {
+      const step = await client.nextStep()
+      if (generation === stepGeneration) requestStep(step)
+    } catch {
+      setTimeout(askNextStep, ENGINE_RETRY_MS).unref()
+    }
+  }
+
+  const runStep = async (step: number, map: ExpertMap) => {
+    const generation = stepGeneration
+    try {
+      const result = await client.runStep(step, map.id.hash)
+      if (result.isAbandoned || generation !== stepGeneration) return
+      running?.planning.noteStep(result, map)
+      requestStep(step + 1)
+    } catch (error) {
+      log('step %d failed: %s', step, error instanceof Error ? error.message : error)
+      if (generation === stepGeneration) setTimeout(askNextStep, ENGINE_RETRY_MS).unref()
+    }
+  }
+
+  const activate = async (map: ExpertMap) => {
+    running?.planning.setMap(map)
+    await client.setMap({ hash: map.id.hash, replicas: map.layers.flat() })
+  }
+
+  const finishLoad = async (item: number, load: Promise<void>) => {
+    try {
+      await load
+      running?.rankTask.post({ kind: RankMessageKind.LoadFinished, item, isDone: true })
+    } catch (error) {
+      const retry = error instanceof WeightStoreBusyError ? { retryAfterMs: error.retryAfterMs } : {}
+      running?.rankTask.post({ kind: RankMessageKind.LoadFinished, item, isDone: false, ...retry })
+    }
+  }
+
+  const loadFromStore = async (item: number, expertBytes: number) => {
+    if (weightStoreUrl !== undefined) await fetchWeights(weightStoreUrl, `${group}-${item}`, expertBytes)
+    await client.loadWeights(item)
+  }
+
+  /** The engine must know a map before the first step that uses it. */
+  let activation: Promise<void> = Promise.resolve()
+
+  const rankPerformers: HandlerTable<RankEffect, void> = {
+    [RankEffectKind.SendToCoordinator]: ({ to, message }) => send(to, message),
+    [RankEffectKind.StepAllowed]: ({ step, map }) => { activation.then(() => runStep(step, map)) },
+    [RankEffectKind.ResumeAt]: ({ step }) => {
+      stepGeneration += 1
+      requestStep(step)
+    },
+    [RankEffectKind.MapActivated]: ({ map }) => {
+      activation = activate(map).catch(error => log('map was not sent: %s', error instanceof Error ? error.message : error))
+    },
+    [RankEffectKind.CoordinatorSuspected]: effect => {
+      running?.coordinatorTask.post({ kind: CoordinatorMessageKind.CoordinatorSuspected, rank: effect.rank })
+    },
+    [WeightEffectKind.CopyFromPeer]: ({ item, fromRank }) => { finishLoad(item, client.copyFromPeer(item, fromRank)) },
+    [WeightEffectKind.LoadFromStore]: ({ item }) => { finishLoad(item, loadFromStore(item, running?.shape.expertBytes ?? 0)) },
+    [WeightEffectKind.DropWeights]: ({ items }) => { client.dropWeights(items).catch(() => {}) }
+  }
+
+  const coordinatorPerformers: HandlerTable<CoordinatorEffect, void> = {
+    [CoordinatorEffectKind.SendToRank]: ({ to, message }) => send(to, message),
+    [CoordinatorEffectKind.SwitchEnded]: ({ outcome, map }) => {
+      log('switch to map %d ended: %s', map.id.version, outcome)
+      metrics.record(MetricName.MapSwitchesTotal, 1, { outcome })
+      if (outcome !== SwitchOutcome.Done) onExplanation(`map ${map.id.version} was planned, the switch ended as ${outcome}`)
+    }
+  }
+
+  const start = (shape: GroupShape, row: PoolRow): RunningGroup => {
+    const coordinatorTask: Task<CoordinatorMessage> = createTask({
+      name: 'maps',
+      core: createSwitchCoordinator({ shape, rank, incarnation, movesAtOnceMax: row.movesAtOnceMax, clock, random }),
+      perform: effect => dispatch(coordinatorPerformers, effect)
+    })
+    const rankTask: Task<RankMessage> = createTask({
+      name: 'maps', core: createSwitchRank({ shape, rank, incarnation, clock }), perform: effect => dispatch(rankPerformers, effect)
+    })
+    coordinatorTask.tickEvery(TICK_MS, () => ({ kind: CoordinatorMessageKind.Tick }))
+    rankTask.tickEvery(TICK_MS, () => ({ kind: RankMessageKind.Tick }))
+    const planning = createMapPlanning({
+      clock,
+      reportIntervalMs,
+      planIntervalMs,
+      shape,
+      weights: row,
+      rank,
+      incarnation,
+      leaderRank: () => Math.min(rank, ...members.map(member => member.rank)),
+      sendReport: (to, report) => sendToRank(to, { report }),
+      onPlanned: (base, map) => coordinatorTask.post({ kind: CoordinatorMessageKind.SwitchRequested, base, map }),
+      onExplanation,
+      metrics
+    })
+    return { shape, rankTask, coordinatorTask, planning }
+  }
+
+  return {
+    setRow: row => {
+      if (row.group === undefined) return
+      if (running === undefined) {
+        running = start(row.group, row)
+        askNextStep()
+      } else running.planning.setWeights(row)
+    },
+    onSwitchFrame: frame => {
+      const { group: frameGroup, fromRank, message, report } = parseFrame(switchFrameSchema, frame)
+      if (frameGroup !== group) return
+      if (message !== undefined) deliver(fromRank, message)
+      if (report !== undefined) running?.planning.noteReport(report)
+    },
+    onRoster: frame => {
+      const roster = parseFrame(groupRosterSchema, frame)
+      if (roster.group !== group) return
+      members = roster.members
+      const ranks = members.map(member => member.rank)
+      if (!ranks.includes(rank)) ranks.push(rank)
+      running?.rankTask.post({ kind: RankMessageKind.LiveRanksChanged, ranks })
+      running?.coordinatorTask.post({ kind: CoordinatorMessageKind.LiveRanksChanged, ranks })
+    },
+    stop: () => {
+      running?.rankTask.stop()
+      running?.coordinatorTask.stop()
+      running?.planning.stop()
+    }
+  }
+}
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -70,6 +70,8 @@
   const random = createRandom(hash32(incarnation))
   const { metrics, tracing } = createObservability('baobabdrift-entry', settings)
   const table = createRowTable()
+  /** Last decision of the planner by group. */
+  const mapExplanations = new Map<string, string>()
   const logClient = createLogClient(settings.logUrl)
 
   const self = (): PeerIdentity => ({
@@ -159,9 +161,19 @@
     pool.setWanted(subsetAgents().map(({ address }) => address))
     for (const { name } of table.pools()) quarantine.setUpstreams(name, hub?.agents(name).map(({ nodeId }) => nodeId) ?? [])
     owner.setEntries([linkAddress, ...peerAddresses()])
+    sendRosters()
     keyedCalls.onOwnersChanged()
   }
 
+  const sendRosters = () => {
+    const agents = hub?.agents() ?? []
+    for (const { group, address } of subsetAgents()) {
+      if (group === undefined) continue
+      const members = agents.filter(agent => agent.group === group).map(agent => ({ rank: agent.rank ?? 0, address: agent.address }))
+      sendTo(address, { kind: FrameKind.GroupRoster, group, members })
+    }
+  }
+
   const onRowsChanged = (offset: number) => {
     metrics.record(MetricName.ConfigurationOffset, offset)
     owner.setWindow(Math.max(ONCE_WINDOW_DEFAULT_MS, ...table.pools().map(({ onceWindowMs }) => onceWindowMs)))
@@ -222,6 +234,7 @@
     [FrameKind.PeerState]: (_peer, frame) => streamOwners[String(frame.stream)]?.onPeerState(frame),
     [FrameKind.EngineState]: (peer, frame) => placement.onEngineState(peer, frame),
     [FrameKind.FenceQuery]: peer => placement.onFenceQuery(peer),
+    [FrameKind.MapExplanation]: (_peer, { group, line }) => mapExplanations.set(String(group), String(line)),
     [FrameKind.Bind]: (_peer, frame) => owner.onBind(frame),
     [FrameKind.Bound]: (_peer, frame) => keyedCalls.onBound(frame),
     [FrameKind.KeyReply]: (peer, frame) => keyedCalls.onKeyReply(peer, frame),
@@ -310,7 +323,8 @@
       holdsPlacementLease: placement.isHolder,
       leaseClaimOffset: placement.claimOffset,
       entries: hub?.entries() ?? [],
-      agents: hub?.agents() ?? []
+      agents: hub?.agents() ?? [],
+      expertMaps: Object.fromEntries(mapExplanations)
     }),
     explain: routers.explain,
     gateway: {
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -2,6 +2,7 @@
 import { parseDocument } from 'yaml'
 import { z } from 'zod'
 import { SettingsError, type SettingsFault } from '../core/index.js'
+import { PLAN_INTERVAL_MS, REPORT_INTERVAL_MS } from '../expertMaps/index.js'
 
 const nodeName = z.string().min(1).max(63)
 const socketAddress = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IPv4 address with a port')
@@ -42,7 +43,12 @@
   pool: nodeName,
   upstreamUrl: url,
   weightStoreUrl: url.optional(),
-  group: z.strictObject({ name: nodeName, rank: z.number().int().nonnegative() }).optional(),
+  group: z.strictObject({
+    name: nodeName,
+    rank: z.number().int().nonnegative(),
+    reportIntervalMs: z.number().int().min(100).default(REPORT_INTERVAL_MS),
+    planIntervalMs: z.number().int().min(200).default(PLAN_INTERVAL_MS)
+  }).optional().describe('Group of ranks that the engine belongs to'),
   keepAnswersMs: z.number().int().nonnegative().default(15_000).describe('How long a draining agent keeps finished responses'),
   drainLimitMs: z.number().int().positive().default(600_000)
 })
--- a/src/observe/metricNames.ts
+++ b/src/observe/metricNames.ts
@@ -19,7 +19,7 @@
   BindingsTotal = 'bindings_total',
   KeysKept = 'keys_kept',
   MapSwitchesTotal = 'map_switches_total',
-  StepSkewRatio = 'step_skew_ratio',
+  StepDurationMs = 'step_duration_ms',
   GossipRefusedTotal = 'gossip_refused_total'
 }
 
@@ -59,6 +59,6 @@
   [MetricName.BindingsTotal]: counter('bindings', 'binding answers of a shard owner, by result code'),
   [MetricName.KeysKept]: gauge('keys', 'idempotency keys kept by the agent'),
   [MetricName.MapSwitchesTotal]: counter('switches', 'expert map switches, by result'),
-  [MetricName.StepSkewRatio]: gauge('ratio', 'slowest over mean step time of the group'),
+  [MetricName.StepDurationMs]: timing('compute time of one step at this rank, without waiting for other ranks'),
   [MetricName.GossipRefusedTotal]: counter('datagrams', 'datagrams that were refused, by reason')
 }
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -1,4 +1,4 @@
-import fastify, { type FastifyReply } from 'fastify'
+import fastify, { type FastifyInstance, type FastifyReply } from 'fastify'
 import { fingerprint } from '../core/index.js'
 import { applyOrder, type EngineOrder, type EngineState } from '../orders/index.js'
 import type { CacheEvent } from '../platform/index.js'
@@ -15,6 +15,8 @@
   crashText?: string
   restartMs?: number
   cacheBlocksMax?: number
+  /** Adds further routes, such as those of a rank, before the server listens. */
+  attach?: (app: FastifyInstance) => void
 }
 
 interface Generation {
@@ -61,7 +63,7 @@
  */
 export const startEngineStandIn = async ({
   port = 0, prefillTokensPerS = 50_000, tokenIntervalMs = 10, batchMax = 32, checksFence = true,
-  crashText, restartMs = 500, cacheBlocksMax = 512
+  crashText, restartMs = 500, cacheBlocksMax = 512, attach
 }: EngineStandInOptions = {}): Promise<EngineStandIn> => {
   const waiting: Generation[] = []
   const running = new Set<Generation>()
@@ -192,6 +194,7 @@
 
   app.get('/state', async () => ({ state, isBusy: false }))
 
+  attach?.(app)
   const timer = setInterval(step, tokenIntervalMs)
   const server = await listenOnLoopback(app, port)
   return {
