Show that each rule of gossip has a test that fires

Cause: with the pause check or the question about a suspicion disabled, all tests still passed. Change: tests for both, for the answer to an old accusation, and for suspicions on a one-way path.

--- a/src/membership/createGossip.test.ts
+++ b/src/membership/createGossip.test.ts
@@ -2,7 +2,7 @@
 import { createManualClock, createRandom, ResultCode } from '../core/index.js'
 import { NodeRole, type PeerIdentity } from '../links/index.js'
 import {
-  BROADCAST_PAYLOAD_BYTES_MAX, BroadcastTopic, DATAGRAM_BYTES_MAX, DatagramKind, GOSSIP_TICK_MS, MemberStatus, RESTART_GRACE_MS, RumorKind
+  BROADCAST_PAYLOAD_BYTES_MAX, BroadcastTopic, DATAGRAM_BYTES_MAX, DatagramKind, GOSSIP_TICK_MS, MemberStatus, RESTART_GRACE_MS, RumorKind, SUSPICION_MS
 } from './constants.js'
 import { createGossip } from './createGossip.js'
 import { createDatagramCodec } from './datagramCodec.js'
@@ -49,6 +49,44 @@
     expect(receive(recordOf(identityOf('entry-c'), 1, MemberStatus.Suspect), 'entry-b').filter(({ kind }) => kind === GossipEffectKind.MemberUpdated)).toEqual([])
   })
 
+  // Guards against an entry that wakes up and removes everyone whose refutation it slept through.
+  it('lets no suspicion expire during a pause of its own', () => {
+    const { clock, receive, tick } = setUp()
+    receive(recordOf(identityOf('entry-b'), 1))
+    receive(recordOf(identityOf('entry-c'), 1, MemberStatus.Suspect))
+    clock.advance(60_000)
+    const isRemoved = (effects: GossipEffect[]) =>
+      recordsOf(effects).some(({ identity, status }) => identity.nodeId === 'entry-c' && status === MemberStatus.Dead)
+    expect(isRemoved(tick())).toBe(false)
+    const later = Array.from({ length: SUSPICION_MS / GOSSIP_TICK_MS }, tick)
+    expect(isRemoved(later.flat())).toBe(true)
+  })
+
+  // Guards against a removal at the one entry that the news of the refutation missed.
+  it('asks about a suspicion before it expires, and answers with the refutation', () => {
+    const { core, receive, tick } = setUp()
+    receive(recordOf(identityOf('entry-b'), 1))
+    receive(recordOf(identityOf('entry-c'), 1, MemberStatus.Suspect))
+    // Pings also tell a suspect of its own state; those are not questions.
+    const rumorsAbout = (effects: GossipEffect[]) => effects.flatMap(effect => effect.kind === GossipEffectKind.SendDatagram &&
+      effect.datagram.kind === DatagramKind.Gossip
+      ? effect.datagram.rumors.filter(rumor => rumor.kind === RumorKind.Status && rumor.nodeId === 'entry-c')
+      : [])
+    const early = Array.from({ length: SUSPICION_MS / 2 / GOSSIP_TICK_MS - 1 }, tick)
+    expect(rumorsAbout(early.slice(-2).flat())).toEqual([])
+    const [accusation] = rumorsAbout(tick())
+    expect(accusation).toMatchObject({ status: MemberStatus.Suspect, version: 1 })
+
+    receive(recordOf(identityOf('entry-c'), 2))
+    receive(recordOf(identityOf('entry-b'), 2))
+    const answer = core.handle({
+      kind: GossipMessageKind.DatagramReceived,
+      datagram: { kind: DatagramKind.Gossip, fromId: 'entry-c', rumors: [accusation!] },
+      sourceAddress: '10.0.0.3:7100'
+    })
+    expect(rumorsAbout(answer)).toContainEqual(expect.objectContaining({ version: 2, status: MemberStatus.Alive }))
+  })
+
   // Guards against two runs of one node id that refute each other for ever.
   it.each([[0, false], [RESTART_GRACE_MS, true]])('meets a newer run of its node id %i ms after its start', (ageMs, isSuperseded) => {
     const { clock, core, receive } = setUp()
--- a/src/membership/gossipFaults.test.ts
+++ b/src/membership/gossipFaults.test.ts
@@ -16,12 +16,15 @@
   wait: (seconds: number) => void
   /** Members that any running node removed, as `node id/observer`. */
   removed: Set<string>
+  /** Members that any running node suspected. */
+  suspected: Set<string>
   delivered: string[]
 }
 
 const setUp = (seed: number, lossRatio = 0.1): Fixture => {
   const faults: NetworkFaults = { delayMinMs: 1, delayMaxMs: 20, lossRatio, duplicateRatio: 0.05 }
   const removed = new Set<string>()
+  const suspected = new Set<string>()
   const delivered: string[] = []
   const fleet = createGossipFleet({
     seed,
@@ -29,14 +32,15 @@
     faults,
     onEffect: (node, effect) => {
       if (effect.kind === GossipEffectKind.BroadcastDelivered) delivered.push(`${effect.broadcast.id}/${node.identity.nodeId}`)
-      if (effect.kind !== GossipEffectKind.MemberUpdated || effect.record.status !== MemberStatus.Dead) return
-      removed.add(`${effect.record.identity.nodeId}/${node.identity.nodeId}`)
+      if (effect.kind !== GossipEffectKind.MemberUpdated) return
+      if (effect.record.status === MemberStatus.Suspect) suspected.add(effect.record.identity.nodeId)
+      if (effect.record.status === MemberStatus.Dead) removed.add(`${effect.record.identity.nodeId}/${node.identity.nodeId}`)
     }
   })
   for (let i = 0; i < ENTRIES; i++) fleet.start(i)
   const wait = (seconds: number) => fleet.queue.runUntil(fleet.queue.clock.nowMs() + seconds * 1_000)
   wait(30)
-  return { fleet, faults, wait, removed, delivered }
+  return { fleet, faults, wait, removed, suspected, delivered }
 }
 
 const link = ({ fleet }: Fixture, indexes: number[], identity = agent) => indexes.forEach(i => fleet.nodes[i]!
@@ -122,7 +126,9 @@
     name: 'a path that is silent in one direction',
     act: fixture => { cut(fixture, (from, to) => from === 3 && to === 7); fixture.wait(120) },
     alive: everyEntry,
-    mayRemove: []
+    mayRemove: [],
+    // Helpers still reach both ends.
+    check: ({ suspected }) => expect([...suspected]).toEqual([])
   },
   {
     // It hears no refutation and must not accuse the others.
@@ -215,6 +221,7 @@
   it.each(FAULT_CASES.flatMap(faultCase => [1, 2].map(seed => ({ ...faultCase, seed }))))('$name (seed $seed)', ({ act, alive, mayRemove, check, seed }) => {
     const fixture = setUp(seed)
     fixture.removed.clear()
+    fixture.suspected.clear()
     act(fixture)
     for (const [nodeId, share] of Object.entries(alive)) {
       expect(fixture.fleet.shareWith(nodeId, MemberStatus.Alive), nodeId).toBeCloseTo(share)
