Add the operator command line on oclif

Cause: the design names seven commands, and only the session under them existed. That session took the base offset of an edit when it was appended, so an edit that another operator made after the diff was shown was overwritten unseen.

Change: commands validate, apply, get, diff, watch, status and explain as thin classes in an explicit table, over plain functions in src/cli/operations. A planned change carries the base offset of the diff.

Conclusion: a race after the diff ends as a conflict that shows the winning edit. Shell completion is left out: it needs a plugin that package.json does not declare.

--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,29 @@
+import type { Command } from '@oclif/core'
+import { ApplyCommand } from './commands/applyCommand.js'
+import { DiffCommand } from './commands/diffCommand.js'
+import { ExplainCommand } from './commands/explainCommand.js'
+import { GetCommand } from './commands/getCommand.js'
+import { StatusCommand } from './commands/statusCommand.js'
+import { ValidateCommand } from './commands/validateCommand.js'
+import { WatchCommand } from './commands/watchCommand.js'
+
+export enum CommandName {
+  Apply = 'apply',
+  Diff = 'diff',
+  Explain = 'explain',
+  Get = 'get',
+  Status = 'status',
+  Validate = 'validate',
+  Watch = 'watch'
+}
+
+/** Every command; package.json names this table as oclif's explicit target. */
+export const COMMANDS: Record<CommandName, Command.Class> = {
+  [CommandName.Apply]: ApplyCommand,
+  [CommandName.Diff]: DiffCommand,
+  [CommandName.Explain]: ExplainCommand,
+  [CommandName.Get]: GetCommand,
+  [CommandName.Status]: StatusCommand,
+  [CommandName.Validate]: ValidateCommand,
+  [CommandName.Watch]: WatchCommand
+}
--- a/src/cli/configurationSession.ts
+++ b/src/cli/configurationSession.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { type Clock, createRandom, hash32, ResultCode, type Task } from '../core/index.js'
+import { type Clock, createRandom, hash32, LogUnavailableError, ResultCode, type Task } from '../core/index.js'
 import {
   baseOffsetOf, CONFIGURATION_STREAM, ConfigurationEffectKind, type ConfigurationMessage, type ConfigurationOwnEffect,
   ConfigurationRecordKind, createConfigurationReader, createEditSubmitter, createFollowerTask, diffRows, type Edit,
@@ -11,9 +11,18 @@
 const SUBMIT_TICK_MS = 100
 const READ_RETRY_MS = 250
 
+/**
+ * A change with the offset of the row that it was worked out from. A row that another operator
+ * edits after the diff was shown must end in a conflict, not be overwritten unseen.
+ */
+export interface PlannedChange extends RowChange {
+  baseOffset: number
+}
+
 /** Verdict on one change of an apply. */
 export interface AppliedChange {
-  change: RowChange
+  change: PlannedChange
+  editId: string
   code: ResultCode
   verdict?: EditVerdict
 }
@@ -24,9 +33,9 @@
   readToEnd (): Promise<void>
   rows (): Row[]
   versions (): RowVersion[]
-  diff (wanted: readonly Row[], isPruning: boolean): RowChange[]
+  diff (wanted: readonly Row[], isPruning: boolean): PlannedChange[]
   /** Appends an edit per change and waits for the verdict of each; stops at the first that is not accepted. */
-  apply (changes: readonly RowChange[]): Promise<AppliedChange[]>
+  apply (changes: readonly PlannedChange[], onSettled?: (applied: AppliedChange) => void): Promise<AppliedChange[]>
   onVersions (listener: (versions: readonly RowVersion[]) => void): void
   close (): void
 }
@@ -83,22 +92,37 @@
     task.post({ kind: FollowerMessageKind.EndRequested, requestId })
   })
 
+  /** A reader at a gap that no snapshot crosses never reaches the end, so the wait has a limit. */
+  const requestEndWithin = async (limitMs: number): Promise<boolean> => {
+    let timer: NodeJS.Timeout | undefined
+    const timeout = new Promise<boolean>(resolve => { timer = setTimeout(() => resolve(false), limitMs) })
+    try {
+      return await Promise.race([requestEnd(), timeout])
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
   const readToEnd = async () => {
-    const limitMs = clock.nowMs() + timeoutMs
-    while (!await requestEnd()) {
-      // A direct read reports why the log can't be read.
-      if (clock.nowMs() >= limitMs) await client.read(CONFIGURATION_STREAM, 1, 1)
+    const endMs = clock.nowMs() + timeoutMs
+    while (!await requestEndWithin(Math.max(1, endMs - clock.nowMs()))) {
+      if (clock.nowMs() >= endMs) {
+        // A direct read reports why the log can't be read.
+        await client.read(CONFIGURATION_STREAM, 1, 1)
+        throw new LogUnavailableError(`stream ${CONFIGURATION_STREAM} could not be read to its end within ${timeoutMs} ms`)
+      }
       await new Promise(resolve => setTimeout(resolve, READ_RETRY_MS))
     }
   }
 
   const rows = () => [...versions.values()].flatMap(({ row }) => row === null ? [] : [row])
 
-  const toEdit = ({ kind, name, after }: RowChange): Edit =>
-    ({ editId: randomUUID(), kind, name, baseOffset: baseOffsetOf(versions, { kind, name }), row: after })
+  const toEdit = ({ kind, name, after, baseOffset }: PlannedChange): Edit =>
+    ({ editId: randomUUID(), kind, name, baseOffset, row: after })
 
-  const submit = (change: RowChange): Promise<AppliedChange> => new Promise(resolve => {
-    const submitter = createEditSubmitter({ edit: toEdit(change), clock, timeoutMs })
+  const submit = (change: PlannedChange): Promise<AppliedChange> => new Promise(resolve => {
+    const edit = toEdit(change)
+    const submitter = createEditSubmitter({ edit, clock, timeoutMs })
 
     const post = (message: SubmitMessage) => {
       for (const effect of submitter.handle(message)) performers[effect.kind](effect as never)
@@ -124,7 +148,7 @@
       [SubmitEffectKind.Settled]: ({ code, verdict }: { code: ResultCode, verdict?: EditVerdict }) => {
         clearInterval(timer)
         verdictListeners.delete(onVerdict)
-        resolve({ change, code, ...(verdict === undefined ? {} : { verdict }) })
+        resolve({ change, editId: edit.editId, code, ...(verdict === undefined ? {} : { verdict }) })
       }
     }
 
@@ -137,14 +161,15 @@
     rows,
     versions: () => [...versions.values()],
     diff: (wanted, isPruning) => {
-      const changes = diffRows(rows(), wanted)
+      const changes = diffRows(rows(), wanted).map(change => ({ ...change, baseOffset: baseOffsetOf(versions, change) }))
       return isPruning ? changes : changes.filter(({ after }) => after !== null)
     },
-    apply: async changes => {
+    apply: async (changes, onSettled) => {
       const applied: AppliedChange[] = []
       for (const change of changes) {
         const result = await submit(change)
         applied.push(result)
+        onSettled?.(result)
         if (result.code !== ResultCode.EditAccepted) break
       }
       return applied
--- /dev/null
+++ b/src/cli/operations/diffFiles.ts
@@ -0,0 +1,20 @@
+import { ResultCode } from '../../core/index.js'
+import { formatChange } from '../formatRows.js'
+import { readRowFiles } from '../readRowFiles.js'
+import { withSession } from '../withSession.js'
+import type { OperationContext, OperationResult } from './types.js'
+
+export interface DiffOptions {
+  files: readonly string[]
+  /** Whether rows that no file holds count as removed. */
+  isPruning: boolean
+}
+
+/** Shows what `apply` would change. */
+export const diffFiles = async ({ settings, print }: OperationContext, { files, isPruning }: DiffOptions): Promise<OperationResult> => {
+  const wanted = readRowFiles(files)
+  const changes = await withSession(settings, async session => session.diff(wanted, isPruning))
+  for (const change of changes) print(formatChange(change))
+  if (changes.length === 0) print('no changes')
+  return { code: ResultCode.Ok }
+}
