--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,7 +8,17 @@
   once: () => import('./once/schedules.js')
 }
 
-const usage = `usage: npm run bench -- SUITE [--seed N] [--json]\nsuites: ${Object.keys(SUITES).join(', ')}`
+/** Word that writes the page of all suites instead of running one. */
+const REPORT_WORD = 'report'
+
+const usage = `usage: npm run bench -- SUITE [--seed N] [--json]
+       npm run bench -- ${REPORT_WORD} [--seed N] [FILE.jsonl...]
+suites: ${Object.keys(SUITES).join(', ')}`
+
+const report = async (files: string[], seed: number) => {
+  const { writeReport } = await import('./report.js')
+  process.exitCode = await writeReport({ files, suites: Object.keys(SUITES), seed }) ? 0 : 1
+}
 
 const formatTarget = (figure: Figure) => {
   if (figure.target === undefined) return ''
@@ -30,13 +40,15 @@
     allowPositionals: true,
     options: { seed: { type: 'string' }, json: { type: 'boolean' }, help: { type: 'boolean' } }
   })
-  const load = SUITES[positionals[0] ?? '']
+  const seed = values.seed === undefined ? DEFAULT_SEED : Number(values.seed)
+  const [word = '', ...files] = positionals
+  if (word === REPORT_WORD && !values.help) return report(files, seed)
+  const load = SUITES[word]
   if (values.help || load === undefined) {
     console.log(usage)
     process.exitCode = values.help ? 0 : 2
     return
   }
-  const seed = values.seed === undefined ? DEFAULT_SEED : Number(values.seed)
   const { run } = await load()
   const figures = await run({ seed })
   for (const figure of figures) console.log(values.json ? JSON.stringify(figure) : formatFigure(figure))
--- /dev/null
+++ b/bench/report/report.test.ts
@@ -0,0 +1,34 @@
+import { expect, it } from 'vitest'
+import type { Figure } from '../harness/index.js'
+import { FigureLineError, groupBySuite, parseFigures } from './readFigures.js'
+import { renderPage, renderPlot } from './renderPage.js'
+
+const figure = (change: Partial<Figure>): Figure =>
+  ({ suite: 'control', figure: 'reverts', unit: 'rows', baseline: null, value: 0, seed: 1, ...change })
+
+it('names the place of a line that is no figure instead of leaving it out', () => {
+  const good = JSON.stringify(figure({}))
+  expect(parseFigures('a.jsonl', `${good}\n\n${good}\n`)).toHaveLength(2)
+  expect(() => parseFigures('a.jsonl', `${good}\nMISSED`)).toThrow(/^a\.jsonl:2: not a figure/)
+  expect(() => parseFigures('a.jsonl', JSON.stringify({ ...figure({}), value: '7' }))).toThrow(FigureLineError)
+})
+
+it('shows a value that JSON could not carry as missed', async () => {
+  const [lost] = parseFigures('a', JSON.stringify(figure({ value: Number.NaN, target: { max: 1 } })))
+  expect(await renderPage([lost!], [])).toContain('<span class="missed">missed</span>')
+})
+
+it('draws one plot for each suite with values, targets and baselines of any size', async () => {
+  const figures = [
+    figure({ figure: 'bytes', baseline: 912_345, value: 3_120, target: { max: 6_000 } }), figure({ value: 0, baseline: 0, target: { max: 0 } }),
+    figure({ suite: 'routing', value: -1 }), figure({ suite: 'routing', value: 2.4, baseline: 1, target: { min: 1.8 }, note: '<fast>' })
+  ]
+  const page = await renderPage(figures, ['suite maps failed'])
+  expect([...groupBySuite(figures).keys()]).toEqual(['control', 'routing'])
+  expect(page.match(/<svg /g)).toHaveLength(2)
+  for (const text of ['suite maps failed', '&lt;fast&gt;', 'at least 1.8', '912,300']) expect(page).toContain(text)
+  const plot = await renderPlot(figures.slice(0, 1))
+  // The value is near the left end of a linear scale; a logarithmic one keeps it visible.
+  expect(plot).toContain('log scale')
+  expect(plot.match(/stroke-dasharray="4,3"/g)).toHaveLength(1)
+})
