--- a/bench/report/plotSpec.ts
+++ b/bench/report/plotSpec.ts
@@ -6,8 +6,8 @@
 const BAND_HEIGHT_PX = 18
 /** Above this ratio the shorter bar is too short to be seen on a linear scale. */
 const LINEAR_RATIO_MAX = 50
-/** A format per label: one format for the whole axis shows zero as 0k. */
-const AXIS_LABEL = "format(datum.value, '~s')"
+/** A format per label: one format for the whole axis shows zero as 0k, and 0.2 as 200m. */
+const AXIS_LABEL = "format(datum.value, abs(datum.value) < 1 ? '~g' : '~s')"
 const COLORS = { met: '#2a7f62', missed: '#c0392b', plain: '#3b6ea5', baseline: '#b9c0c7', target: '#1b1b1b' }
 
 enum BarKind {
