--- a/src/cli/constants.ts
+++ b/src/cli/constants.ts
@@ -3,7 +3,7 @@
 /** Exit codes of the command line, for scripts of operators. */
 export enum ExitCode {
   Ok = 0,
-  /** The log or the operator refused the change, or another edit won. */
+  /** The tables refused the edit, another edit won, or what was asked for does not exist. */
   Refused = 1,
   BadInput = 2,
   Unavailable = 3,
--- a/src/cli/operations/applyFiles.ts
+++ b/src/cli/operations/applyFiles.ts
@@ -63,9 +63,9 @@
       return { code: ResultCode.Ok }
     }
     for (const change of changes) print(formatChange(change))
+    // Not a success: a script without --yes must not take an unanswered question for an applied change.
     if (!await confirm(`append ${changes.length} edits?`)) {
-      print('nothing was appended')
-      return { code: ResultCode.Ok }
+      return { code: ResultCode.BadRequest, detail: 'not confirmed, nothing was appended; --yes skips the question' }
     }
     const applied = await session.apply(changes, result => {
       for (const line of (DESCRIPTIONS[result.code] ?? describeOther)(result, session)) print(line)
