Use the gaps between tokens as a fresh sign of load

Change: message TokenSeen; a longer gap than usual in own streams within 60 ms raises the cost of an upstream. Conclusion: own streams tell what reports can't.

--- a/bench/routing/dispatchers.ts
+++ b/bench/routing/dispatchers.ts
@@ -116,6 +116,7 @@
       startedMs.set(requestId, queue.clock.nowMs())
       post(entry, { kind: RouterMessageKind.FirstTokenSeen, requestId, upstreamId: idOf(engine) })
     },
+    token: (entry, { requestId }, engine) => { post(entry, { kind: RouterMessageKind.TokenSeen, requestId, upstreamId: idOf(engine) }) },
     ended: (entry, { requestId }, engine, finished) => {
       const atMs = startedMs.get(requestId)
       startedMs.delete(requestId)
--- a/bench/routing/engineFake.ts
+++ b/bench/routing/engineFake.ts
@@ -14,6 +14,8 @@
 /** What an engine tells the caller of one run. */
 export interface RunListener {
   firstToken (): void
+  /** One of the later tokens. */
+  token? (): void
   finished (): void
   expired (): void
 }
@@ -117,6 +119,7 @@
       stats.gapsMs.push(nowMs - run.lastTokenMs)
       run.lastTokenMs = nowMs
       run.outputLeft -= 1
+      run.listener.token?.()
     }
     for (const { run, tokens } of prefills) {
       run.prefillLeft -= tokens
--- a/bench/routing/scenario.ts
+++ b/bench/routing/scenario.ts
@@ -42,6 +42,7 @@
   report? (engine: number, report: ReturnType<EngineFake['makeReport']>): void
   cacheChanged? (engine: number, batch: ReturnType<EngineFake['takeCacheChanges']>): void
   firstToken? (entry: number, request: BenchRequest, engine: number): void
+  token? (entry: number, request: BenchRequest, engine: number): void
   ended? (entry: number, request: BenchRequest, engine: number, finished: boolean): void
   tick? (): void
 }
@@ -87,6 +88,7 @@
         if (isCounted(request)) firstTokenMs.push(queue.clock.nowMs() + LINK_MS - request.arrivedMs)
         queue.after(LINK_MS, () => dispatcher.firstToken?.(entry, request, engine))
       },
+      token: dispatcher.token && (() => { queue.after(LINK_MS, () => dispatcher.token?.(entry, request, engine)) }),
       finished: () => { end(true) },
       expired: () => { end(false) }
     }))
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -9,6 +9,7 @@
   ChooseRequested = 'choose-requested',
   Dispatched = 'dispatched',
   FirstTokenSeen = 'first-token-seen',
+  TokenSeen = 'token-seen',
   Finished = 'finished',
   Failed = 'failed',
   Tick = 'tick'
@@ -121,3 +122,9 @@
 /** The weight grows by one for each such queue: the longer it is, the more requests a miss delays. */
 export const MISS_WEIGHT_QUEUE_MS = 100
 export const MISS_WEIGHT_MAX = 8
+/** Weight of the newest gap between tokens in the usual gap. */
+export const GAP_SMOOTHING = 0.02
+/** Age up to which the last gap tells what an upstream does now: a step or two of a batch. */
+export const TOKEN_GAP_FRESH_MS = 60
+/** A prompt in progress takes about two more steps like the last one. */
+export const TOKEN_GAP_WEIGHT = 2
--- a/src/routing/createRouter.test.ts
+++ b/src/routing/createRouter.test.ts
@@ -34,6 +34,24 @@
     expect(freshMs - choose()!.predictedWaitMs).toBeCloseTo(900, 0)
   })
 
+  it('avoids an upstream whose own streams just slowed down, before any report shows it', () => {
+    const { clock, countChoices, dispatchTo, post } = createTestRouter(2)
+    const streams = ['u0', 'u1'].map(upstreamId => ({ requestId: dispatchTo(upstreamId, [], 1), upstreamId }))
+    const seeToken = (stream: typeof streams[0]) => post({ kind: RouterMessageKind.TokenSeen, ...stream })
+    for (const stream of streams) post({ kind: RouterMessageKind.FirstTokenSeen, ...stream })
+    for (let i = 0; i < 300; i++) {
+      clock.advance(20)
+      streams.forEach(seeToken)
+    }
+    clock.advance(20)
+    seeToken(streams[1]!)
+    clock.advance(30)
+    seeToken(streams[0]!)
+    expect(countChoices(50)).toEqual({ u1: 50 })
+    clock.advance(1_000)
+    expect(countChoices(200).u0).toBeGreaterThan(20)
+  })
+
   it('keeps to own knowledge when reports stop', () => {
     const { choose, clock, dispatchTo } = createTestRouter(1)
     clock.advance(60_000)
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -1,7 +1,7 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
 import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable } from './chooseUpstream.js'
 import {
-  BLOCK_TOKENS, FailureCause, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
+  BLOCK_TOKENS, FailureCause, GAP_SMOOTHING, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
   SENDS_MAX, UpstreamState, WORK_PER_S_DEFAULT
 } from './constants.js'
 import { ejectOutlier, noteAttemptEnd, reinstateIfDue } from './ejection.js'
@@ -135,7 +135,7 @@
     const nowMs = clock.nowMs()
     const { uncachedTokens, firstTokenMs } = predict(upstream, message, { poolTokensPerS: WORK_PER_S_DEFAULT, nowMs })
     upstream.attempts.set(message.requestId, {
-      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - upstream.overheadMs, firstTokenSeen: false
+      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - upstream.overheadMs, firstTokenSeen: false, lastTokenMs: 0
     })
     upstream.meanTokens += SMOOTHING * (uncachedTokens - upstream.meanTokens)
     upstream.sends.push({ atMs: nowMs, tokens: uncachedTokens })
@@ -149,6 +149,7 @@
     const attempt = upstream?.attempts.get(requestId)
     if (upstream === undefined || attempt === undefined || attempt.firstTokenSeen) return []
     attempt.firstTokenSeen = true
+    attempt.lastTokenMs = clock.nowMs()
     if (upstream.report === undefined) return []
     const sampleMs = clock.nowMs() - attempt.dispatchedMs - attempt.processingMs
     const nextMs = upstream.overheadMs + OVERHEAD_SMOOTHING * (sampleMs - upstream.overheadMs)
@@ -156,6 +157,18 @@
     return []
   }
 
+  const onToken = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.TokenSeen>): RouterEffect[] => {
+    const upstream = upstreams.get(upstreamId)
+    const attempt = upstream?.attempts.get(requestId)
+    if (upstream === undefined || attempt === undefined || !attempt.firstTokenSeen) return []
+    const nowMs = clock.nowMs()
+    upstream.lastGapMs = nowMs - attempt.lastTokenMs
+    upstream.lastGapAtMs = nowMs
+    attempt.lastTokenMs = nowMs
+    upstream.usualGapMs += GAP_SMOOTHING * (upstream.lastGapMs - upstream.usualGapMs)
+    return []
+  }
+
   const onFinished = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.Finished>): RouterEffect[] => {
     const upstream = upstreams.get(upstreamId)
     if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false)
@@ -189,6 +202,7 @@
     [RouterMessageKind.ChooseRequested]: onChoose,
     [RouterMessageKind.Dispatched]: onDispatched,
     [RouterMessageKind.FirstTokenSeen]: onFirstToken,
+    [RouterMessageKind.TokenSeen]: onToken,
     [RouterMessageKind.Finished]: onFinished,
     [RouterMessageKind.Failed]: onFailed,
     [RouterMessageKind.Tick]: onTick
--- a/src/routing/getDefaultUpstream.ts
+++ b/src/routing/getDefaultUpstream.ts
@@ -11,6 +11,7 @@
   /** Predicted time to process the queue and the prompt, without the learned overhead. */
   processingMs: number
   firstTokenSeen: boolean
+  lastTokenMs: TimestampMs
 }
 
 /** What an entry knows about one upstream. */
@@ -33,6 +34,10 @@
   meanTokens: number
   /** Time to the first token beyond the predicted processing of queued work, as a moving average. */
   overheadMs: number
+  /** Gap between tokens of own streams, as a slow moving average, and the last gap. */
+  usualGapMs: number
+  lastGapMs: number
+  lastGapAtMs: TimestampMs
   failureRatio: number
   attemptCount: number
   consecutiveFailures: number
@@ -58,6 +63,9 @@
   snapshotAskedMs: Number.NEGATIVE_INFINITY,
   meanTokens: 0,
   overheadMs: 0,
+  usualGapMs: 0,
+  lastGapMs: 0,
+  lastGapAtMs: Number.NEGATIVE_INFINITY,
   failureRatio: 0,
   attemptCount: 0,
   consecutiveFailures: 0,
--- a/src/routing/predict.ts
+++ b/src/routing/predict.ts
@@ -1,5 +1,5 @@
 import type { TimestampMs } from '../core/index.js'
-import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, MISS_WEIGHT_MAX, MISS_WEIGHT_QUEUE_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, UTILISATION_MAX } from './constants.js'
+import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, MISS_WEIGHT_MAX, MISS_WEIGHT_QUEUE_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, TOKEN_GAP_FRESH_MS, TOKEN_GAP_WEIGHT, UTILISATION_MAX } from './constants.js'
 import type { Upstream } from './getDefaultUpstream.js'
 import type { ChooseRequest } from './types.js'
 
@@ -58,6 +58,10 @@
   return Math.max(0, waiting) / report.finishedPerS * 1_000
 }
 
+/** Fresher than any report: a long gap between the last tokens shows that prompts are processed there now. */
+const prefillInProgressMs = ({ lastGapMs, lastGapAtMs, usualGapMs }: Upstream, nowMs: TimestampMs): number =>
+  nowMs - lastGapAtMs > TOKEN_GAP_FRESH_MS ? 0 : TOKEN_GAP_WEIGHT * (lastGapMs - usualGapMs)
+
 /**
  * Predicts the time to the first token of a request on one upstream.
  *
@@ -77,6 +81,6 @@
   const firstTokenMs = waitMs + upstream.overheadMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000
   const queueMs = queue.tokens / tokensPerS * 1_000
   const missWeight = Math.min(MISS_WEIGHT_MAX, MISS_WEIGHT + queueMs / MISS_WEIGHT_QUEUE_MS)
-  const costMs = (firstTokenMs + (missWeight - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
+  const costMs = (firstTokenMs + prefillInProgressMs(upstream, nowMs) + (missWeight - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
   return { upstream, queuedTokens: queue.tokens, uncachedTokens, tokensPerS, placeWaitMs: waitMs, firstTokenMs, costMs }
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -64,6 +64,8 @@
   | ChooseRequest & { kind: RouterMessageKind.ChooseRequested }
   | ForAttempt & { kind: RouterMessageKind.Dispatched, blocks: readonly BlockFingerprint[], tokens: number }
   | ForAttempt & { kind: RouterMessageKind.FirstTokenSeen }
+  /** A token after the first one; gaps between tokens show prompts being processed right now. */
+  | ForAttempt & { kind: RouterMessageKind.TokenSeen }
   | ForAttempt & { kind: RouterMessageKind.Finished }
   | ForAttempt & { kind: RouterMessageKind.Failed, cause: FailureCause }
   | { kind: RouterMessageKind.Tick }
