Let learned delays and failure ratios fade without samples

Change: both fade with a half-life of 3 s after 3 s without a sample. Conclusion: no upstream is avoided for good; two tests cover it.

--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -128,3 +128,6 @@
 export const TOKEN_GAP_FRESH_MS = 60
 /** A prompt in progress takes about two more steps like the last one. */
 export const TOKEN_GAP_WEIGHT = 2
+/** Age at which a learned value starts to fade, and the time in which it then halves. */
+export const FADE_AFTER_MS = 3_000
+export const FADE_HALF_LIFE_MS = 3_000
--- a/src/routing/createRouter.test.ts
+++ b/src/routing/createRouter.test.ts
@@ -135,6 +135,27 @@
     expect(reinstated).toHaveLength(3)
   })
 
+  it.each([
+    ['was slow', (requestId: string) => ({ kind: RouterMessageKind.FirstTokenSeen as const, requestId, upstreamId: 'u0' }), 3_000],
+    ['failed while the ejection cap was reached', (requestId: string) => ({ kind: RouterMessageKind.Failed as const, requestId, upstreamId: 'u0', cause: FailureCause.Error }), 10]
+  ])('uses an upstream again some time after it %s', (_case, end, durationMs) => {
+    const { clock, countChoices, dispatchTo, post, report } = createTestRouter(2, { setAsideShareMax: 0 })
+    for (let i = 0; i < 20; i++) {
+      const requestId = dispatchTo('u0')
+      clock.advance(durationMs)
+      post(end(requestId))
+      if (end(requestId).kind === RouterMessageKind.FirstTokenSeen) post({ kind: RouterMessageKind.Finished, requestId, upstreamId: 'u0' })
+    }
+    const refresh = (sequence: number) => { for (const id of ['u0', 'u1']) report(id, { sequence }) }
+    refresh(10)
+    expect(countChoices(50).u0 ?? 0).toBe(0)
+    clock.advance(40_000)
+    refresh(11)
+    // An idle u1 is still a little faster; a short queue there is enough now.
+    for (let i = 0; i < 3; i++) dispatchTo('u1')
+    expect(countChoices(50).u0).toBe(50)
+  })
+
   it('does not blame an upstream for a cancelled or refused attempt', () => {
     const { choose, dispatchTo, post } = createTestRouter(1)
     for (const cause of [FailureCause.Busy, FailureCause.Cancelled, FailureCause.Busy, FailureCause.Cancelled]) {
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -6,7 +6,7 @@
 } from './constants.js'
 import { ejectOutlier, noteAttemptEnd, reinstateIfDue } from './ejection.js'
 import { getDefaultUpstream, type Upstream } from './getDefaultUpstream.js'
-import { predict } from './predict.js'
+import { fadedOverheadMs, predict } from './predict.js'
 import type { RouterEffect, RouterMessage } from './types.js'
 
 export interface RouterOptions {
@@ -135,7 +135,7 @@
     const nowMs = clock.nowMs()
     const { uncachedTokens, firstTokenMs } = predict(upstream, message, { poolTokensPerS: WORK_PER_S_DEFAULT, nowMs })
     upstream.attempts.set(message.requestId, {
-      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - upstream.overheadMs, firstTokenSeen: false, lastTokenMs: 0
+      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - fadedOverheadMs(upstream, nowMs), firstTokenSeen: false, lastTokenMs: 0
     })
     upstream.meanTokens += SMOOTHING * (uncachedTokens - upstream.meanTokens)
     upstream.sends.push({ atMs: nowMs, tokens: uncachedTokens })
@@ -151,8 +151,11 @@
     attempt.firstTokenSeen = true
     attempt.lastTokenMs = clock.nowMs()
     if (upstream.report === undefined) return []
-    const sampleMs = clock.nowMs() - attempt.dispatchedMs - attempt.processingMs
-    const nextMs = upstream.overheadMs + OVERHEAD_SMOOTHING * (sampleMs - upstream.overheadMs)
+    const nowMs = clock.nowMs()
+    const sampleMs = nowMs - attempt.dispatchedMs - attempt.processingMs
+    const knownMs = fadedOverheadMs(upstream, nowMs)
+    const nextMs = knownMs + OVERHEAD_SMOOTHING * (sampleMs - knownMs)
+    upstream.overheadAtMs = nowMs
     upstream.overheadMs = Math.min(OVERHEAD_MAX_MS, Math.max(0, nextMs))
     return []
   }
@@ -171,14 +174,14 @@
 
   const onFinished = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.Finished>): RouterEffect[] => {
     const upstream = upstreams.get(upstreamId)
-    if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false)
+    if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false, clock.nowMs())
     return []
   }
 
   const onFailed = ({ requestId, upstreamId, cause }: MessageOf<RouterMessageKind.Failed>): RouterEffect[] => {
     const upstream = upstreams.get(upstreamId)
     if (upstream === undefined || !upstream.attempts.delete(requestId) || !blamesUpstream[cause]) return []
-    noteAttemptEnd(upstream, true)
+    noteAttemptEnd(upstream, true, clock.nowMs())
     const reason = ejectOutlier(upstream, { upstreams, setAsideShareMax, nowMs: clock.nowMs() })
     if (reason === undefined) return []
     return [{ kind: RouterEffectKind.Ejected, upstreamId, untilMs: upstream.ejectedUntilMs, reason }]
--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -3,12 +3,15 @@
   EJECTION_ATTEMPTS_MIN, EJECTION_BASE_MS, EJECTION_CONSECUTIVE_FAILURES, EJECTION_FAILURE_RATIO, EJECTION_MAX_MS,
   FAILURE_SMOOTHING, UpstreamState
 } from './constants.js'
+import { fade } from './fade.js'
 import type { Upstream } from './getDefaultUpstream.js'
 
 /** Counts one attempt that ended well or badly by the fault of the upstream. */
-export const noteAttemptEnd = (upstream: Upstream, failed: boolean): void => {
+export const noteAttemptEnd = (upstream: Upstream, failed: boolean, nowMs: TimestampMs): void => {
   upstream.attemptCount += 1
-  upstream.failureRatio += FAILURE_SMOOTHING * (Number(failed) - upstream.failureRatio)
+  const knownRatio = fade(upstream.failureRatio, nowMs - upstream.failureAtMs)
+  upstream.failureRatio = knownRatio + FAILURE_SMOOTHING * (Number(failed) - knownRatio)
+  upstream.failureAtMs = nowMs
   upstream.consecutiveFailures = failed ? upstream.consecutiveFailures + 1 : 0
   if (!failed && upstream.failureRatio < 0.01) upstream.ejectionCount = 0
 }
--- a/src/routing/getDefaultUpstream.ts
+++ b/src/routing/getDefaultUpstream.ts
@@ -34,6 +34,9 @@
   meanTokens: number
   /** Time to the first token beyond the predicted processing of queued work, as a moving average. */
   overheadMs: number
+  /** When the overhead and the failure ratio were last learned; without new samples they fade. */
+  overheadAtMs: TimestampMs
+  failureAtMs: TimestampMs
   /** Gap between tokens of own streams, as a slow moving average, and the last gap. */
   usualGapMs: number
   lastGapMs: number
@@ -63,6 +66,8 @@
   snapshotAskedMs: Number.NEGATIVE_INFINITY,
   meanTokens: 0,
   overheadMs: 0,
+  overheadAtMs: nowMs,
+  failureAtMs: nowMs,
   usualGapMs: 0,
   lastGapMs: 0,
   lastGapAtMs: Number.NEGATIVE_INFINITY,
--- a/src/routing/predict.ts
+++ b/src/routing/predict.ts
@@ -1,5 +1,6 @@
 import type { TimestampMs } from '../core/index.js'
 import { BLOCK_TOKENS, FAILURE_PENALTY_MS, MISS_WEIGHT, MISS_WEIGHT_MAX, MISS_WEIGHT_QUEUE_MS, RAMP_UP_MS, RAMP_UP_WEIGHT_MIN, REPORT_STALE_MS, TOKEN_GAP_FRESH_MS, TOKEN_GAP_WEIGHT, UTILISATION_MAX } from './constants.js'
+import { fade } from './fade.js'
 import type { Upstream } from './getDefaultUpstream.js'
 import type { ChooseRequest } from './types.js'
 
@@ -20,6 +21,10 @@
 export const rampWeight = ({ rampStartMs }: Upstream, nowMs: TimestampMs): number =>
   Math.min(1, Math.max(RAMP_UP_WEIGHT_MIN, (nowMs - rampStartMs) / RAMP_UP_MS))
 
+/** Learned start delay, as far as it is still known. */
+export const fadedOverheadMs = ({ overheadMs, overheadAtMs }: Upstream, nowMs: TimestampMs): number =>
+  fade(overheadMs, nowMs - overheadAtMs)
+
 /** Own work that certainly waits there, as its first token is missing. */
 const sumWaitingOwn = ({ attempts }: Upstream): number => {
   let tokens = 0
@@ -78,9 +83,9 @@
   const cachedTokens = upstream.prefix.matchBlocks(blocks) * BLOCK_TOKENS * upstream.prefix.trust
   const uncachedTokens = Math.max(Math.min(1, tokens), tokens - cachedTokens)
   const waitMs = placeWaitMs(upstream, queue.requests)
-  const firstTokenMs = waitMs + upstream.overheadMs + (queue.tokens + uncachedTokens) / tokensPerS * 1_000
+  const firstTokenMs = waitMs + fadedOverheadMs(upstream, nowMs) + (queue.tokens + uncachedTokens) / tokensPerS * 1_000
   const queueMs = queue.tokens / tokensPerS * 1_000
   const missWeight = Math.min(MISS_WEIGHT_MAX, MISS_WEIGHT + queueMs / MISS_WEIGHT_QUEUE_MS)
-  const costMs = (firstTokenMs + prefillInProgressMs(upstream, nowMs) + (missWeight - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + upstream.failureRatio * FAILURE_PENALTY_MS
+  const costMs = (firstTokenMs + prefillInProgressMs(upstream, nowMs) + (missWeight - 1) * uncachedTokens / tokensPerS * 1_000) / rampWeight(upstream, nowMs) + fade(upstream.failureRatio, nowMs - upstream.failureAtMs) * FAILURE_PENALTY_MS
   return { upstream, queuedTokens: queue.tokens, uncachedTokens, tokensPerS, placeWaitMs: waitMs, firstTokenMs, costMs }
 }
