--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -1,12 +1,12 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
 import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable } from './chooseUpstream.js'
 import {
-  BLOCK_TOKENS, FailureCause, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
+  BLOCK_TOKENS, FailureCause, GAP_SMOOTHING, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
   SENDS_MAX, UpstreamState, WORK_PER_S_DEFAULT
 } from './constants.js'
 import { ejectOutlier, noteAttemptEnd, reinstateIfDue } from './ejection.js'
 import { getDefaultUpstream, type Upstream } from './getDefaultUpstream.js'
-import { predict } from './predict.js'
+import { fadedOverheadMs, predict } from './predict.js'
 import type { RouterEffect, RouterMessage } from './types.js'
 
 export interface RouterOptions {
@@ -135,7 +135,7 @@
     const nowMs = clock.nowMs()
     const { uncachedTokens, firstTokenMs } = predict(upstream, message, { poolTokensPerS: WORK_PER_S_DEFAULT, nowMs })
     upstream.attempts.set(message.requestId, {
-      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - upstream.overheadMs, firstTokenSeen: false
+      dispatchedMs: nowMs, tokens: uncachedTokens, processingMs: firstTokenMs - fadedOverheadMs(upstream, nowMs), firstTokenSeen: false, lastTokenMs: 0
     })
     upstream.meanTokens += SMOOTHING * (uncachedTokens - upstream.meanTokens)
     upstream.sends.push({ atMs: nowMs, tokens: uncachedTokens })
@@ -149,23 +149,39 @@
     const attempt = upstream?.attempts.get(requestId)
     if (upstream === undefined || attempt === undefined || attempt.firstTokenSeen) return []
     attempt.firstTokenSeen = true
+    attempt.lastTokenMs = clock.nowMs()
     if (upstream.report === undefined) return []
-    const sampleMs = clock.nowMs() - attempt.dispatchedMs - attempt.processingMs
-    const nextMs = upstream.overheadMs + OVERHEAD_SMOOTHING * (sampleMs - upstream.overheadMs)
+    const nowMs = clock.nowMs()
+    const sampleMs = nowMs - attempt.dispatchedMs - attempt.processingMs
+    const knownMs = fadedOverheadMs(upstream, nowMs)
+    const nextMs = knownMs + OVERHEAD_SMOOTHING * (sampleMs - knownMs)
+    upstream.overheadAtMs = nowMs
     upstream.overheadMs = Math.min(OVERHEAD_MAX_MS, Math.max(0, nextMs))
     return []
   }
 
+  const onToken = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.TokenSeen>): RouterEffect[] => {
+    const upstream = upstreams.get(upstreamId)
+    const attempt = upstream?.attempts.get(requestId)
+    if (upstream === undefined || attempt === undefined || !attempt.firstTokenSeen) return []
+    const nowMs = clock.nowMs()
+    upstream.lastGapMs = nowMs - attempt.lastTokenMs
+    upstream.lastGapAtMs = nowMs
+    attempt.lastTokenMs = nowMs
+    upstream.usualGapMs += GAP_SMOOTHING * (upstream.lastGapMs - upstream.usualGapMs)
+    return []
+  }
+
   const onFinished = ({ requestId, upstreamId }: MessageOf<RouterMessageKind.Finished>): RouterEffect[] => {
     const upstream = upstreams.get(upstreamId)
-    if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false)
+    if (upstream?.attempts.delete(requestId)) noteAttemptEnd(upstream, false, clock.nowMs())
     return []
   }
 
   const onFailed = ({ requestId, upstreamId, cause }: MessageOf<RouterMessageKind.Failed>): RouterEffect[] => {
     const upstream = upstreams.get(upstreamId)
     if (upstream === undefined || !upstream.attempts.delete(requestId) || !blamesUpstream[cause]) return []
-    noteAttemptEnd(upstream, true)
+    noteAttemptEnd(upstream, true, clock.nowMs())
     const reason = ejectOutlier(upstream, { upstreams, setAsideShareMax, nowMs: clock.nowMs() })
     if (reason === undefined) return []
     return [{ kind: RouterEffectKind.Ejected, upstreamId, untilMs: upstream.ejectedUntilMs, reason }]
@@ -189,6 +205,7 @@
     [RouterMessageKind.ChooseRequested]: onChoose,
     [RouterMessageKind.Dispatched]: onDispatched,
     [RouterMessageKind.FirstTokenSeen]: onFirstToken,
+    [RouterMessageKind.TokenSeen]: onToken,
     [RouterMessageKind.Finished]: onFinished,
     [RouterMessageKind.Failed]: onFailed,
     [RouterMessageKind.Tick]: onTick
