--- /dev/null
+++ b/bench/overhead/perCore.ts
@@ -0,0 +1,44 @@
+import type { Figure } from '../harness/index.js'
+import type { Child } from './childProcess.js'
+import type { Deployment } from './deployment.js'
+import { runClosedLoop, sendStream } from './load.js'
+
+const SUITE = 'overhead'
+const LOAD = { concurrent: 400, durationMs: 2_500 }
+/** Long streams show the cost of a token, one-token streams the cost of a request. */
+const LONG_STREAM_TOKENS = 100
+const SHORT_STREAM_TOKENS = 1
+
+/** Runs one saturated round and returns the whole streams and the processor time of each process. */
+const saturate = async (url: string, tokens: number, processes: readonly Child[]) => {
+  const beforeS = processes.map(child => child.cpuS())
+  const samples = await runClosedLoop(LOAD, () => sendStream(url, tokens))
+  const cpuS = processes.map((child, i) => child.cpuS() - beforeS[i]!)
+  const wholeCount = samples.filter(({ isWhole }) => isWhole).length
+  const failures = [...new Set(samples.flatMap(({ isWhole, failure }) => isWhole ? [] : [failure]))]
+  return { wholeCount, notWholeCount: samples.length - wholeCount, failures, cpuS, totalS: cpuS.reduce((sum, seconds) => sum + seconds, 0) }
+}
+
+const measure = async (
+  { entryUrl, naiveUrl, entry, engineAgent, naiveRelay }: Deployment, seed: number, figure: string, unit: string, tokens: number
+): Promise<Figure> => {
+  const naive = await saturate(naiveUrl, tokens, [naiveRelay])
+  const relayed = await saturate(entryUrl, tokens, [entry, engineAgent])
+  const [entryS = 0, agentS = 0] = relayed.cpuS
+  return {
+    suite: SUITE,
+    figure,
+    unit,
+    baseline: naive.wholeCount * tokens / naive.totalS,
+    value: relayed.wholeCount * tokens / relayed.totalS,
+    seed,
+    note: `baseline: one process that pipes bytes; CPU of entry ${entryS.toFixed(2)} s, of agent ${agentS.toFixed(2)} s; ` +
+      `${relayed.wholeCount} whole streams, ${relayed.notWholeCount} refused or cut ${relayed.failures.join(', ')}`.trimEnd()
+  }
+}
+
+/** Measures requests and tokens per second of processor time of entry and agent together. */
+export const measurePerCore = async (deployment: Deployment, seed: number): Promise<Figure[]> => [
+  await measure(deployment, seed, 'requests_per_core_s', 'requests', SHORT_STREAM_TOKENS),
+  await measure(deployment, seed, 'tokens_per_core_s', 'tokens', LONG_STREAM_TOKENS)
+]
