--- a/src/demo/callerClient.ts
+++ b/src/demo/callerClient.ts
@@ -10,6 +10,8 @@
   body: string
   firstByteMs: number
   totalMs: number
+  /** Wait that the entry asks for. */
+  retryAfterMs: number
   /** Whether the response ended as docs/callers.md describes a whole one. */
   isWhole: boolean
 }
@@ -28,13 +30,16 @@
 export interface CallerClient {
   /** Fetches addresses through a known one. */
   refreshAddresses (throughAddress: string, customer: string): Promise<string[]>
+  /** Fetches addresses again if their lifetime is more than half over. */
+  keepFresh (customer: string): Promise<void>
   addresses (): readonly string[]
   send (address: string, callerRequest: CallerRequest): Promise<CallerResult>
   pickAddress (): string
   close (): Promise<void>
 }
 
-const CONNECTION_LOST = { status: 0, code: 0, outcome: 'unknown', isWhole: false }
+const OK = 200
+const CONNECTION_LOST = { retryAfterMs: 0, status: 0, code: 0, outcome: 'unknown', isWhole: false }
 
 /** Short digest of a response for comparisons. */
 export const digestOf = (body: string): string => createHash('sha256').update(body).digest('hex').slice(0, 8)
@@ -50,6 +55,8 @@
 export const createCallerClient = ({ clock, random }: { clock: Clock, random: Random }): CallerClient => {
   const dispatcher = new Agent({ connections: 64, pipelining: 1 })
   let known: string[] = []
+  let refreshAtMs = 0
+  let refreshing: Promise<unknown> | undefined
 
   const send = async (address: string, callerRequest: CallerRequest): Promise<CallerResult> => {
     const { method, path, customer, body, idempotencyKey, isEventStream, traceparent } = callerRequest
@@ -81,6 +88,7 @@
         body: text,
         firstByteMs,
         totalMs: clock.nowMs() - startedMs,
+        retryAfterMs: Number(response.headers['retry-after'] ?? 0) * 1_000,
         isWhole: response.statusCode < 300 && isStreamWhole
       }
     } catch {
@@ -88,11 +96,28 @@
     }
   }
 
+  const refreshAddresses = async (throughAddress: string, customer: string): Promise<string[]> => {
+    const { body, status } = await send(throughAddress, { method: 'GET', path: '/v1/addresses', customer })
+    if (status !== OK) return known
+    const answer = JSON.parse(body) as { addresses: string[], lifetimeMs: number }
+    known = answer.addresses
+    refreshAtMs = clock.nowMs() + answer.lifetimeMs / 2
+    return known
+  }
+
+  const refreshThroughAny = async (customer: string) => {
+    for (const address of random.shuffle(known)) {
+      await refreshAddresses(address, customer)
+      if (clock.nowMs() < refreshAtMs) return
+    }
+  }
+
   return {
-    refreshAddresses: async (throughAddress, customer) => {
-      const { body } = await send(throughAddress, { method: 'GET', path: '/v1/addresses', customer })
-      known = (JSON.parse(body) as { addresses: string[] }).addresses
-      return known
+    refreshAddresses,
+    keepFresh: async customer => {
+      if (clock.nowMs() < refreshAtMs) return
+      refreshing ??= refreshThroughAny(customer).finally(() => { refreshing = undefined })
+      await refreshing
     },
     addresses: () => known,
     send,
--- a/src/demo/runDemo.ts
+++ b/src/demo/runDemo.ts
@@ -150,7 +150,6 @@
     const second = await sendTraffic(caller, kinds.slice(third, 2 * third), traffic)
     say('stopping one entry gracefully')
     const entryDrained = fleet.entries[2]!.drain()
-    await caller.refreshAddresses(fleet.entries[0]!.callerAddress, CUSTOMER)
     const last = await sendTraffic(caller, kinds.slice(2 * third), traffic)
     await Promise.all([first.done, second.done, last.done])
     await Promise.all([agentDrained, entryDrained])
--- a/src/demo/traffic.ts
+++ b/src/demo/traffic.ts
@@ -70,17 +70,21 @@
 
 const RESENDS_MAX = 4
 const RESEND_DELAY_MS = 150
+const TOO_MANY_REQUESTS = 429
 
 /**
  * Sends a request as docs/callers.md advises: resends what did not run, and any idempotent or
  * keyed request whose outcome is unknown, through another address. `start` picks the first one.
  */
 export const sendAsAdvised = async (caller: CallerClient, sent: Sent, start: number): Promise<void> => {
-  const addresses = caller.addresses()
   for (let attempt = 0; attempt <= RESENDS_MAX; attempt++) {
+    await caller.keepFresh(sent.callerRequest.customer)
+    const addresses = caller.addresses()
     const result = await caller.send(addresses[(start + attempt) % addresses.length]!, sent.callerRequest)
     sent.results.push(result)
     if (result.isWhole) return
-    await new Promise(resolve => setTimeout(resolve, RESEND_DELAY_MS))
+    // A limit holds at every entry, so only waiting helps; other refusals are over at another one.
+    const delayMs = result.status === TOO_MANY_REQUESTS ? result.retryAfterMs : RESEND_DELAY_MS
+    await new Promise(resolve => setTimeout(resolve, delayMs))
   }
 }
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -66,6 +66,7 @@
   const [callerHost, callerPort] = splitAddress(settings.callerAddress)
   let { linkAddress, callerAddress } = settings
   let drainStartedMs: number | undefined
+  let reportedDrops = 0
   let hub: MembershipHub | null = null
   const random = createRandom(hash32(incarnation))
   const { metrics, tracing } = createObservability('baobabdrift-entry', settings)
@@ -142,6 +143,7 @@
     windowMsOf: name => table.pool(name)?.onceWindowMs ?? ONCE_WINDOW_DEFAULT_MS,
     askOwner,
     sendToAgent: sendTo,
+    isGone: agent => hub?.isAgentGone(agent.incarnation) ?? false,
     isSuspect: request => quarantine.place(request).kind === PlacementKind.Alone,
     traceparentOf: spans.traceparentOf
   })
@@ -178,6 +180,7 @@
     metrics.record(MetricName.ConfigurationOffset, offset)
     owner.setWindow(Math.max(ONCE_WINDOW_DEFAULT_MS, ...table.pools().map(({ onceWindowMs }) => onceWindowMs)))
     hub?.broadcast(BroadcastTopic.ConfigurationOffset, String(offset), { offset }, OFFSET_BROADCAST_LIFETIME_MS)
+    routers.onRowsChanged()
     onMembersChanged()
     subsetAgents().forEach(peer => {
       sendRow(peer)
@@ -323,7 +326,7 @@
       holdsPlacementLease: placement.isHolder,
       leaseClaimOffset: placement.claimOffset,
       entries: hub?.entries() ?? [],
-      agents: hub?.agents() ?? [],
+      agents: hub?.agentStates() ?? [],
       expertMaps: Object.fromEntries(mapExplanations)
     }),
     explain: routers.explain,
@@ -368,7 +371,8 @@
     setInterval(() => {
       membership.setLiveRequests(liveCount())
       metrics.record(MetricName.RequestsLive, liveCount())
-      metrics.record(MetricName.FramesDroppedTotal, requests.droppedFrameCount)
+      metrics.record(MetricName.FramesDroppedTotal, requests.droppedFrameCount - reportedDrops)
+      reportedDrops = requests.droppedFrameCount
     }, METRICS_INTERVAL_MS)
   ]
 
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -15,6 +15,8 @@
   /** Code of an admission that refused; the call may then only find an existing binding. */
   refusal: ResultCode | undefined
   agent: ChosenAgent | undefined
+  /** Agent of the last dispatch. */
+  bound: AgentRef | undefined
   isDispatched: boolean
   hasHead: boolean
   isCommitted: boolean
@@ -31,6 +33,8 @@
   /** Asks the owner of a shard. */
   askOwner: (request: BindRequest, traceparent: string | undefined) => void
   sendToAgent: (address: string, frame: Frame) => void
+  /** Whether the fleet no longer has this run of an agent. */
+  isGone: (agent: AgentRef) => boolean
   /** Whether the request has to run alone on its upstream. */
   isSuspect: (request: SubmittedRequest) => boolean
   /** Trace context of the entry's span of a request. */
@@ -58,7 +62,7 @@
  * const calls = createKeyedCalls({ clock, ports, windowMsOf, askOwner, sendToAgent })
  * calls.submit(request, sink)
  */
-export const createKeyedCalls = ({ clock, ports, windowMsOf, askOwner, sendToAgent, isSuspect, traceparentOf }: KeyedCallsOptions): KeyedCalls => {
+export const createKeyedCalls = ({ clock, ports, windowMsOf, askOwner, sendToAgent, isGone, isSuspect, traceparentOf }: KeyedCallsOptions): KeyedCalls => {
   const live = new Map<string, LiveCall>()
   const incarnationByAddress = new Map<string, Incarnation>()
 
@@ -113,6 +117,12 @@
     return undefined
   }
 
+  /** Another run answers at the agent's address. */
+  const isReplaced = ({ address, incarnation }: AgentRef): boolean => {
+    const known = incarnationByAddress.get(address)
+    return known !== undefined && known !== incarnation
+  }
+
   const noteDispatch = (call: LiveCall, { incarnation }: AgentRef) => {
     if (call.isDispatched || call.agent?.incarnation !== incarnation) return
     call.isDispatched = true
@@ -126,8 +136,8 @@
     },
     [CallEffectKind.AskOwner]: ({ request }) => askOwner(request, call.traceparent),
     [CallEffectKind.Dispatch]: ({ agent, frame }) => {
-      const known = incarnationByAddress.get(agent.address)
-      if (known !== undefined && known !== agent.incarnation) {
+      call.bound = agent
+      if (isReplaced(agent) || isGone(agent)) {
         post(call, { kind: CallMessageKind.AgentGone, incarnation: agent.incarnation })
         return
       }
@@ -166,6 +176,7 @@
       sink,
       refusal,
       agent: undefined,
+      bound: undefined,
       isDispatched: false,
       hasHead: false,
       isCommitted: false,
@@ -206,7 +217,12 @@
     },
     onAgentUnlinked: ({ incarnation }) => postAll({ kind: CallMessageKind.LinkLost, incarnation }),
     onOwnersChanged: () => postAll({ kind: CallMessageKind.OwnerChanged }),
-    tick: () => postAll({ kind: CallMessageKind.Tick }),
+    tick: () => {
+      for (const call of [...live.values()]) {
+        const isLost = call.bound !== undefined && isGone(call.bound)
+        post(call, isLost ? { kind: CallMessageKind.AgentGone, incarnation: call.bound!.incarnation } : { kind: CallMessageKind.Tick })
+      }
+    },
     get liveCount () { return live.size }
   }
 }
--- a/src/nodes/entry/membershipHub.ts
+++ b/src/nodes/entry/membershipHub.ts
@@ -15,6 +15,8 @@
 /** Changes of the member list are handled together, because the subsets cost about 20 ms at full size. */
 const MEMBERS_CHANGED_DELAY_MS = 250
 const LOOKUP_ID = 'lookup'
+/** Until then an agent that is not in the list may only not have been heard of. */
+const MEMBERS_SETTLED_MS = 15_000
 
 export interface MembershipHubOptions {
   self: PeerIdentity
@@ -36,6 +38,10 @@
   entries (): PeerIdentity[]
   /** Live agents that do not drain, of one pool or of all. */
   agents (pool?: string): PeerIdentity[]
+  /** All live agents with their drains, for operators. */
+  agentStates (): Array<PeerIdentity & { isDraining: boolean }>
+  /** Whether a run of an agent has left the fleet, as far as a settled member list can tell. */
+  isAgentGone (incarnation: string): boolean
   /** Agents of a pool that this entry links to. */
   subset (pool: string, subsetSize: number): PeerIdentity[]
   addressesFor (customer: string): AddressAnswer
@@ -66,6 +72,7 @@
   const members = new Map<string, MemberRecord>()
   const directory = createDirectory({ clock, lifetimeMs: addressLifetimeMs })
   let changeTimer: NodeJS.Timeout | undefined
+  const startedMs = clock.nowMs()
   let hostListTimer: NodeJS.Timeout | undefined
 
   const scheduleChange = () => {
@@ -135,6 +142,11 @@
     .filter(({ isDraining, identity }) => !isDraining && (pool === undefined || identity.pool === pool))
     .map(({ identity }) => identity)
 
+  const isAgentGone = (incarnation: string): boolean => {
+    if (clock.nowMs() - startedMs < MEMBERS_SETTLED_MS) return false
+    return !liveOf(NodeRole.Agent).some(({ identity }) => identity.incarnation === incarnation)
+  }
+
   const callerAddressOf = (nodeId: string) =>
     nodeId === self.nodeId ? self.callerAddress : members.get(nodeId)?.identity.callerAddress
 
@@ -146,6 +158,8 @@
   return {
     entries,
     agents,
+    agentStates: () => liveOf(NodeRole.Agent).map(({ identity, isDraining }) => ({ ...identity, isDraining })),
+    isAgentGone,
     subset: (pool, subsetSize) => {
       const candidates = agents(pool)
       const chosen = new Set(chooseSubset(self.nodeId, { entries: entries(), agents: candidates, subsetSize }))
--- a/src/nodes/entry/poolRouters.ts
+++ b/src/nodes/entry/poolRouters.ts
@@ -41,7 +41,11 @@
   choose (request: SubmittedRequest, excludedAgentIds: readonly string[]): (ChosenAgent & { choice: Choice }) | ResultCode
   noteDispatched (request: SubmittedRequest, agentId: string): void
   noteFirstBytes (request: SubmittedRequest, agentId: string): void
+  /** Later bytes of a stream; their gaps show the load of the upstream before its next report. */
+  noteBytes (request: SubmittedRequest, agentId: string): void
   noteEnded (request: SubmittedRequest, agentId: string, result: AttemptResult): void
+  /** An edited pool gets a new router; its agents appear in it again. */
+  onRowsChanged (): void
   tick (): void
   explain (requestId: string): string[]
   readonly agentCount: number
@@ -75,15 +79,16 @@
  * routers.choose(request, [])
  */
 export const createPoolRouters = ({ clock, random, pool, onEjected }: PoolRoutersOptions): PoolRouters => {
-  const routers = new Map<string, ReturnType<typeof createRouter>>()
+  const routers = new Map<string, { router: ReturnType<typeof createRouter>, setAsideShareMax: number }>()
   const agents = new Map<string, LinkedAgent>()
   const explanations = new Map<string, string[]>()
 
   const routerOf = (poolName: string) => {
     const existing = routers.get(poolName)
-    if (existing !== undefined) return existing
-    const created = createRouter({ clock, random, setAsideShareMax: pool(poolName)?.setAsideShareMax ?? 0 })
-    routers.set(poolName, created)
+    if (existing !== undefined) return existing.router
+    const setAsideShareMax = pool(poolName)?.setAsideShareMax ?? 0
+    const created = createRouter({ clock, random, setAsideShareMax })
+    routers.set(poolName, { router: created, setAsideShareMax })
     return created
   }
 
@@ -107,12 +112,19 @@
     }
   }
 
+  const runOf = ({ peer }: LinkedAgent) => ({ upstreamId: peer.nodeId, incarnation: peer.incarnation })
+
   const tell = (agentId: string, toMessage: (agent: LinkedAgent) => RouterMessage) => {
     const agent = agents.get(agentId)
     if (agent?.peer.pool !== undefined) noteEffects(routerOf(agent.peer.pool).handle(toMessage(agent)))
   }
 
-  const runOf = ({ peer }: LinkedAgent) => ({ upstreamId: peer.nodeId, incarnation: peer.incarnation })
+  const appear = ({ peer, isDraining }: LinkedAgent) => {
+    tell(peer.nodeId, agent => ({
+      kind: RouterMessageKind.UpstreamAppeared, ...runOf(agent), failureDomain: peer.failureDomain
+    }))
+    if (isDraining) tell(peer.nodeId, agent => ({ kind: RouterMessageKind.UpstreamDraining, ...runOf(agent) }))
+  }
 
   const choose: PoolRouters['choose'] = (request, excludedIds) => {
     const effects = routerOf(request.pool).handle({
@@ -141,16 +153,19 @@
   return {
     addAgent: peer => {
       if (peer.pool === undefined) return
-      agents.set(peer.nodeId, { peer, isDraining: false })
-      tell(peer.nodeId, agent => ({
-        kind: RouterMessageKind.UpstreamAppeared, ...runOf(agent), failureDomain: peer.failureDomain
-      }))
+      const known = agents.get(peer.nodeId)
+      if (known?.peer.incarnation === peer.incarnation) return
+      const agent = { peer, isDraining: false }
+      agents.set(peer.nodeId, agent)
+      appear(agent)
     },
     removeAgent: agentId => {
       tell(agentId, agent => ({ kind: RouterMessageKind.UpstreamLeft, ...runOf(agent) }))
       agents.delete(agentId)
     },
     setDraining: agentId => {
+      const agent = agents.get(agentId)
+      if (agent !== undefined) agent.isDraining = true
       tell(agentId, agent => ({ kind: RouterMessageKind.UpstreamDraining, ...runOf(agent) }))
     },
     noteReport: (agentId, frame) => {
@@ -176,14 +191,23 @@
     })),
     noteFirstBytes: ({ requestId }, upstreamId) =>
       tell(upstreamId, () => ({ kind: RouterMessageKind.FirstTokenSeen, requestId, upstreamId })),
+    noteBytes: ({ requestId }, upstreamId) =>
+      tell(upstreamId, () => ({ kind: RouterMessageKind.TokenSeen, requestId, upstreamId })),
     noteEnded: ({ requestId }, upstreamId, result) => {
       const cause = CAUSE_OF_RESULT[result]
       tell(upstreamId, () => cause === undefined
         ? { kind: RouterMessageKind.Finished, requestId, upstreamId }
         : { kind: RouterMessageKind.Failed, requestId, upstreamId, cause })
     },
+    onRowsChanged: () => {
+      for (const [poolName, { setAsideShareMax }] of routers) {
+        if (pool(poolName)?.setAsideShareMax === setAsideShareMax) continue
+        routers.delete(poolName)
+        for (const agent of agents.values()) if (agent.peer.pool === poolName) appear(agent)
+      }
+    },
     tick: () => {
-      for (const router of routers.values()) noteEffects(router.handle({ kind: RouterMessageKind.Tick }))
+      for (const { router } of routers.values()) noteEffects(router.handle({ kind: RouterMessageKind.Tick }))
     },
     explain: requestId => explanations.get(requestId) ?? [],
     get agentCount () { return agents.size }
--- a/src/nodes/entry/requestPorts.ts
+++ b/src/nodes/entry/requestPorts.ts
@@ -82,6 +82,7 @@
       admission.noteFirstBytes(request)
       metrics.record(MetricName.FirstTokenMs, ageMs(request), { route: request.route })
     },
+    onStreamBytes: (request, agent) => routers.noteBytes(request, agent.agentId),
     onAttemptEnded: (request, agent, attempt, result) => {
       quarantine.noteEnded(request)
       routers.noteEnded(request, agent.agentId, result)
--- a/src/quarantine/constants.ts
+++ b/src/quarantine/constants.ts
@@ -63,7 +63,7 @@
 export const SUSPECTS_MAX = 4_096
 export const QUARANTINED_MAX = 4_096
 /** Fingerprints in one broadcast; its payload holds 400 bytes. */
-export const BROADCAST_FINGERPRINTS_MAX = 16
+export const BROADCAST_FINGERPRINTS_MAX = 12
 
 /** Part of the upstreams on which suspects run alone; the others serve everyone else meanwhile. */
 export const SUSPECT_HOME_SHARE = 0.25
--- a/src/quarantine/quarantine.test.ts
+++ b/src/quarantine/quarantine.test.ts
@@ -1,9 +1,12 @@
+import { encode } from 'cbor-x'
 import { describe, expect, it } from 'vitest'
 import { createManualClock, ResultCode } from '../core/index.js'
 import {
+  BROADCAST_FINGERPRINTS_MAX,
   CORRELATED_DEATHS_MS, CrashGuardEffectKind, CrashGuardMessageKind, NoticeKind, QUARANTINE_TOPIC, QuarantineEffectKind,
   QuarantineMessageKind, SUSPECT_QUEUE_MAX, SUSPECT_WAIT_MAX_MS, SUSPECTS_MAX, VERDICT_HOLD_MS
 } from './constants.js'
+import { BROADCAST_PAYLOAD_BYTES_MAX } from '../membership/index.js'
 import { createCrashGuard } from './createCrashGuard.js'
 import { createQuarantine } from './createQuarantine.js'
 import { createSuspectTable } from './suspectTable.js'
@@ -166,12 +169,13 @@
     expect(receiver.check('s')).toMatchObject({ code: ResultCode.Quarantined })
   })
 
-  it('fits every broadcast into a datagram', () => {
+  it('fits the payload of every broadcast, with the longest names, into a gossip datagram', () => {
     const { suspect } = createTest()
     const fingerprints = Array.from({ length: 100 }, (_, i) => i.toString(16).padStart(16, '0'))
-    const sizes = broadcastsOf(suspect('u0/0123456789abcdef', ...fingerprints)).map(broadcast => JSON.stringify(broadcast).length)
-    expect(sizes).toHaveLength(3)
-    expect(Math.max(...sizes)).toBeLessThan(1_200)
+    const broadcasts = broadcastsOf(suspect('u0/0123456789abcdef/12', ...fingerprints))
+    const sizes = broadcasts.map(({ payload }) => encode({ pool: 'p'.repeat(63), notice: payload }).length)
+    expect(broadcasts).toHaveLength(Math.ceil(fingerprints.length / BROADCAST_FINGERPRINTS_MAX))
+    expect(Math.max(...sizes)).toBeLessThanOrEqual(BROADCAST_PAYLOAD_BYTES_MAX)
   })
 })
 
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -171,7 +171,7 @@
     if (!request.hasFirstBytes) {
       request.hasFirstBytes = true
       ports.onFirstBytes(request.submitted, request.agent, request.attempt)
-    }
+    } else if (request.submitted.request.isEventStream) ports.onStreamBytes(request.submitted, request.agent)
     const mustFlush = request.submitted.request.isEventStream || request.heldBytes > HOLD_BACK_MAX_BYTES
     return mustFlush || request.isCommitted ? flush(request) : []
   }
--- a/src/requests/requestFaults.test.ts
+++ b/src/requests/requestFaults.test.ts
@@ -54,6 +54,7 @@
       onDispatched: () => undefined,
       onResumed: () => {},
       onFirstBytes: () => {},
+      onStreamBytes: () => {},
       onAttemptEnded: () => {},
       onRequestEnded: (_request, code) => results.push(code),
       ...ports
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -52,6 +52,8 @@
   onDispatched (request: SubmittedRequest, agent: ChosenAgent, attempt: number): string | undefined
   onResumed (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
   onFirstBytes (request: SubmittedRequest, agent: ChosenAgent, attempt: number): void
+  /** Called for later bytes of an event stream. */
+  onStreamBytes (request: SubmittedRequest, agent: ChosenAgent): void
   onAttemptEnded (request: SubmittedRequest, agent: ChosenAgent, attempt: number, result: AttemptResult): void
   /** Called once for each admitted request, however it ends. */
   onRequestEnded (request: SubmittedRequest, code: ResultCode): void
