--- a/bench/overhead/naiveRelay.ts
+++ b/bench/overhead/naiveRelay.ts
@@ -18,6 +18,7 @@
       response.pipe(outgoing)
     })
     upstream.on('error', () => outgoing.destroy())
+    incoming.on('error', () => upstream.destroy())
     incoming.pipe(upstream)
   })
   server.listen(0, '127.0.0.1')
