Leave time for a retry when the agent of a request is lost

Change: such a request waits at most half of its remaining time, unless bytes have gone to the caller.

--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -6,6 +6,8 @@
 export const RESUME_KEEP_MS = 15_000
 /** A link is redialed within this time or the attempt counts as lost. */
 export const RESUME_WAIT_MS = 5_000
+/** Part of the time to the deadline that a repeatable request waits for its link; the rest is for a retry elsewhere. */
+export const RESUME_WAIT_SHARE = 0.5
 /** Response bytes held back until the end, so that a failure can still become an error status. */
 export const HOLD_BACK_MAX_BYTES = 1024 * 1024
 export const REQUESTS_MAX = 20_000
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -3,9 +3,10 @@
 } from '../core/index.js'
 import { RepeatPolicy } from '../configuration/index.js'
 import { FrameKind } from '../links/index.js'
-import { ATTEMPTS_MAX, HOLD_BACK_MAX_BYTES, REQUESTS_MAX, RESUME_WAIT_MS } from './constants.js'
+import { ATTEMPTS_MAX, HOLD_BACK_MAX_BYTES, REQUESTS_MAX } from './constants.js'
 import { AssemblyKind, type Assembly, createResponseAssembler, type ResponseAssembler } from './createResponseAssembler.js'
 import type { ResponseFrame, ResponseHead } from './frames.js'
+import { resumeDeadlineMs } from './resumeDeadline.js'
 import {
   AttemptResult, type ChosenAgent, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind,
   type RequestPorts, type SubmittedRequest
@@ -256,8 +257,9 @@
         : failAttempt(request, ResultCode.UpstreamDied, AttemptResult.Lost))
 
   const onAgentUnlinked = (agentId: string): RequestEffect[] => {
-    const resumeByMs = clock.nowMs() + RESUME_WAIT_MS
-    for (const request of live.values()) if (request.agent.agentId === agentId) request.resumeByMs ??= resumeByMs
+    for (const request of live.values()) {
+      if (request.agent.agentId === agentId) request.resumeByMs ??= resumeDeadlineMs(request.submitted, request.isCommitted, clock.nowMs())
+    }
     return []
   }
 
