--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -60,7 +60,7 @@
     nodeId: settings.nodeId,
     incarnation,
     role: NodeRole.Agent,
-    address: linkAddress,
+    address: settings.advertisedAddress ?? linkAddress,
     failureDomain: settings.failureDomain,
     pool: settings.pool,
     ...(settings.group === undefined ? {} : { group: settings.group.name, rank: settings.group.rank })
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -39,6 +39,7 @@
 
 export const agentSettingsSchema = nodeSchema.extend({
   entries: z.array(socketAddress).min(1).describe('Link addresses of entries to register with'),
+  advertisedAddress: socketAddress.optional().describe('Link address that entries dial, if address translation makes it differ from linkAddress'),
   pool: nodeName,
   upstreamUrl: url,
   weightStoreUrl: url.optional(),
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -1,4 +1,4 @@
-import fastify, { type FastifyReply } from 'fastify'
+import fastify, { type FastifyReply, type FastifyRequest } from 'fastify'
 import { fingerprint } from '../core/index.js'
 import type { CacheEvent } from '../platform/index.js'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
@@ -27,6 +27,16 @@
 export interface EngineStandIn extends StandInServer {
   readonly startedRuns: number
   readonly crashCount: number
+  /** Runs in progress; a run whose caller closed its connection is cancelled. */
+  readonly runningCount: number
+  /** Header `traceparent` of the last completion request. */
+  readonly lastTraceparent: string | undefined
+  faults: {
+    /** Closes the connection in good order after this many tokens, without the last event. */
+    cutsAfterTokens: number | undefined
+    /** Number of runs whose connection is dropped before any response. */
+    dropsRuns: number
+  }
   /** Orders that were carried out, with their fencing tokens. */
   readonly orders: ReadonlyArray<{ fence: number, order: unknown }>
   /** Drops all connections and refuses new ones for the restart time. */
@@ -72,6 +82,8 @@
   let downUntilMs = 0
   let loadSequence = 0
   let eventSequence = 0
+  let lastTraceparent: string | undefined
+  const faults: EngineStandIn['faults'] = { cutsAfterTokens: undefined, dropsRuns: 0 }
   const app = fastify({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: true })
 
   const publish = (isStored: boolean, blocks: string[]) => {
@@ -130,6 +142,11 @@
       const text = ` token${generation.sentTokens++}`
       reply.raw.write(`data: ${JSON.stringify({ choices: [{ index: 0, text }] })}\n\n`)
       generation.remainingTokens -= 1
+      if (generation.sentTokens === faults.cutsAfterTokens) {
+        running.delete(generation)
+        reply.raw.end()
+        continue
+      }
       if (generation.remainingTokens > 0) continue
       running.delete(generation)
       reply.raw.end('data: [DONE]\n\n')
@@ -140,9 +157,15 @@
     if (Date.now() < downUntilMs) request.raw.socket.destroy()
   })
 
-  const complete = async (body: CompletionBody, reply: FastifyReply) => {
+  const complete = async ({ body, headers }: FastifyRequest<{ Body: CompletionBody }>, reply: FastifyReply) => {
     const prompt = promptOf(body)
     startedRuns += 1
+    lastTraceparent = headers.traceparent as string | undefined
+    if (faults.dropsRuns > 0) {
+      faults.dropsRuns -= 1
+      reply.raw.destroy()
+      return reply.hijack()
+    }
     if (crashText !== undefined && prompt.includes(crashText)) {
       crash()
       return reply.hijack()
@@ -160,8 +183,8 @@
     waiting.push(generation)
   }
 
-  app.post<{ Body: CompletionBody }>('/v1/completions', ({ body }, reply) => complete(body, reply))
-  app.post<{ Body: CompletionBody }>('/v1/chat/completions', ({ body }, reply) => complete(body, reply))
+  app.post<{ Body: CompletionBody }>('/v1/completions', complete)
+  app.post<{ Body: CompletionBody }>('/v1/chat/completions', complete)
 
   app.get('/load', async () => ({
     sequence: ++loadSequence,
@@ -191,6 +214,9 @@
     ...server,
     get startedRuns () { return startedRuns },
     get crashCount () { return crashCount },
+    get runningCount () { return running.size + waiting.length },
+    get lastTraceparent () { return lastTraceparent },
+    faults,
     orders,
     crash,
     close: async () => {
--- a/src/standIns/serviceStandIn.ts
+++ b/src/standIns/serviceStandIn.ts
@@ -29,13 +29,17 @@
   let sequence = 0
   const app = fastify({ forceCloseConnections: true })
 
+  const delay = async () => {
+    if (faults.delayMs > 0) await new Promise(resolve => setTimeout(resolve, faults.delayMs))
+  }
+
   const book = async (request: FastifyRequest<{ Body: { orderId: string } }>, reply: FastifyReply) => {
     running += 1
     try {
       const { orderId } = request.body
       const runs = (runsByOrder.get(orderId) ?? 0) + 1
       runsByOrder.set(orderId, runs)
-      if (faults.delayMs > 0) await new Promise(resolve => setTimeout(resolve, faults.delayMs))
+      await delay()
       if (faults.losesAnswers) {
         request.raw.socket.destroy()
         return reply.hijack()
@@ -48,6 +52,7 @@
 
   const lookUp = async ({ params: { item } }: FastifyRequest<{ Params: { item: string } }>) => {
     lookupCount += 1
+    await delay()
     return { item, available: 12 }
   }
 
