--- a/src/nodes/entry/callerFront.ts
+++ b/src/nodes/entry/callerFront.ts
@@ -26,6 +26,8 @@
   status: () => unknown
   /** Why a recent request went where it went, one line for each attempt. */
   explain: (requestId: string) => string[]
+  /** Last decisions of the map planners by group. */
+  expertMaps: () => Record<string, string[]>
 }
 
 export interface CallerFront {
@@ -211,7 +213,7 @@
   })
   app.get('/v1/status', async () => options.status())
   app.get<{ Params: { requestId: string } }>('/v1/explain/:requestId', async request =>
-    ({ requestId: request.params.requestId, lines: options.explain(request.params.requestId) }))
+    ({ requestId: request.params.requestId, lines: options.explain(request.params.requestId), expertMaps: options.expertMaps() }))
   app.all('/*', serve)
 
   await app.listen({ host: options.host, port: options.port })
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -330,6 +330,7 @@
       expertMaps: Object.fromEntries(mapExplanations)
     }),
     explain: routers.explain,
+    expertMaps: () => Object.fromEntries([...mapExplanations].map(([group, line]) => [group, [line]])),
     gateway: {
       submit: (request, sink) => {
         if (isRefusing()) sink.onFail(ResultCode.Draining)
