--- a/src/configuration/parseRows.test.ts
+++ b/src/configuration/parseRows.test.ts
@@ -36,7 +36,7 @@
     ['faults in several documents', `${pool('UP')}---\n${route('UP')}`, ['document[0].name', 'document[1].name']],
     ['a fault inside a list', 'rows:\n  - { kind: pool, name: a, upstreamKind: service, group: { ranks: 0, experts: 1, layers: 1, expertBytes: 1 } }\n', ['rows[0].group.ranks']],
     ['a key beside rows, which would be lost', 'rows: []\nextra: 1\n', ['extra']],
-    ['an unknown field, usually a typing error', `${pool('yard')}subsetsize: 3\n`, ['']],
+    ['an unknown field, usually a typing error', `${pool('yard')}subsetsize: 3\n`, ['subsetsize']],
     ['a row defined twice, of which one would be lost', `${pool('yard')}---\n${pool('yard')}`, ['document[1].name']],
     ['text that is no YAML', 'kind: [pool\n', ['line 2, column 1']],
     ['a file without rows', '# nothing\n', ['document']],
--- a/src/configuration/parseRows.ts
+++ b/src/configuration/parseRows.ts
@@ -1,19 +1,8 @@
 import { LineCounter, parseAllDocuments } from 'yaml'
-import { z } from 'zod'
-import { SettingsError, type SettingsFault } from '../core/index.js'
+import { formatPath, SettingsError, type SettingsFault, toSchemaFaults } from '../core/index.js'
 import { rowKeyOf } from './configurationState.js'
 import { type Row, rowSchema } from './rowSchema.js'
 
-const formatPath = (path: readonly PropertyKey[], prefix = ''): string =>
-  path.reduce<string>((text, key) => {
-    if (typeof key === 'number') return `${text}[${key}]`
-    return text === '' ? String(key) : `${text}.${String(key)}`
-  }, prefix)
-
-/** All faults of a value against its schema, with their paths below `prefix`. */
-export const faultsOf = (error: z.ZodError, prefix = ''): SettingsFault[] =>
-  error.issues.map(({ path, message }) => ({ path: formatPath(path, prefix), text: message }))
-
 interface Candidate {
   path: string
   value: unknown
@@ -77,7 +66,7 @@
   for (const { path, value } of candidates) {
     const parsed = rowSchema.safeParse(value)
     if (!parsed.success) {
-      faults.push(...faultsOf(parsed.error, path))
+      faults.push(...toSchemaFaults(parsed.error, path))
       continue
     }
     const key = rowKeyOf(parsed.data)
--- a/src/configuration/recordSchema.ts
+++ b/src/configuration/recordSchema.ts
@@ -1,10 +1,9 @@
 import { z } from 'zod'
 import { type LogPage, type LogRecord } from '../platform/index.js'
-import { ResultCode } from '../core/index.js'
+import { ResultCode, toSchemaFaults } from '../core/index.js'
 import { hashConfiguration, isIntactConfiguration } from './configurationState.js'
 import { ConfigurationRecordKind, ROW_NAME_LENGTH_MAX, RowKind } from './constants.js'
 import { type FollowedRecord, type FollowerMessage, FollowerMessageKind, type StateDocument } from './followerTypes.js'
-import { faultsOf } from './parseRows.js'
 import { rowSchema } from './rowSchema.js'
 import type { ConfigurationBody, ConfigurationDocument, ConfigurationMessage } from './types.js'
 
@@ -63,7 +62,7 @@
   if (edit.row === null) return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: null }, faults: [] }
   const parsed = rowSchema.safeParse(edit.row)
   if (!parsed.success) {
-    return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: null }, faults: faultsOf(parsed.error) }
+    return { kind: ConfigurationRecordKind.Edit, edit: { ...base, row: null }, faults: toSchemaFaults(parsed.error) }
   }
   const isSameRow = parsed.data.kind === kind && parsed.data.name === name
   const faults = isSameRow ? [] : [{ path: 'name', text: 'the edit names another row than it holds' }]
--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { parseDocument } from 'yaml'
 import { z } from 'zod'
-import { SettingsError, type SettingsFault } from '../core/index.js'
+import { SettingsError, toSchemaFaults } from '../core/index.js'
 import { PLAN_INTERVAL_MS, REPORT_INTERVAL_MS } from '../expertMaps/index.js'
 
 const nodeName = z.string().min(1).max(63)
@@ -58,15 +58,6 @@
 export type EntrySettings = z.infer<typeof entrySettingsSchema>
 export type AgentSettings = z.infer<typeof agentSettingsSchema>
 
-const formatPath = (path: readonly PropertyKey[]): string =>
-  path.reduce<string>((text, part) => typeof part === 'number' ? `${text}[${part}]` : `${text}${text === '' ? '' : '.'}${String(part)}`, '')
-
-/** Converts the issues of a schema into faults with their paths, all of them. */
-export const toSettingsFaults = (error: z.ZodError): SettingsFault[] =>
-  error.issues.flatMap(issue => issue.code === 'unrecognized_keys'
-    ? issue.keys.map(key => ({ path: formatPath([...issue.path, key]), text: 'unknown field' }))
-    : [{ path: formatPath(issue.path) || '(file)', text: issue.message }])
-
 /**
  * Parses settings text against a schema.
  *
@@ -81,7 +72,7 @@
       ({ path: `line ${linePos?.[0].line ?? '?'}`, text: message.split('\n')[0] ?? 'invalid YAML' })))
   }
   const parsed = schema.safeParse(document.toJS() ?? {})
-  if (!parsed.success) throw new SettingsError(toSettingsFaults(parsed.error))
+  if (!parsed.success) throw new SettingsError(toSchemaFaults(parsed.error))
   return parsed.data
 }
 
