Validate limit frames by schema and type the last untyped effects

Cause: limit frames were cast after a shallow check, and the command line and keyed calls cast effects and replies, which hides a changed message as it did for expert maps. Change: schemas typed against the messages of the limits slice; handler tables without casts. Before: three casts on the way in. Conclusion: outside data passes one check for each frame kind.

--- a/src/cli/configurationSession.ts
+++ b/src/cli/configurationSession.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto'
-import { type Clock, createRandom, hash32, LogUnavailableError, ResultCode, type Task } from '../core/index.js'
+import { type Clock, createRandom, dispatch, type HandlerTable, hash32, LogUnavailableError, ResultCode, type Task } from '../core/index.js'
 import {
   baseOffsetOf, CONFIGURATION_STREAM, ConfigurationEffectKind, type ConfigurationMessage, type ConfigurationOwnEffect,
   ConfigurationRecordKind, createConfigurationReader, createEditSubmitter, createFollowerTask, diffRows, type Edit,
-  type EditVerdict, FollowerMessageKind, type Row, type RowChange, rowKeyOf, type RowVersion, SubmitEffectKind,
+  type EditVerdict, FollowerMessageKind, type Row, type RowChange, rowKeyOf, type RowVersion, type SubmitEffect, SubmitEffectKind,
   type SubmitMessage, SubmitMessageKind, toConfigurationPage, toConfigurationRecord
 } from '../configuration/index.js'
 import type { LogClient } from '../platform/index.js'
@@ -125,7 +125,7 @@
     const submitter = createEditSubmitter({ edit, clock, timeoutMs })
 
     const post = (message: SubmitMessage) => {
-      for (const effect of submitter.handle(message)) performers[effect.kind](effect as never)
+      for (const effect of submitter.handle(message)) dispatch(performers, effect)
     }
     const onVerdict = (verdict: EditVerdict) => post({ kind: SubmitMessageKind.VerdictReached, verdict })
     const timer = setInterval(() => post({ kind: SubmitMessageKind.Tick }), SUBMIT_TICK_MS)
@@ -139,13 +139,13 @@
       }
     }
 
-    const performers = {
-      [SubmitEffectKind.AppendEdit]: ({ edit }: { edit: Edit }) => { append(edit) },
+    const performers: HandlerTable<SubmitEffect, void> = {
+      [SubmitEffectKind.AppendEdit]: effect => { append(effect.edit) },
       [SubmitEffectKind.ReadLogToEnd]: async () => {
         const isReached = await requestEnd()
         post({ kind: isReached ? SubmitMessageKind.LogReadToEnd : SubmitMessageKind.LogReadFailed })
       },
-      [SubmitEffectKind.Settled]: ({ code, verdict }: { code: ResultCode, verdict?: EditVerdict }) => {
+      [SubmitEffectKind.Settled]: ({ code, verdict }) => {
         clearInterval(timer)
         verdictListeners.delete(onVerdict)
         resolve({ change, editId: edit.editId, code, ...(verdict === undefined ? {} : { verdict }) })
--- a/src/nodes/entry/admissionGate.ts
+++ b/src/nodes/entry/admissionGate.ts
@@ -1,12 +1,12 @@
 import { type CustomerLimit, type PoolRow, Priority, type RouteRow, UpstreamKind } from '../../configuration/index.js'
-import { type Clock, FrameError, type Random, ResultCode, type TimestampMs } from '../../core/index.js'
+import type { Clock, Random, ResultCode, TimestampMs } from '../../core/index.js'
 import {
   AdmissionEffectKind, AdmissionMessageKind, createAdmission, createCustomerLimits, createLimitCoordinator,
   createRetryBudget, CoordinatorMessageKind, type CustomerLimitsEffect, CustomerLimitsEffectKind,
-  CustomerLimitsMessageKind, type LimitDemand, type LimitGrant, RetryBudgetEffectKind, RetryBudgetMessageKind
+  CustomerLimitsMessageKind, type LimitDemand, limitDemandFrameSchema, type LimitGrant, limitShareFrameSchema, RetryBudgetEffectKind, RetryBudgetMessageKind
 } from '../../limits/index.js'
 import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
-import type { SubmittedRequest } from '../../requests/index.js'
+import { parseFrame, type SubmittedRequest } from '../../requests/index.js'
 import type { Choice } from '../../routing/index.js'
 
 export interface AdmissionGateOptions {
@@ -39,14 +39,6 @@
   tick (): void
 }
 
-const isObject = (value: unknown): value is Record<string, unknown> => typeof value === 'object' && value !== null
-
-/** The peers of a link are authenticated; the check only keeps a damaged frame from reaching the core. */
-const toPayload = <T extends { limitKey: string, limit: CustomerLimit }>(value: unknown): T => {
-  if (!isObject(value) || typeof value.limitKey !== 'string' || !isObject(value.limit)) throw new FrameError('limit frame is malformed')
-  return value as unknown as T
-}
-
 const customerOf = (limitKey: string) => limitKey.slice(limitKey.indexOf('/') + 1)
 
 /**
@@ -140,9 +132,9 @@
         kind: AdmissionMessageKind.Ended, requestId, ...(startedMs === undefined ? {} : { streamMs: clock.nowMs() - startedMs })
       })
     },
-    onLimitDemand: (peer, frame) => coordinate(peer.nodeId, toPayload<LimitDemand>(frame.demand)),
+    onLimitDemand: (peer, frame) => coordinate(peer.nodeId, parseFrame(limitDemandFrameSchema, frame).demand),
     onLimitShare: frame => {
-      const grant = toPayload<LimitGrant>(frame.grant)
+      const { grant } = parseFrame(limitShareFrameSchema, frame)
       limits.handle({ kind: CustomerLimitsMessageKind.ShareReceived, grant, memberIds: memberIdsOf(customerOf(grant.limitKey)) })
     },
     tick: () => {
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -86,7 +86,7 @@
 
   const finish = (call: LiveCall, code: ResultCode) => {
     const { submitted, sink, refusal, agent } = call
-    // Without a binding the reason why no agent was offered is the honest answer.
+    // No binding was found, so the call has not run, and the refusal tells the caller why.
     const finalCode = refusal !== undefined && code === ResultCode.NoUpstream ? refusal : code
     live.delete(submitted.requestId)
     if (agent !== undefined && call.isDispatched) {
@@ -208,7 +208,7 @@
     onKeyReply: ({ incarnation }, frame) => {
       const { reply } = parseFrame(keyReplyFrameSchema, frame)
       withCall(reply.requestId, call =>
-        post(call, { kind: CallMessageKind.AgentReplied, incarnation, reply: reply as never }))
+        post(call, { kind: CallMessageKind.AgentReplied, incarnation, reply }))
     },
     onAgentLinked: ({ address, incarnation }) => {
       const previous = incarnationByAddress.get(address)
