Let a retry budget start full

Cause: with one initial token, 4 of 8 lookups in flight at a killed agent got 502 although another upstream was up; the fault test had to raise retryBudgetRatio to 1. Change: budgets start with all 10 tokens; the fault test uses the example rows unchanged; the budget's unit test first uses the initial tokens up, then expects one in ten as before. Conclusion: a burst is covered, and the long-run bound stays one retry in ten.

--- a/src/limits/constants.ts
+++ b/src/limits/constants.ts
@@ -59,7 +59,8 @@
 
 /** Retries that a customer or pool may save up while nothing fails. */
 export const RETRY_TOKENS_MAX = 10
-export const RETRY_TOKENS_INITIAL = 1
+/** A lost upstream fails all its requests at once, also where few requests came before. */
+export const RETRY_TOKENS_INITIAL = RETRY_TOKENS_MAX
 
 /**
  * Longest wait for the start of processing that admission builds up, and the users' target for the
--- a/src/limits/limits.test.ts
+++ b/src/limits/limits.test.ts
@@ -130,8 +130,10 @@
     const retries = (customer: string, count: number) => Array.from({ length: count }, () =>
       budget.handle({ kind: RetryBudgetMessageKind.RetryRequested, requestId: 'r', customer, pool: 'p' })[0]!)
       .filter(({ kind }) => kind === RetryBudgetEffectKind.RetryAllowed).length
+    requests('a', 1)
+    expect(retries('a', 100)).toBe(10)
     requests('a', 20)
-    expect(retries('a', 100)).toBe(3)
+    expect(retries('a', 100)).toBe(2)
     expect(retries('unknown', 5)).toBe(0)
     requests('b', 1_000)
     expect(retries('b', 1_000)).toBe(10)
--- a/src/nodes/nodeFaults.test.ts
+++ b/src/nodes/nodeFaults.test.ts
@@ -11,8 +11,7 @@
 
 const CUSTOMER = 'ridgeline-hardware'
 const TOKEN_INTERVAL_MS = 20
-/** With the default of one retry per ten requests the budget would refuse most retries of a burst. */
-const rows = readFileSync('examples/kpakpo/rows.yaml', 'utf8').replace('name: yard-app\n', 'name: yard-app\nretryBudgetRatio: 1\n')
+const rows = readFileSync('examples/kpakpo/rows.yaml', 'utf8')
 
 let fleet: LocalFleet
 let caller: CallerClient
