--- a/src/once/createBindingOwner.test.ts
+++ b/src/once/createBindingOwner.test.ts
@@ -202,7 +202,7 @@
     ['a key beyond the window', { keyTimeMs: START_MS - WINDOW_MS - CLOCK_SKEW_MARGIN_MS - 1 }, ResultCode.KeyOutsideWindow],
     ['a key in the future', { keyTimeMs: START_MS + CLOCK_SKEW_MARGIN_MS + 1 }, ResultCode.KeyOutsideWindow],
     ['an unbound key without a candidate', { scopedKey: 'b', candidate: undefined }, ResultCode.KeyUnbound],
-    ['a shard of another owner', { shard: SHARD + 1 }, ResultCode.KeyUnbound]
+    ['a shard of another owner', { shard: SHARD + 1 }, ResultCode.BindingUnavailable]
   ])('refuses with its own code and never as not run: %s', (_case, request, code) => {
     write(bindRecord('a', 'agent-2'))
     const owner = createOwner()
