--- a/src/cli/constants.ts
+++ b/src/cli/constants.ts
@@ -35,6 +35,7 @@
   [ResultCode.KeyReusedWithOtherBody]: ExitCode.BadInput,
   [ResultCode.RequestTooLarge]: ExitCode.BadInput,
   [ResultCode.MissingCustomer]: ExitCode.BadInput,
+  [ResultCode.UnknownApiKey]: ExitCode.BadInput,
 
   [ResultCode.CustomerRateLimited]: ExitCode.Refused,
   [ResultCode.CustomerConcurrencyLimited]: ExitCode.Refused,
@@ -46,6 +47,7 @@
   [ResultCode.Quarantined]: ExitCode.Refused,
   [ResultCode.KeyTableFull]: ExitCode.Refused,
   [ResultCode.SuspectBusy]: ExitCode.Refused,
+  [ResultCode.NotReady]: ExitCode.Refused,
 
   [ResultCode.LogUnavailable]: ExitCode.Unavailable,
   [ResultCode.KeyOutsideWindow]: ExitCode.Refused,
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -16,3 +16,6 @@
   configurationDocumentSchema, parseConfigurationBody, toConfigurationPage, toConfigurationRecord, toPageMessage
 } from './recordSchema.js'
 export { createFollowerTask, type FollowerTaskOptions } from './followerTask.js'
+export * from './createConfigurationHolder.js'
+export * from './createStoreFollower.js'
+export * from './fleetConfiguration.js'
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -39,3 +39,13 @@
     set: timeMs => { currentMs = Math.max(currentMs, timeMs) }
   }
 }
+
+/**
+ * Returns a clock that never jumps: steps of the time of day do not show in it. Its values are only
+ * comparable inside one process.
+ *
+ * @example
+ * const clock = createSteadyClock()
+ * const startedMs = clock.nowMs()
+ */
+export const createSteadyClock = (): Clock => ({ nowMs: () => performance.now() })
--- a/src/core/resultCode.ts
+++ b/src/core/resultCode.ts
@@ -11,6 +11,7 @@
   KeyReusedWithOtherBody = 1005,
   RequestTooLarge = 1006,
   MissingCustomer = 1007,
+  UnknownApiKey = 1008,
 
   CustomerRateLimited = 2001,
   CustomerConcurrencyLimited = 2002,
@@ -22,6 +23,7 @@
   Quarantined = 2008,
   KeyTableFull = 2009,
   SuspectBusy = 2010,
+  NotReady = 2011,
 
   LogUnavailable = 3001,
   KeyOutsideWindow = 3002,
@@ -79,6 +81,7 @@
   [ResultCode.KeyReusedWithOtherBody]: unknown(422, false, 'the Idempotency-Key was used with a different request'),
   [ResultCode.RequestTooLarge]: notRun(413, false, 'the request exceeds the size limit of its route'),
   [ResultCode.MissingCustomer]: notRun(400, false, 'the request names no customer'),
+  [ResultCode.UnknownApiKey]: notRun(401, false, 'the API key belongs to no customer'),
 
   [ResultCode.CustomerRateLimited]: notRun(429, true, 'the customer exceeds its request rate'),
   [ResultCode.CustomerConcurrencyLimited]: notRun(429, true, 'the customer exceeds its concurrent requests'),
@@ -89,6 +92,7 @@
   [ResultCode.Draining]: notRun(503, true, 'the process is draining'),
   [ResultCode.Quarantined]: notRun(422, false, 'the request has crashed upstreams and is quarantined'),
   [ResultCode.KeyTableFull]: notRun(503, true, 'the agent cannot keep another idempotency key'),
+  [ResultCode.NotReady]: notRun(503, true, 'the process knows no configuration yet'),
   [ResultCode.SuspectBusy]: notRun(503, true, 'a suspected request already runs; try again later'),
 
   [ResultCode.LogUnavailable]: unknown(503, true, 'the log is unavailable, an earlier attempt may have run'),
--- /dev/null
+++ b/src/membership/createPeerReports.ts
@@ -0,0 +1,142 @@
+import { type Clock, type Core, dispatch, type HandlerTable, type Random, type TimestampMs } from '../core/index.js'
+import {
+  type PeerEffect, PeerEffectKind, PEER_FANOUT_MAX, PEER_FORGET_MS, PEER_HEARTBEAT_MS, PEER_LIST_INTERVAL_MS,
+  type PeerMessage, PeerMessageKind, type PeerReport, PEER_SILENCE_MS, type SelfDescription
+} from './peerTypes.js'
+
+interface Peer {
+  address: string
+  report: PeerReport | undefined
+  heardAtMs: TimestampMs
+  isAlive: boolean
+  /** Incarnations that ended; a late report of theirs says nothing. */
+  endedIncarnation: string | undefined
+}
+
+export interface PeerReportsOptions {
+  clock: Clock
+  random: Random
+  ownAddress: string
+  seeds: readonly string[]
+  describeSelf: () => SelfDescription
+}
+
+/** Knowledge of the other entries, and of the requests that they have under way. */
+export interface PeerReports extends Core<PeerMessage, PeerEffect> {
+  alive (): PeerReport[]
+  /** Requests under way at a worker from all live peers. */
+  runningAt (workerId: string): number
+}
+
+/**
+ * Spreads short reports among the entries: at once when something changes, and as a heartbeat. Entries
+ * find each other through the seeds and through the addresses that reports carry.
+ *
+ * @example
+ * const peers = createPeerReports({ clock, random, ownAddress, seeds, describeSelf })
+ * peers.handle({ kind: PeerMessageKind.Tick })
+ */
+export const createPeerReports = ({ clock, random, ownAddress, seeds, describeSelf }: PeerReportsOptions): PeerReports => {
+  const peers = new Map<string, Peer>()
+  let sequence = 0
+  let hasChanged = true
+  let lastSentMs = -PEER_HEARTBEAT_MS
+  let lastListMs = -PEER_LIST_INTERVAL_MS
+
+  const learn = (address: string): Peer | undefined => {
+    if (address === ownAddress) return undefined
+    const known = peers.get(address)
+    if (known !== undefined) return known
+    const peer: Peer = { address, report: undefined, heardAtMs: clock.nowMs(), isAlive: false, endedIncarnation: undefined }
+    peers.set(address, peer)
+    return peer
+  }
+
+  seeds.forEach(learn)
+
+  const createReport = (withAddresses: boolean): PeerReport => {
+    sequence += 1
+    const aliveAddresses = () => [...peers.values()].filter(({ isAlive }) => isAlive).map(({ address }) => address)
+    return { ...describeSelf(), sequence, ...(withAddresses ? { peerAddresses: aliveAddresses() } : {}) }
+  }
+
+  const aliveTargets = () => {
+    const targets = [...peers.values()].filter(({ isAlive }) => isAlive).map(({ address }) => address)
+    return targets.length <= PEER_FANOUT_MAX ? targets : random.shuffle(targets).slice(0, PEER_FANOUT_MAX)
+  }
+
+  const expire = (): PeerEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects: PeerEffect[] = []
+    for (const peer of [...peers.values()]) {
+      const silentMs = nowMs - peer.heardAtMs
+      if (peer.isAlive && silentMs > PEER_SILENCE_MS) {
+        peer.isAlive = false
+        effects.push({ kind: PeerEffectKind.PeerLost, nodeId: peer.report!.nodeId, address: peer.address })
+      }
+      if (!peer.isAlive && silentMs > PEER_FORGET_MS && !seeds.includes(peer.address)) peers.delete(peer.address)
+    }
+    return effects
+  }
+
+  const onTick = (): PeerEffect[] => {
+    const nowMs = clock.nowMs()
+    const effects = expire()
+    if (nowMs - lastListMs >= PEER_LIST_INTERVAL_MS) {
+      lastListMs = nowMs
+      lastSentMs = nowMs
+      hasChanged = false
+      // Silent peers are told too: a cut may have healed, or the seed has only now started.
+      effects.push({ kind: PeerEffectKind.SendReport, addresses: [...peers.keys()], report: createReport(true) })
+    } else if (hasChanged || nowMs - lastSentMs >= PEER_HEARTBEAT_MS) {
+      lastSentMs = nowMs
+      hasChanged = false
+      effects.push({ kind: PeerEffectKind.SendReport, addresses: aliveTargets(), report: createReport(false) })
+    }
+    return effects
+  }
+
+  const isStale = ({ report, endedIncarnation }: Peer, { incarnation, sequence: received }: PeerReport) =>
+    incarnation === endedIncarnation || (report?.incarnation === incarnation && report.sequence >= received)
+
+  const onReport = (report: PeerReport, fromAddress: string): PeerEffect[] => {
+    const peer = learn(fromAddress)
+    if (peer === undefined || isStale(peer, report)) return []
+    const isNew = !peer.isAlive || peer.report?.incarnation !== report.incarnation
+    if (peer.report !== undefined && peer.report.incarnation !== report.incarnation) peer.endedIncarnation = peer.report.incarnation
+    peer.report = report
+    peer.heardAtMs = clock.nowMs()
+    peer.isAlive = true
+    const unknown = (report.peerAddresses ?? []).filter(address => address !== ownAddress && !peers.has(address))
+    unknown.forEach(learn)
+    const greeted = isNew ? [fromAddress, ...unknown] : unknown
+    const effects: PeerEffect[] = [{ kind: PeerEffectKind.PeerUpdated, report, isNew }]
+    return greeted.length === 0
+      ? effects
+      : [...effects, { kind: PeerEffectKind.SendReport, addresses: greeted, report: createReport(true) }]
+  }
+
+  const handlers: HandlerTable<PeerMessage, PeerEffect[]> = {
+    [PeerMessageKind.Tick]: onTick,
+    [PeerMessageKind.ReportReceived]: ({ report, fromAddress }) => onReport(report, fromAddress),
+    [PeerMessageKind.SelfChanged]: () => {
+      hasChanged = true
+      return []
+    },
+    [PeerMessageKind.Woken]: () => {
+      // What was known before a freeze is out of date, but silence during it proves nothing.
+      for (const peer of peers.values()) {
+        if (peer.isAlive) peer.heardAtMs = clock.nowMs()
+      }
+      return []
+    }
+  }
+
+  const alive = () => [...peers.values()].filter(({ isAlive }) => isAlive).map(({ report }) => report!)
+
+  return {
+    handle: message => dispatch(handlers, message),
+    alive,
+    runningAt: workerId => alive().reduce((sum, { running }) => sum + (running[workerId] ?? 0), 0)
+  }
+}
--- a/src/membership/gossipTask.test.ts
+++ b/src/membership/gossipTask.test.ts
@@ -5,7 +5,8 @@
 import { type FleetKey, NodeRole, type PeerIdentity } from '../links/index.js'
 import { BroadcastTopic, DatagramKind } from './constants.js'
 import { createDatagramCodec } from './datagramCodec.js'
-import { type GossipReport, type GossipTask, parseAddress, startGossipTask } from './gossipTask.js'
+import { type GossipReport, type GossipTask, startGossipTask } from './gossipTask.js'
+import { parseAddress } from './parseAddress.js'
 import { GossipEffectKind, GossipMessageKind } from './types.js'
 
 const key: FleetKey = { keyId: '2026-12', secret: 'test' }
--- a/src/membership/gossipTask.ts
+++ b/src/membership/gossipTask.ts
@@ -1,10 +1,10 @@
 import { createSocket } from 'node:dgram'
-import { isIP } from 'node:net'
 import { createLog, createTask, dispatch, type HandlerTable, OverflowPolicy, type Task } from '../core/index.js'
 import type { FleetKey } from '../links/index.js'
 import { GOSSIP_TICK_MS } from './constants.js'
 import { createDatagramCodec, type DatagramCodec } from './datagramCodec.js'
 import { createGossip, type GossipOptions } from './createGossip.js'
+import { parseAddress } from './parseAddress.js'
 import { type Datagram, type GossipEffect, GossipEffectKind, type GossipMessage, GossipMessageKind } from './types.js'
 
 /** Effects that other tasks receive; datagrams stay inside the task. */
@@ -37,14 +37,6 @@
   stop (): Promise<void>
 }
 
-/** Splits `ip:port`; undefined if it is not an IP address with a port. */
-export const parseAddress = (address: string): { host: string, port: number } | undefined => {
-  const at = address.lastIndexOf(':')
-  const host = address.slice(0, Math.max(0, at)).replace(/^\[|\]$/g, '')
-  const port = Number(address.slice(at + 1))
-  return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536 ? { host, port } : undefined
-}
-
 const formatAddress = (host: string, port: number) => host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`
 
 const log = createLog('membership')
--- /dev/null
+++ b/src/membership/peerReportTask.ts
@@ -0,0 +1,85 @@
+import { createSocket } from 'node:dgram'
+import { createTask, dispatch, type HandlerTable, OverflowPolicy } from '../core/index.js'
+import { type PeerReports, createPeerReports, type PeerReportsOptions } from './createPeerReports.js'
+import { parseAddress } from './parseAddress.js'
+import { type PeerEffect, PeerEffectKind, type PeerMessage, PeerMessageKind, PEER_TICK_MS, type PeerReport } from './peerTypes.js'
+
+/** What other tasks learn; datagrams stay inside the task. */
+export type PeerNews = Exclude<PeerEffect, { kind: PeerEffectKind.SendReport }>
+
+export interface PeerReportTaskOptions extends PeerReportsOptions {
+  onNews: (news: PeerNews) => void
+  /** Datagrams that could not be sent or read. */
+  onFault: (reason: string) => void
+}
+
+export interface PeerReportTask {
+  readonly reports: PeerReports
+  post (message: PeerMessage): void
+  stop (): void
+}
+
+const isRecordOfNumbers = (value: unknown): value is Record<string, number> =>
+  typeof value === 'object' && value !== null && Object.values(value).every(entry => typeof entry === 'number')
+
+/** Reports come from any process that reaches the port; only whole ones are used. */
+const decodeReport = (bytes: Buffer): PeerReport => {
+  const report = JSON.parse(bytes.toString('utf8')) as PeerReport
+  const texts = [report.nodeId, report.incarnation, report.zone, report.frontAddress]
+  const numbers = [report.sequence, report.configurationVersion, report.pauseCount, report.latePauseCount]
+  const isWhole = texts.every(text => typeof text === 'string') && numbers.every(Number.isFinite) &&
+    typeof report.isReady === 'boolean' && isRecordOfNumbers(report.storeOffsets) && isRecordOfNumbers(report.running)
+  if (!isWhole) throw new TypeError('report lacks a field')
+  return report
+}
+
+/**
+ * Binds the UDP socket of the own address and runs the exchange of reports.
+ *
+ * @example
+ * const task = startPeerReportTask({ clock, random, ownAddress, seeds, describeSelf, onNews, onFault })
+ */
+export const startPeerReportTask = ({ onNews, onFault, ...options }: PeerReportTaskOptions): PeerReportTask => {
+  const reports = createPeerReports(options)
+  const socket = createSocket('udp4')
+  const own = parseAddress(options.ownAddress)
+  if (own === undefined) throw new TypeError(`not an IP address and port: ${options.ownAddress}`)
+
+  const sendReport = (addresses: readonly string[], report: PeerReport) => {
+    const bytes = Buffer.from(JSON.stringify(report))
+    for (const address of addresses) {
+      const target = parseAddress(address)
+      if (target !== undefined) socket.send(bytes, target.port, target.host, error => { if (error !== null) onFault(`send to ${address}: ${error.message}`) })
+    }
+  }
+
+  const performers: HandlerTable<PeerEffect, void> = {
+    [PeerEffectKind.SendReport]: ({ addresses, report }) => sendReport(addresses, report),
+    [PeerEffectKind.PeerUpdated]: onNews,
+    [PeerEffectKind.PeerLost]: onNews
+  }
+
+  const task = createTask<PeerMessage, PeerEffect>({
+    name: 'peers', core: reports, perform: effect => dispatch(performers, effect), overflow: OverflowPolicy.DropOldest
+  })
+
+  socket.on('message', (bytes, { address, port }) => {
+    try {
+      task.post({ kind: PeerMessageKind.ReportReceived, report: decodeReport(bytes), fromAddress: `${address}:${port}` })
+    } catch (error) {
+      onFault(`datagram from ${address}:${port}: ${error instanceof Error ? error.message : String(error)}`)
+    }
+  })
+  socket.on('error', error => onFault(error.message))
+  socket.bind(own.port, own.host)
+  task.tickEvery(PEER_TICK_MS, () => ({ kind: PeerMessageKind.Tick }))
+
+  return {
+    reports,
+    post: message => { task.post(message) },
+    stop: () => {
+      task.stop()
+      socket.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/nodes/forward/admitCaller.ts
@@ -0,0 +1,52 @@
+import type { Backend, ConfigurationHolder } from '../../configuration/index.js'
+import { type Clock, type Random, ResultCode } from '../../core/index.js'
+import type { ForwardRequest } from '../../requests/index.js'
+import type { CallerRequest } from './types.js'
+
+const drawBackend = (backends: readonly Backend[], random: Random): string => {
+  const total = backends.reduce((sum, { weight }) => sum + weight, 0)
+  let left = random.next() * total
+  for (const { service, weight } of backends) {
+    left -= weight
+    if (left < 0) return service
+  }
+  return backends.at(-1)!.service
+}
+
+/** An admitted request still without its body. */
+export type AdmittedRequest = Omit<ForwardRequest, 'body'>
+
+/**
+ * Matches the head of a request to its route and tenant; returns a result code if it is refused.
+ *
+ * @example
+ * admitCaller(caller, { configuration, clock, random })
+ */
+export const admitCaller = (
+  caller: CallerRequest,
+  { configuration, clock, random }: { configuration: ConfigurationHolder, clock: Clock, random: Random }
+): AdmittedRequest | ResultCode => {
+  if (configuration.current === undefined) return ResultCode.NotReady
+  const pathname = caller.path.split('?', 1)[0] ?? '/'
+  const route = configuration.findRoute(caller.host, pathname)
+  if (route === undefined) return ResultCode.NoRoute
+  const tenant = caller.apiKey === undefined ? undefined : configuration.findTenant(caller.apiKey)
+  if (tenant === undefined && configuration.hasTenants && !route.isPublic) return ResultCode.UnknownApiKey
+  const arrivedAtMs = clock.nowMs()
+  return {
+    requestId: caller.requestId,
+    callerAttemptId: caller.callerAttemptId,
+    route,
+    service: drawBackend(route.backends, random),
+    tenant: tenant?.name,
+    priority: tenant?.priority ?? route.priority,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, caller.remainingMs ?? route.timeoutMs),
+    method: caller.method,
+    path: caller.path,
+    headers: caller.headers,
+    promptTokens: caller.promptTokens,
+    answerTokensMax: caller.answerTokensMax,
+    lastEventId: caller.lastEventId
+  }
+}
--- /dev/null
+++ b/src/nodes/forward/createForwardNode.ts
@@ -0,0 +1,245 @@
+import { type Clock, createIncarnation, type Random, ResultCode } from '../../core/index.js'
+import { ADJUST_INTERVAL_MS, createRepeatBudget, createStreamLimit, type RepeatBudgetSettings, type StreamLimit } from '../../limits/index.js'
+import {
+  PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, type SelfDescription, startPeerReportTask
+} from '../../membership/index.js'
+import { type EventLog, LogEvent } from '../../observe/index.js'
+import { createWorkerPlacement } from '../../routing/index.js'
+import { admitCaller } from './admitCaller.js'
+import { createFleetKnowledge, type FleetKnowledge } from './fleetKnowledge.js'
+import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
+import { createForwardPorts } from './forwardPorts.js'
+import { type ForwardTask, startForwardTask } from './forwardTask.js'
+import type { CallerRequest, CallerSink, StorePort, WorkerCodec } from './types.js'
+
+export interface ForwardNodeOptions {
+  nodeId: string
+  zone: string
+  frontAddress: string
+  peerAddress: string
+  seedAddresses: readonly string[]
+  repeatBudget: () => RepeatBudgetSettings
+  clock: Clock
+  random: Random
+  store: StorePort
+  codec: WorkerCodec
+  log: EventLog
+  onConfiguration: (node: FleetKnowledge) => void
+}
+
+/** A request whose head was admitted and whose body is still to come. */
+export interface OpenRequest {
+  submit (body: Uint8Array): void
+}
+
+/** An entry that forwards requests straight to workers. */
+export interface ForwardNode {
+  /** Admits the head of a request, or refuses it through the sink and returns undefined. */
+  open (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined
+  cancel (requestId: string): void
+  /** Addresses for callers of a zone: ready entries, those of the zone first. */
+  addressesFor (zone: string): string[]
+  readonly isReady: boolean
+  readonly isStopping: boolean
+  /** From now on this entry is in no directory answer; it still serves. */
+  startStopping (): void
+  readonly liveCount: number
+  readonly counters: ForwardCounters
+  readonly knowledge: FleetKnowledge
+  readonly openedConnections: number
+  readonly livePeers: number
+  streamLimits (): Record<string, number>
+  stop (): void
+}
+
+/** A timer that is this late shows that the process stood still. */
+const FREEZE_GAP_MS = 1_200
+const HOUSEKEEPING_MS = 200
+/** With fewer ready entries in its zone, a caller is given those of all zones. */
+const ZONE_ADDRESSES_MIN = 2
+const ADDRESSES_MAX = 64
+
+/**
+ * Starts an entry that knows configuration and workers from the store, and the other entries from
+ * their reports.
+ *
+ * @example
+ * const node = startForwardNode({ nodeId: 'front-1', ... })
+ * node.open(caller, sink)?.submit(body)
+ */
+export const startForwardNode = (options: ForwardNodeOptions): ForwardNode => {
+  const { nodeId, zone, frontAddress, clock, random, store, codec, log } = options
+  const incarnation = createIncarnation(random)
+  const counters = createForwardCounters()
+  const limits = new Map<string, StreamLimit>()
+  let isStopping = false
+  let lastHousekeepingMs = clock.nowMs()
+  let lastAdjustMs = clock.nowMs()
+  let ownWindow = { pauseCount: 0, latePauseCount: 0 }
+
+  const streamLimitOf = (service: string): StreamLimit => {
+    const limit = limits.get(service) ?? createStreamLimit()
+    limits.set(service, limit)
+    return limit
+  }
+
+  const knowledge = createFleetKnowledge({
+    clock,
+    random,
+    store,
+    log,
+    onConfiguration: () => options.onConfiguration(knowledge),
+    onWorkersChanged: () => forward.closeUnused()
+  })
+
+  const alivePeers = () => peers.reports.alive()
+
+  const placement = createWorkerPlacement({
+    clock, random, ownZone: zone, workers: knowledge.workers, peersRunningAt: workerId => peers.reports.runningAt(workerId)
+  })
+
+  const budget = createRepeatBudget({ clock, settings: options.repeatBudget, countEntries: () => alivePeers().length + 1 })
+
+  const noteRunningChanged = () => {
+    peers.post({ kind: PeerMessageKind.SelfChanged })
+    forward.notePlaceFreed()
+  }
+
+  const forward: ForwardTask = startForwardTask({
+    clock,
+    codec,
+    workers: knowledge.workers,
+    ports: createForwardPorts({
+      random,
+      configuration: knowledge.configuration,
+      placement,
+      budget,
+      streamLimitOf,
+      counters,
+      log,
+      now: clock.nowMs,
+      onRunningChanged: noteRunningChanged
+    })
+  })
+
+  const isReady = () => knowledge.isComplete && !isStopping
+
+  const describeSelf = (): SelfDescription => ({
+    nodeId,
+    incarnation,
+    zone,
+    frontAddress,
+    isReady: isReady(),
+    configurationVersion: knowledge.configuration.version,
+    storeOffsets: knowledge.storeOffsets(),
+    running: placement.ownRunning(),
+    ...ownWindow
+  })
+
+  const onPeerNews = (news: PeerNews) => {
+    if (news.kind === PeerEffectKind.PeerLost) {
+      log(LogEvent.PeerLost, { nodeId: news.nodeId, address: news.address })
+    } else {
+      if (news.isNew) log(LogEvent.PeerFound, { nodeId: news.report.nodeId, incarnation: news.report.incarnation })
+      knowledge.noteOffsets(news.report)
+    }
+    forward.notePlaceFreed()
+  }
+
+  const peers: PeerReportTask = startPeerReportTask({
+    clock,
+    random,
+    ownAddress: options.peerAddress,
+    seeds: options.seedAddresses,
+    describeSelf,
+    onNews: onPeerNews,
+    onFault: reason => log(LogEvent.PeerFault, { reason })
+  })
+
+  const adjustLimits = () => {
+    const reports = alivePeers()
+    for (const [service, limit] of limits) {
+      ownWindow = limit.takeWindow()
+      const fleet = reports.reduce((sum, { pauseCount, latePauseCount }) => ({
+        pauseCount: sum.pauseCount + pauseCount, latePauseCount: sum.latePauseCount + latePauseCount
+      }), ownWindow)
+      const before = limit.streams
+      limit.adjust(fleet, { runningStreams: placement.runningIn(service), workers: knowledge.workers.usable(service).length })
+      if (limit.streams !== before) log(LogEvent.StreamLimitChanged, { service, before, streams: limit.streams, ...fleet })
+    }
+    peers.post({ kind: PeerMessageKind.SelfChanged })
+  }
+
+  const housekeeping = setInterval(() => {
+    const nowMs = clock.nowMs()
+    const gapMs = nowMs - lastHousekeepingMs
+    lastHousekeepingMs = nowMs
+    if (gapMs > FREEZE_GAP_MS) {
+      log(LogEvent.ProcessFrozen, { gapMs: Math.round(gapMs) })
+      peers.post({ kind: PeerMessageKind.Woken })
+      knowledge.refresh()
+    }
+    knowledge.tick()
+    if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
+      lastAdjustMs = nowMs
+      adjustLimits()
+    }
+  }, HOUSEKEEPING_MS)
+
+  const addressesFor = (callerZone: string): string[] => {
+    const ready = alivePeers().filter(report => report.isReady).map(report => ({ address: report.frontAddress, zone: report.zone }))
+    if (isReady()) ready.push({ address: frontAddress, zone })
+    const near = ready.filter(entry => entry.zone === callerZone)
+    const chosen = near.length >= ZONE_ADDRESSES_MIN ? near : ready
+    return random.shuffle(chosen).slice(0, ADDRESSES_MAX).map(({ address }) => address)
+  }
+
+  const open = (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined => {
+    const admitted = admitCaller(caller, { configuration: knowledge.configuration, clock, random })
+    if (typeof admitted === 'number') {
+      log(LogEvent.RequestRefused, {
+        requestId: caller.requestId,
+        callerAttemptId: caller.callerAttemptId,
+        code: admitted,
+        path: caller.path,
+        configurationVersion: knowledge.configuration.version
+      })
+      sink.onRefuse(admitted, admitted === ResultCode.NotReady ? HOUSEKEEPING_MS : undefined)
+      return undefined
+    }
+    const { requestId, callerAttemptId, route, service, tenant } = admitted
+    log(LogEvent.RequestAdmitted, {
+      requestId, callerAttemptId, route: route.name, service, tenant, configurationVersion: knowledge.configuration.version
+    })
+    return {
+      submit: body => {
+        budget.noteRequest(service)
+        forward.submit({ ...admitted, body }, sink)
+      }
+    }
+  }
+
+  return {
+    open,
+    cancel: forward.cancel,
+    addressesFor,
+    get isReady () { return isReady() },
+    get isStopping () { return isStopping },
+    startStopping: () => {
+      isStopping = true
+      peers.post({ kind: PeerMessageKind.SelfChanged })
+    },
+    get liveCount () { return forward.core.liveCount },
+    counters,
+    knowledge,
+    get openedConnections () { return forward.openedConnections },
+    get livePeers () { return alivePeers().length },
+    streamLimits: () => Object.fromEntries([...limits].map(([service, { streams }]) => [service, streams])),
+    stop: () => {
+      clearInterval(housekeeping)
+      forward.stop()
+      knowledge.stop()
+      peers.stop()
+    }
+  }
+}
--- /dev/null
+++ b/src/nodes/forward/fleetKnowledge.ts
@@ -0,0 +1,130 @@
+import { type ConfigurationHolder, createConfigurationHolder, type KeyedRecord, StoreMessageKind } from '../../configuration/index.js'
+import type { Clock, Random } from '../../core/index.js'
+import { createWorkerTable, type PeerReport, type WorkerChange, type WorkerEntry, type WorkerTable } from '../../membership/index.js'
+import { type EventLog, LogEvent } from '../../observe/index.js'
+import { startTopicTask, type TopicTask } from './topicTask.js'
+import type { StorePort } from './types.js'
+
+export interface FleetKnowledgeOptions {
+  clock: Clock
+  random: Random
+  store: StorePort
+  log: EventLog
+  onConfiguration: () => void
+  onWorkersChanged: () => void
+}
+
+/** What this process knows from the store: the configuration in force and the workers. */
+export interface FleetKnowledge {
+  readonly configuration: ConfigurationHolder
+  readonly workers: WorkerTable
+  /** Both topics have been read at least once. */
+  readonly isComplete: boolean
+  readonly isStoreConnected: boolean
+  storeOffsets (): Record<string, number>
+  /** Fetches what a peer has read and this process has not. */
+  noteOffsets (report: PeerReport): void
+  /** Reads everything again after a freeze. */
+  refresh (): void
+  tick (): void
+  stop (): void
+}
+
+enum Topic {
+  Operator = 'operator',
+  Workers = 'workers'
+}
+
+/**
+ * Follows the store and keeps the configuration and the workers up to date.
+ *
+ * @example
+ * const knowledge = createFleetKnowledge({ clock, random, store, log, onConfiguration, onWorkersChanged })
+ * knowledge.workers.usable('quotes')
+ */
+export const createFleetKnowledge = (
+  { clock, random, store, log, onConfiguration, onWorkersChanged }: FleetKnowledgeOptions
+): FleetKnowledge => {
+  const configuration = createConfigurationHolder()
+  const workers = createWorkerTable({ clock })
+
+  const reject = (topic: Topic, { key, offset }: KeyedRecord, error: unknown) =>
+    log(LogEvent.RecordRejected, { topic, key, offset, reason: error instanceof Error ? error.message : String(error) })
+
+  const adopt = (records: readonly KeyedRecord[]) => {
+    for (const record of records) {
+      try {
+        const decoded = store.decodeConfiguration(record)
+        if (decoded === undefined || !configuration.adopt(decoded)) continue
+        log(LogEvent.ConfigurationAdopted, { version: decoded.version, offset: record.offset, routes: decoded.routes.length })
+        onConfiguration()
+      } catch (error) {
+        reject(Topic.Operator, record, error)
+      }
+    }
+  }
+
+  const decodeWorkers = (records: readonly KeyedRecord[]): WorkerEntry[] => records.flatMap(record => {
+    if (record.value === undefined) return []
+    try {
+      return [store.decodeWorker(record)]
+    } catch (error) {
+      reject(Topic.Workers, record, error)
+      return []
+    }
+  })
+
+  const noteChanges = (changes: readonly WorkerChange[]) => {
+    for (const change of changes) log(LogEvent.WorkerChanged, { ...change, service: workers.get(change.workerId)?.service })
+    if (changes.length > 0) onWorkersChanged()
+  }
+
+  const applyWorker = (record: KeyedRecord): WorkerChange[] => {
+    // An entry of another writer under a worker's id names no worker to use.
+    const [entry] = decodeWorkers([record])
+    return entry === undefined ? workers.remove(record.key) : workers.put(entry)
+  }
+
+  const startTopic = (topic: Topic, onReplaceAll: (records: readonly KeyedRecord[]) => void, onRecords: (records: readonly KeyedRecord[]) => void): TopicTask =>
+    startTopicTask({
+      name: topic,
+      clock,
+      random,
+      port: store[topic],
+      onReplaceAll,
+      onRecords,
+      onLost: reason => log(LogEvent.StoreLost, { topic, reason }),
+      onRegained: outageMs => {
+        log(LogEvent.StoreRegained, { topic, outageMs: Math.round(outageMs) })
+        if (topic === Topic.Workers) workers.noteStoreRegained()
+      }
+    })
+
+  const topics: Record<Topic, TopicTask> = {
+    [Topic.Operator]: startTopic(Topic.Operator, adopt, adopt),
+    [Topic.Workers]: startTopic(
+      Topic.Workers,
+      records => noteChanges(workers.replaceAll(decodeWorkers(records))),
+      records => noteChanges(records.flatMap(applyWorker))
+    )
+  }
+  const entries = Object.entries(topics) as [Topic, TopicTask][]
+
+  return {
+    configuration,
+    workers,
+    get isComplete () { return configuration.current !== undefined && topics[Topic.Workers].follower.position !== undefined },
+    get isStoreConnected () { return entries.every(([, { follower }]) => follower.isConnected) },
+    storeOffsets: () => Object.fromEntries(entries.flatMap(([topic, { follower }]) =>
+      follower.position === undefined ? [] : [[topic, follower.position]])),
+    noteOffsets: ({ storeOffsets }) => {
+      for (const [topic, task] of entries) {
+        const offset = storeOffsets[topic]
+        if (offset !== undefined && offset > (task.follower.position ?? Infinity)) task.post({ kind: StoreMessageKind.PeerAhead, offset })
+      }
+    },
+    refresh: () => entries.forEach(([, task]) => task.post({ kind: StoreMessageKind.Woken })),
+    tick: () => noteChanges(workers.tick()),
+    stop: () => entries.forEach(([, task]) => task.stop())
+  }
+}
--- /dev/null
+++ b/src/nodes/forward/forwardCounters.ts
@@ -0,0 +1,74 @@
+import type { ResultCode } from '../../core/index.js'
+import type { AttemptEnd } from '../../requests/index.js'
+
+/** Upper bounds of the latency buckets, in ms. */
+export const LATENCY_BUCKETS_MS = [5, 10, 20, 50, 100, 200, 350, 500, 750, 1_000, 2_000, 4_000, 8_000] as const
+
+export interface LatencyHistogram {
+  /** Observations up to each bound of LATENCY_BUCKETS_MS, not cumulative; the last one is above all bounds. */
+  readonly counts: readonly number[]
+  readonly sumMs: number
+  observe (durationMs: number): void
+}
+
+const createLatencyHistogram = (): LatencyHistogram => {
+  const counts: number[] = Array(LATENCY_BUCKETS_MS.length + 1).fill(0)
+  let sumMs = 0
+  return {
+    counts,
+    get sumMs () { return sumMs },
+    observe: durationMs => {
+      const at = LATENCY_BUCKETS_MS.findIndex(bound => durationMs <= bound)
+      counts[at < 0 ? LATENCY_BUCKETS_MS.length : at]! += 1
+      sumMs += durationMs
+    }
+  }
+}
+
+/** Counters of one entry; a metrics page renders them when it is asked for. */
+export interface ForwardCounters {
+  /** Ended requests by route and result code. */
+  readonly requests: ReadonlyMap<string, number>
+  /** Ended attempts by service and end. */
+  readonly attempts: ReadonlyMap<string, number>
+  readonly repeats: Record<'taken' | 'denied', number>
+  readonly requestMs: LatencyHistogram
+  readonly firstEventMs: LatencyHistogram
+  countRequest (route: string, code: ResultCode, tookMs: number): void
+  countAttempt (service: string, end: AttemptEnd): void
+}
+
+const KEY_SEPARATOR = '\u0000'
+
+const bump = (counts: Map<string, number>, ...labels: string[]) => {
+  const key = labels.join(KEY_SEPARATOR)
+  counts.set(key, (counts.get(key) ?? 0) + 1)
+}
+
+/** Splits the key of a counter into its labels. */
+export const labelsOf = (key: string): string[] => key.split(KEY_SEPARATOR)
+
+/**
+ * Creates the counters of one entry.
+ *
+ * @example
+ * const counters = createForwardCounters()
+ * counters.countRequest('quotes', ResultCode.Ok, 140)
+ */
+export const createForwardCounters = (): ForwardCounters => {
+  const requests = new Map<string, number>()
+  const attempts = new Map<string, number>()
+  const requestMs = createLatencyHistogram()
+  return {
+    requests,
+    attempts,
+    repeats: { taken: 0, denied: 0 },
+    requestMs,
+    firstEventMs: createLatencyHistogram(),
+    countRequest: (route, code, tookMs) => {
+      bump(requests, route, String(code))
+      requestMs.observe(tookMs)
+    },
+    countAttempt: (service, end) => bump(attempts, service, end)
+  }
+}
--- /dev/null
+++ b/src/nodes/forward/forwardPorts.ts
@@ -0,0 +1,89 @@
+import type { ConfigurationHolder } from '../../configuration/index.js'
+import type { Random } from '../../core/index.js'
+import type { RepeatBudget, StreamLimit } from '../../limits/index.js'
+import { type EventLog, LogEvent } from '../../observe/index.js'
+import { AttemptEnd, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
+import { PlaceKind, type WorkerPlacement } from '../../routing/index.js'
+import type { ForwardCounters } from './forwardCounters.js'
+
+export interface ForwardPortsOptions {
+  random: Random
+  configuration: ConfigurationHolder
+  placement: WorkerPlacement
+  budget: RepeatBudget
+  streamLimitOf: (service: string) => StreamLimit
+  counters: ForwardCounters
+  log: EventLog
+  now: () => number
+  onRunningChanged: () => void
+}
+
+/** Plain services queue a few requests for each slot. */
+const PLAIN_SLOTS_FACTOR = 2
+const ENGINE_SLOTS_FACTOR = 1
+/** A refused caller comes back after a time drawn from this range, so that they don't come back together. */
+const RETRY_AFTER_MIN_MS = 700
+const RETRY_AFTER_MAX_MS = 1_800
+
+const IS_LOSS: Record<AttemptEnd, boolean> = {
+  [AttemptEnd.Answered]: false,
+  [AttemptEnd.Failed]: false,
+  [AttemptEnd.NotRun]: true,
+  [AttemptEnd.Lost]: true,
+  [AttemptEnd.Cancelled]: false,
+  [AttemptEnd.NotConnected]: true
+}
+
+/**
+ * Joins the life of requests to placement, limits, budget, log and counters.
+ *
+ * @example
+ * startForwardTask({ ports: createForwardPorts({ ... }), ... })
+ */
+export const createForwardPorts = ({
+  random, configuration, placement, budget, streamLimitOf, counters, log, now, onRunningChanged
+}: ForwardPortsOptions): ForwardPorts => {
+  const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
+
+  const place = ({ service, requestId }: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
+    const hasLimit = isEngine(service)
+    // A request that was already sent once has its place in the limit.
+    const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streams : undefined
+    const slotsFactor = hasLimit ? ENGINE_SLOTS_FACTOR : PLAIN_SLOTS_FACTOR
+    const found = placement.place({ service, triedWorkerIds, serviceLimit, slotsFactor })
+    if (found.kind === PlaceKind.Placed) return { kind: PlacementKind.Placed, worker: found.worker }
+    log(LogEvent.RequestRefused, { requestId, service, place: found.kind, running: placement.runningIn(service), serviceLimit })
+    return { kind: PlacementKind.Wait }
+  }
+
+  return {
+    place,
+    takeRepeat: service => {
+      const isTaken = budget.take(service)
+      counters.repeats[isTaken ? 'taken' : 'denied'] += 1
+      return isTaken
+    },
+    onSent: ({ requestId, deadlineAtMs }, { workerId }, attempt) => {
+      placement.noteSent(workerId)
+      onRunningChanged()
+      log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
+    },
+    onAttemptEnded: ({ requestId, service }, { workerId }, end, detail) => {
+      placement.noteEnded(workerId)
+      if (IS_LOSS[end]) placement.noteLost(workerId)
+      counters.countAttempt(service, end)
+      onRunningChanged()
+      log(LogEvent.AttemptEnded, { requestId, workerId, end, detail })
+    },
+    onPause: ({ route, service }, _worker, pauseMs, isFirst) => {
+      if (isFirst) counters.firstEventMs.observe(pauseMs)
+      else if (route.pauseObjectiveMs > 0) streamLimitOf(service).notePause(pauseMs, route.pauseObjectiveMs)
+    },
+    onRequestEnded: ({ requestId, callerAttemptId, route, arrivedAtMs }, code, detail) => {
+      const tookMs = now() - arrivedAtMs
+      counters.countRequest(route.name, code, tookMs)
+      log(LogEvent.RequestEnded, { requestId, callerAttemptId, route: route.name, code, detail, tookMs: Math.round(tookMs) })
+    },
+    retryAfterMs: () => random.int(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+  }
+}
--- a/src/observe/index.ts
+++ b/src/observe/index.ts
@@ -2,3 +2,4 @@
 export * from './createMetrics.js'
 export * from './createTracing.js'
 export * from './metricNames.js'
+export * from './createEventLog.js'
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -31,3 +31,11 @@
 }
 /** Entries count their own work, so reports may be rare; they are most of the control traffic of a fleet. */
 export const LOAD_REPORT_INTERVAL_MS = 2_000
+
+/** Requests that one process forwards at once. */
+export const FORWARDS_MAX = 2_000
+/** A request that has waited this long for a place is refused while its caller can still try elsewhere. */
+export const QUEUE_WAIT_MAX_MS = 60
+/** With less time left another send is worth nothing. */
+export const REPEAT_TIME_MIN_MS = 150
+export const FORWARD_TICK_MS = 25
--- /dev/null
+++ b/src/routing/createWorkerPlacement.ts
@@ -0,0 +1,101 @@
+import { type Clock, type Random, ResultCode, type TimestampMs } from '../core/index.js'
+import type { Worker, WorkerTable } from '../membership/index.js'
+
+export enum PlaceKind {
+  Placed = 'placed',
+  Full = 'full',
+  NoWorker = 'no-worker'
+}
+
+export type Place =
+  | { kind: PlaceKind.Placed, worker: Worker }
+  | { kind: PlaceKind.Full, code: ResultCode }
+  | { kind: PlaceKind.NoWorker, code: ResultCode }
+
+export interface PlaceRequest {
+  service: string
+  triedWorkerIds: readonly string[]
+  /** Limit of requests in the whole service; undefined if there is none. */
+  serviceLimit: number | undefined
+  /** Requests that a worker may hold, as a multiple of its slots. */
+  slotsFactor: number
+}
+
+/** Chooses the worker for a request from the work that the whole fleet has under way. */
+export interface WorkerPlacement {
+  place (request: PlaceRequest): Place
+  /** Requests under way in a service, from this entry and all others. */
+  runningIn (service: string): number
+  noteSent (workerId: string): void
+  noteEnded (workerId: string): void
+  /** The worker could not be reached, or its answer was lost: it is passed over for a while. */
+  noteLost (workerId: string): void
+  /** Own requests under way by worker. */
+  ownRunning (): Record<string, number>
+}
+
+/** A worker that lost a request is passed over for this time, if others serve. */
+export const LOST_AVOID_MS = 1_500
+
+export interface WorkerPlacementOptions {
+  clock: Clock
+  random: Random
+  ownZone: string
+  workers: WorkerTable
+  /** Requests under way at a worker from the other entries. */
+  peersRunningAt: (workerId: string) => number
+}
+
+/**
+ * Creates the placement of one entry: the worker with the least work, the own zone first among
+ * equals, and a random one of the rest, so that entries with the same view do not all choose alike.
+ *
+ * @example
+ * const placement = createWorkerPlacement({ clock, random, ownZone, workers, peersRunningAt })
+ * placement.place({ service: 'quotes', triedWorkerIds: [], serviceLimit: 30, slotsFactor: 1 })
+ */
+export const createWorkerPlacement = (
+  { clock, random, ownZone, workers, peersRunningAt }: WorkerPlacementOptions
+): WorkerPlacement => {
+  const own = new Map<string, number>()
+  const avoidedUntilMs = new Map<string, TimestampMs>()
+
+  const runningAt = (workerId: string) => (own.get(workerId) ?? 0) + peersRunningAt(workerId)
+
+  const preferUntroubled = (candidates: readonly Worker[], triedWorkerIds: readonly string[]): readonly Worker[] => {
+    const nowMs = clock.nowMs()
+    const untried = candidates.filter(({ workerId }) => !triedWorkerIds.includes(workerId))
+    const sound = untried.filter(({ workerId }) => (avoidedUntilMs.get(workerId) ?? 0) <= nowMs)
+    return sound.length > 0 ? sound : untried.length > 0 ? untried : candidates
+  }
+
+  const place = ({ service, triedWorkerIds, serviceLimit, slotsFactor }: PlaceRequest): Place => {
+    const usable = workers.usable(service)
+    if (usable.length === 0) return { kind: PlaceKind.NoWorker, code: ResultCode.NoUpstream }
+    const loads = new Map(usable.map(({ workerId }) => [workerId, runningAt(workerId)]))
+    const total = [...loads.values()].reduce((sum, load) => sum + load, 0)
+    if (serviceLimit !== undefined && total >= serviceLimit) return { kind: PlaceKind.Full, code: ResultCode.Overloaded }
+    const rated = preferUntroubled(usable, triedWorkerIds).map(worker => ({
+      worker,
+      share: loads.get(worker.workerId)! / Math.max(1, worker.slots),
+      isNear: worker.zone === ownZone,
+      draw: random.next()
+    }))
+    rated.sort((a, b) => a.share - b.share || Number(b.isNear) - Number(a.isNear) || a.draw - b.draw)
+    const best = rated[0]!
+    return best.share >= slotsFactor ? { kind: PlaceKind.Full, code: ResultCode.Overloaded } : { kind: PlaceKind.Placed, worker: best.worker }
+  }
+
+  return {
+    place,
+    runningIn: service => workers.usable(service).reduce((sum, { workerId }) => sum + runningAt(workerId), 0),
+    noteSent: workerId => { own.set(workerId, (own.get(workerId) ?? 0) + 1) },
+    noteEnded: workerId => {
+      const left = (own.get(workerId) ?? 0) - 1
+      if (left > 0) own.set(workerId, left)
+      else own.delete(workerId)
+    },
+    noteLost: workerId => { avoidedUntilMs.set(workerId, clock.nowMs() + LOST_AVOID_MS) },
+    ownRunning: () => Object.fromEntries(own)
+  }
+}
--- /dev/null
+++ b/src/upstreams/connection.ts
@@ -0,0 +1,158 @@
+import { connect, type Socket } from 'node:net'
+import type { Clock, TimestampMs } from '../core/index.js'
+import {
+  CONNECT_TIMEOUT_MS, ConnectionState, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS
+} from './constants.js'
+import { createResponseReader, type ResponseReader } from './createResponseReader.js'
+import { type ExchangeEvent, ExchangeEventKind, type HeaderField, type OutgoingRequest, type ResponseHeadRaw } from './types.js'
+
+const MS_PER_S = 1_000
+
+/** One connection to one upstream; it carries one exchange at a time. */
+export interface Connection {
+  readonly state: ConnectionState
+  /** Time until which the idle connection may be used again. */
+  readonly reusableUntilMs: TimestampMs
+  /** Starts an exchange; allowed while the connection is new or idle. */
+  send (request: OutgoingRequest, emit: (event: ExchangeEvent) => void): void
+  /** Closes the connection at once; a running exchange reports nothing more. */
+  destroy (): void
+}
+
+export interface ConnectionOptions {
+  host: string
+  port: number
+  clock: Clock
+  connectTimeoutMs?: number
+  onIdle: () => void
+  onClosed: () => void
+}
+
+interface Exchange {
+  request: OutgoingRequest
+  emit: (event: ExchangeEvent) => void
+  reader: ResponseReader
+  hasLeft: boolean
+}
+
+const encodeRequest = ({ method, path, headers, body }: OutgoingRequest): Buffer => {
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')
+  const head = Buffer.from(`${method} ${path} HTTP/1.1\r\n${lines}\r\n`, 'latin1')
+  return body.length === 0 ? head : Buffer.concat([head, body])
+}
+
+/** Timeout that the upstream announces for idle connections, in ms. */
+const announcedIdleMs = (headers: readonly HeaderField[]): number | undefined => {
+  const value = headers.find(([name]) => name === 'keep-alive')?.[1]
+  const seconds = /timeout=(\d+)/.exec(value ?? '')?.[1]
+  return seconds === undefined ? undefined : Number(seconds) * MS_PER_S
+}
+
+/**
+ * Opens a connection to an upstream.
+ *
+ * @example
+ * const connection = openConnection({ host: '10.0.0.1', port: 80, clock, onIdle, onClosed })
+ * connection.send(request, event => { ... })
+ */
+export const openConnection = (
+  { host, port, clock, connectTimeoutMs = CONNECT_TIMEOUT_MS, onIdle, onClosed }: ConnectionOptions
+): Connection => {
+  let state = ConnectionState.Connecting
+  let exchange: Exchange | undefined
+  let reusableUntilMs = 0
+  let idleLimitMs = IDLE_REUSE_MAX_MS
+  const socket: Socket = connect({ host, port, noDelay: true })
+
+  const close = () => {
+    if (state === ConnectionState.Closed) return
+    state = ConnectionState.Closed
+    clearTimeout(connectTimer)
+    socket.destroy()
+    onClosed()
+  }
+
+  const fail = (fault: ExchangeFault) => {
+    const failed = exchange
+    exchange = undefined
+    close()
+    failed?.emit({ kind: ExchangeEventKind.Failed, fault, hasLeft: failed.hasLeft })
+  }
+
+  const connectTimer = setTimeout(() => fail(ExchangeFault.NotConnected), connectTimeoutMs)
+
+  const finish = () => {
+    const { reader, emit } = exchange!
+    exchange = undefined
+    // A response that overtook its request leaves the rest of the body on the wire.
+    if (!reader.keepsAlive || socket.writableLength > 0 || socket.readableEnded) close()
+    else {
+      state = ConnectionState.Idle
+      reusableUntilMs = clock.nowMs() + idleLimitMs
+      onIdle()
+    }
+    emit({ kind: ExchangeEventKind.Finished })
+  }
+
+  const write = () => {
+    if (exchange === undefined) return
+    exchange.hasLeft = true
+    socket.write(encodeRequest(exchange.request))
+  }
+
+  const onHead = (head: ResponseHeadRaw) => {
+    const announcedMs = announcedIdleMs(head.headers)
+    idleLimitMs = announcedMs === undefined ? IDLE_REUSE_MAX_MS : Math.min(IDLE_REUSE_MAX_MS, announcedMs - IDLE_MARGIN_MS)
+    exchange?.emit({ kind: ExchangeEventKind.Head, head })
+  }
+
+  socket.on('connect', () => {
+    clearTimeout(connectTimer)
+    if (state !== ConnectionState.Connecting) return
+    state = ConnectionState.Busy
+    write()
+  })
+  socket.on('data', bytes => {
+    // Bytes on an idle connection answer no request.
+    if (exchange === undefined) return close()
+    const running = exchange
+    const fault = running.reader.read(bytes)
+    if (exchange !== running) return
+    if (fault !== undefined) fail(fault)
+    else if (running.reader.isComplete) finish()
+  })
+  socket.on('end', () => {
+    if (exchange === undefined) return close()
+    const fault = exchange.reader.end()
+    if (fault === undefined) finish()
+    else fail(fault)
+  })
+  const onLost = () => fail(exchange?.hasLeft === true ? ExchangeFault.ConnectionLost : ExchangeFault.NotConnected)
+  socket.on('error', onLost)
+  socket.on('close', onLost)
+
+  return {
+    get state () { return state },
+    get reusableUntilMs () { return reusableUntilMs },
+    send: (request, emit) => {
+      const started: Exchange = {
+        request,
+        emit,
+        hasLeft: false,
+        reader: createResponseReader({
+          isHeadRequest: request.method === 'HEAD',
+          onHead,
+          onBody: bytes => emit({ kind: ExchangeEventKind.Body, bytes })
+        })
+      }
+      exchange = started
+      if (state !== ConnectionState.Idle) return
+      state = ConnectionState.Busy
+      write()
+    },
+    destroy: () => {
+      exchange = undefined
+      close()
+    }
+  }
+}
--- /dev/null
+++ b/src/upstreams/connectionPool.ts
@@ -0,0 +1,87 @@
+import type { Clock } from '../core/index.js'
+import { ConnectionState, IDLE_CONNECTIONS_MAX } from './constants.js'
+import { type Connection, openConnection } from './connection.js'
+import { ConnectionUse, type ExchangeEvent, type OutgoingRequest } from './types.js'
+
+/** All connections of this process to one address. */
+export interface ConnectionPool {
+  /** Starts an exchange; the returned function cancels it and closes its connection. */
+  send (request: OutgoingRequest, use: ConnectionUse, emit: (event: ExchangeEvent) => void): () => void
+  readonly openedCount: number
+  /** Closes idle connections; running exchanges end undisturbed. */
+  closeIdle (): void
+  close (): void
+}
+
+export interface ConnectionPoolOptions {
+  /** `ip:port` of the upstream. */
+  address: string
+  clock: Clock
+  connectTimeoutMs?: number
+}
+
+/**
+ * Creates the pool of one upstream address.
+ *
+ * @example
+ * const pool = createConnectionPool({ address: '10.0.0.1:80', clock })
+ * const cancel = pool.send(request, ConnectionUse.Reuse, event => { ... })
+ */
+export const createConnectionPool = ({ address, clock, connectTimeoutMs }: ConnectionPoolOptions): ConnectionPool => {
+  const separatorAt = address.lastIndexOf(':')
+  const host = address.slice(0, separatorAt)
+  const port = Number(address.slice(separatorAt + 1))
+  const connections = new Set<Connection>()
+  let isRetired = false
+  let openedCount = 0
+
+  const idleOnes = () => [...connections].filter(({ state }) => state === ConnectionState.Idle)
+
+  const open = (): Connection => {
+    openedCount += 1
+    const connection = openConnection({
+      host,
+      port,
+      clock,
+      ...(connectTimeoutMs === undefined ? {} : { connectTimeoutMs }),
+      onIdle: () => {
+        if (isRetired || idleOnes().length > IDLE_CONNECTIONS_MAX) connection.destroy()
+      },
+      onClosed: () => { connections.delete(connection) }
+    })
+    connections.add(connection)
+    return connection
+  }
+
+  /** The connection that was used last is the least likely to be closed by the upstream. */
+  const takeIdle = (): Connection | undefined => {
+    const nowMs = clock.nowMs()
+    let best: Connection | undefined
+    for (const connection of idleOnes()) {
+      if (connection.reusableUntilMs <= nowMs) connection.destroy()
+      else if (best === undefined || connection.reusableUntilMs > best.reusableUntilMs) best = connection
+    }
+    return best
+  }
+
+  return {
+    send: (request, use, emit) => {
+      const connection = (use === ConnectionUse.Reuse ? takeIdle() : undefined) ?? open()
+      let hasEnded = false
+      connection.send(request, event => {
+        hasEnded = event.kind === 'finished' || event.kind === 'failed'
+        emit(event)
+      })
+      return () => { if (!hasEnded) connection.destroy() }
+    },
+    get openedCount () { return openedCount },
+    closeIdle: () => {
+      isRetired = true
+      idleOnes().forEach(connection => connection.destroy())
+    },
+    close: () => {
+      isRetired = true
+      for (const connection of [...connections]) connection.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/src/upstreams/createResponseReader.ts
@@ -0,0 +1,112 @@
+import { HTTPParser } from 'http-parser-js'
+import { RESPONSE_BODY_BYTES_MAX, RESPONSE_HEADER_BYTES_MAX, ExchangeFault } from './constants.js'
+import type { HeaderField, ResponseHeadRaw } from './types.js'
+
+export interface ResponseReaderOptions {
+  /** A response to HEAD has no body whatever its headers say. */
+  isHeadRequest: boolean
+  onHead: (head: ResponseHeadRaw) => void
+  onBody: (bytes: Uint8Array) => void
+}
+
+/** Reads exactly one response from the bytes of a connection. */
+export interface ResponseReader {
+  /** Returns a fault if the bytes are no valid response. */
+  read (bytes: Buffer): ExchangeFault | undefined
+  /** The peer has closed its side; returns a fault if the response is not whole. */
+  end (): ExchangeFault | undefined
+  readonly isComplete: boolean
+  /** Bytes after the response arrived: they belong to no request, and the connection is unusable. */
+  readonly hasExtraBytes: boolean
+  /** Whether the upstream keeps the connection open after the response. */
+  readonly keepsAlive: boolean
+}
+
+const FIRST_FINAL_STATUS = 200
+/** Return value by which the parser expects no body. */
+const SKIP_BODY = 1
+
+/** Position in the bytes that are parsed; the library's types leave it out. */
+interface ParserPosition { offset: number, end: number }
+
+const toFields = (flat: readonly string[]): HeaderField[] => {
+  const fields: HeaderField[] = []
+  for (let i = 0; i + 1 < flat.length; i += 2) fields.push([flat[i]!.toLowerCase(), flat[i + 1]!.trim()])
+  return fields
+}
+
+const valuesOf = (fields: readonly HeaderField[], name: string) => fields.filter(([key]) => key === name).map(([, value]) => value)
+
+/** Two lengths, or a length beside chunks, allow two readings of where the response ends. */
+const isFramedTwice = (fields: readonly HeaderField[]): boolean => {
+  const lengths = new Set(valuesOf(fields, 'content-length'))
+  if (lengths.size > 1 || [...lengths].some(length => !/^\d+$/.test(length))) return true
+  return lengths.size > 0 && valuesOf(fields, 'transfer-encoding').length > 0
+}
+
+/**
+ * Creates the reader of one response on top of the HTTP parser library.
+ *
+ * @example
+ * const reader = createResponseReader({ isHeadRequest: false, onHead, onBody })
+ * socket.on('data', bytes => reader.read(bytes))
+ */
+export const createResponseReader = ({ isHeadRequest, onHead, onBody }: ResponseReaderOptions): ResponseReader => {
+  const parser = new HTTPParser(HTTPParser.RESPONSE)
+  parser.maxHeaderSize = RESPONSE_HEADER_BYTES_MAX
+  let hasFinalHead = false
+  let isComplete = false
+  let hasExtraBytes = false
+  let keepsAlive = false
+  let bodyBytes = 0
+  let fault: ExchangeFault | undefined
+
+  parser[HTTPParser.kOnHeadersComplete] = info => {
+    const { statusCode, headers, shouldKeepAlive } = info
+    // Interim responses have no body, and what follows the final response is not read.
+    if (statusCode < FIRST_FINAL_STATUS || isComplete) return SKIP_BODY
+    const fields = toFields(headers)
+    if (isFramedTwice(fields)) fault = ExchangeFault.MalformedResponse
+    hasFinalHead = true
+    keepsAlive = shouldKeepAlive
+    if (fault === undefined) onHead({ status: statusCode, headers: fields })
+    return isHeadRequest ? SKIP_BODY : undefined
+  }
+  parser[HTTPParser.kOnBody] = (bytes, offset, length) => {
+    if (isComplete || fault !== undefined) return
+    bodyBytes += length
+    if (bodyBytes > RESPONSE_BODY_BYTES_MAX) fault = ExchangeFault.ResponseTooLarge
+    else onBody(bytes.subarray(offset, offset + length))
+  }
+  parser[HTTPParser.kOnMessageComplete] = () => {
+    // An interim response (1xx) completes before the final head.
+    if (!hasFinalHead || isComplete) return
+    isComplete = true
+    const { offset, end } = parser as unknown as ParserPosition
+    hasExtraBytes = offset < end
+  }
+
+  const read = (bytes: Buffer): ExchangeFault | undefined => {
+    if (isComplete) {
+      hasExtraBytes = true
+      return undefined
+    }
+    const consumed = parser.execute(bytes)
+    if (isComplete) return undefined
+    if (typeof consumed !== 'number') fault ??= ExchangeFault.MalformedResponse
+    return fault
+  }
+
+  return {
+    read,
+    end: () => {
+      if (isComplete) return undefined
+      if (fault !== undefined) return fault
+      const result = parser.finish() as unknown
+      return result instanceof Error || !isComplete ? ExchangeFault.ConnectionLost : undefined
+    },
+    get isComplete () { return isComplete },
+    get hasExtraBytes () { return hasExtraBytes },
+    get keepsAlive () { return keepsAlive && !hasExtraBytes }
+  }
+}
