Add the map agents: demand per expert, replica plans and safe switches

Cause: after each shift of experts the most loaded rank has 3.5 times the mean, and every pass takes as long as that rank.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -5,7 +5,7 @@
 const REQUIRE_BANNER = "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);"
 
 await build({
-  entryPoints: { entry: 'platform/entry.ts' },
+  entryPoints: { agent: 'platform/agent.ts', entry: 'platform/entry.ts' },
   outdir: 'target',
   outExtension: { '.js': '.mjs' },
   bundle: true,
--- /dev/null
+++ b/src/nodes/mapAgent/index.ts
@@ -0,0 +1,3 @@
+/** The agent beside one rank of an expert group. */
+export * from './createMapAgent.js'
+export * from './types.js'
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -23,6 +23,12 @@
   RequestEnded = 'request-ended',
   RequestRefused = 'request-refused',
   StreamLimitChanged = 'stream-limit-changed',
+  MapPlanned = 'map-planned',
+  MapSwitchPhase = 'map-switch-phase',
+  MapSwitchEnded = 'map-switch-ended',
+  OrderRefused = 'order-refused',
+  CoordinatorChanged = 'coordinator-changed',
+  RankUnreadable = 'rank-unreadable',
   InternalError = 'internal-error'
 }
 
