Send orders and readings through the agents, and plan only on settled maps

Cause: an order from another machine is priced, readings carried all counts, and a plan made while a switch was armed was rejected by every rank.

--- a/src/expertMaps/createExpertDemand.ts
+++ b/src/expertMaps/createExpertDemand.ts
@@ -1,8 +1,9 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 
-/** Recent demand by set and expert, from counts that only grow. */
+/** Recent demand by set and expert. */
 export interface ExpertDemand {
-  note (rank: number, epoch: number, counts: readonly (readonly number[])[]): void
+  /** Adds choices by set and expert. */
+  note (choices: readonly (readonly number[])[]): void
   /** Choices by set and expert; older ones count less. */
   loads (): number[][]
   total (): number
@@ -16,10 +17,9 @@
  *
  * @example
  * const demand = createExpertDemand({ clock })
- * demand.note(0, 1, [[5120, 88]])
+ * demand.note([[512, 8]])
  */
 export const createExpertDemand = ({ clock }: { clock: Clock }): ExpertDemand => {
-  const lastCounts = new Map<number, { epoch: number, counts: readonly (readonly number[])[] }>()
   let loads: number[][] = []
   let fadedAtMs: TimestampMs = clock.nowMs()
 
@@ -31,18 +31,11 @@
   }
 
   return {
-    note: (rank, epoch, counts) => {
-      const last = lastCounts.get(rank)
-      lastCounts.set(rank, { epoch, counts })
-      if (last === undefined) return
+    note: choices => {
       fade()
-      counts.forEach((set, setAt) => {
-        loads[setAt] ??= set.map(() => 0)
-        set.forEach((count, expert) => {
-          const before = last.counts[setAt]?.[expert] ?? 0
-          // Counts start anew with a new run of the rank.
-          loads[setAt]![expert]! += count >= before ? count - before : count
-        })
+      choices.forEach((set, setAt) => {
+        const sums = loads[setAt] ??= set.map(() => 0)
+        set.forEach((count, expert) => { sums[expert]! += count })
       })
     },
     loads: () => {
--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -15,8 +15,8 @@
   view: RankStatus
   /** Experts that the rank holds, by set. */
   experts: readonly (readonly number[])[]
-  /** Choices by set and expert since the rank started. */
-  counts: readonly (readonly number[])[]
+  /** Choices by set and expert since the reading before. */
+  choices: readonly (readonly number[])[]
 }
 
 export enum MapCoordinatorMessageKind {
@@ -138,6 +138,8 @@
 
   const plan = (list: readonly RankReading[]): MapCoordinatorEffect[] => {
     const bounds = limits()
+    // Until the pass of the last switch begins, ranks are armed and the readings show the map before it.
+    if (list.some(({ view }) => view.armed !== undefined)) return []
     if (bounds === undefined || demand.total() < DEMAND_MIN || clock.nowMs() - idleSinceMs < SETTLE_MS) return []
     const baseMap = mapOf(list)
     const { map, copies, peakBefore, peakAfter } = planReplicas(baseMap, demand.loads(), bounds)
@@ -186,10 +188,10 @@
   }
 
   const onReading = (reading: RankReading): MapCoordinatorEffect[] => {
-    const { view, counts } = reading
+    const { view, choices } = reading
     readings.set(view.rank, reading)
     if (view.rank === ownRank()) notePass(view)
-    demand.note(view.rank, view.epoch, counts)
+    demand.note(choices)
     return mapSwitch === undefined ? [] : translate(mapSwitch.handle({ kind: MapSwitchMessageKind.ViewsChanged, views: views() }))
   }
 
--- /dev/null
+++ b/src/nodes/mapAgent/agentSocket.ts
@@ -0,0 +1,52 @@
+import { createSocket } from 'node:dgram'
+import { AgentMessageKind, type AgentMessage } from './types.js'
+
+export interface AgentSocket {
+  /** Sends to the agent at an IP address; a lost datagram is not repeated. */
+  send (ip: string, message: AgentMessage): void
+  close (): void
+}
+
+export interface AgentSocketOptions {
+  ip: string
+  /** Port of all agents. */
+  port: number
+  onMessage: (message: AgentMessage, fromIp: string) => void
+  onFault: (reason: string) => void
+}
+
+const KINDS: ReadonlySet<unknown> = new Set(Object.values(AgentMessageKind))
+
+const decode = (bytes: Buffer): AgentMessage => {
+  const message = JSON.parse(bytes.toString('utf8')) as AgentMessage
+  const isWhole = KINDS.has(message.kind) && Number.isInteger(message.rank) && typeof message.group === 'string'
+  if (!isWhole) throw new TypeError('message lacks a field')
+  return message
+}
+
+/**
+ * Binds the socket that agents talk over.
+ *
+ * @example
+ * const socket = openAgentSocket({ ip: '10.1.0.43', port: 7340, onMessage, onFault })
+ */
+export const openAgentSocket = ({ ip, port, onMessage, onFault }: AgentSocketOptions): AgentSocket => {
+  const socket = createSocket('udp4')
+  socket.on('message', (bytes, { address }) => {
+    try {
+      onMessage(decode(bytes), address)
+    } catch (error) {
+      onFault(`datagram from ${address}: ${error instanceof Error ? error.message : String(error)}`)
+    }
+  })
+  socket.on('error', error => onFault(error.message))
+  socket.bind(port, ip)
+  return {
+    send: (target, message) => {
+      socket.send(JSON.stringify(message), port, target, error => {
+        if (error !== null) onFault(`send to ${target}: ${error.message}`)
+      })
+    },
+    close: () => { socket.close() }
+  }
+}
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -1,21 +1,18 @@
-import { createSocket } from 'node:dgram'
 import { type Clock, createTask, dispatch, type HandlerTable, type Random, type TimestampMs } from '../../core/index.js'
 import {
   createMapCoordinator, type MapCoordinatorEffect, MapCoordinatorEffectKind, type MapCoordinatorMessage,
-  MapCoordinatorMessageKind, OrderAnswer, type RankReading, type ReplicaLimits
+  MapCoordinatorMessageKind, OrderAnswer, type RankOrder, type RankReading, type ReplicaLimits
 } from '../../expertMaps/index.js'
-import { parseAddress, type Worker } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createFleetKnowledge } from '../forward/fleetKnowledge.js'
 import type { StorePort } from '../forward/index.js'
-import type { AgentMessage, RankPort } from './types.js'
+import { openAgentSocket } from './agentSocket.js'
+import { type AgentMessage, AgentMessageKind, type RankPort } from './types.js'
 
 export interface MapAgentOptions {
   /** Service of the worker on this machine. */
   service: string
-  /** `ip:port` of the worker on this machine. */
-  workerAddress: string
-  /** Agents listen on this port, each on the address of its worker. */
+  /** Port of all agents; each listens on the address of its worker. */
   agentPort: number
   ip: string
   clock: Clock
@@ -30,42 +27,34 @@
 }
 
 const READ_INTERVAL_MS = 200
+const ALIVE_INTERVAL_MS = 600
 const COORDINATOR_TICK_MS = 30
 /** An agent that is silent for this time takes no part. */
-const AGENT_SILENCE_MS = 1_000
-/** The agents of the lowest ranks get the readings: the coordinator and the one that would follow it. */
-const READERS = 2
+const AGENT_SILENCE_MS = 1_500
 /** Copies of one rank run one after the other, and passes take longer meanwhile. */
 const COPIES_PER_RANK_MAX = 2
-const READ_TIMEOUT_MS = 1_000
+const WORKERS_TICK_MS = 1_000
 
 const ipOf = (address: string) => address.slice(0, address.lastIndexOf(':'))
 
-/** An agent reads only what another one sent; anything else from the port is refused. */
-const decodeMessage = (bytes: Buffer): AgentMessage => {
-  const message = JSON.parse(bytes.toString('utf8')) as AgentMessage
-  if (!Number.isInteger(message.rank) || typeof message.group !== 'string') throw new TypeError('message lacks a field')
-  return message
-}
+const toAnswer = (accepted: boolean | undefined): OrderAnswer =>
+  accepted === undefined ? OrderAnswer.None : accepted ? OrderAnswer.Accepted : OrderAnswer.Rejected
 
 /**
- * Starts the agent of one rank: it reads its own worker, where that is free, tells the agent of the lowest
- * live rank, and plans and switches the maps if it is that one.
+ * Starts the agent of one rank. It reads its own worker and gives it orders, which is free from the same
+ * machine; the agent of the lowest live rank plans and switches the maps of the group.
  *
  * @example
- * const agent = startMapAgent({ service, workerAddress, agentPort: 7340, ip, clock, random, store, rank, log })
+ * const agent = startMapAgent({ service, agentPort: 7340, ip, clock, random, store, rank, log })
  */
-export const startMapAgent = ({
-  service, workerAddress, agentPort, ip, clock, random, store, rank: port, log
-}: MapAgentOptions): MapAgent => {
-  const socket = createSocket('udp4')
+export const startMapAgent = ({ service, agentPort, ip, clock, random, store, rank: port, log }: MapAgentOptions): MapAgent => {
   const heardAtMs = new Map<number, TimestampMs>()
+  const ipByRank = new Map<number, string>()
   let own: RankReading | undefined
   let isReading = false
   let isCoordinator = false
 
   const knowledge = createFleetKnowledge({ clock, random, store, log, onConfiguration: () => {}, onWorkersChanged: () => {} })
-
   const experts = () => knowledge.configuration.findService(service)?.engine?.experts
 
   const limits = (): ReplicaLimits | undefined => {
@@ -79,23 +68,32 @@
     clock, ownRank: () => own?.view.rank, limits, expertShare: () => experts()?.expertShare ?? 0
   })
 
-  /** Workers by rank, as the agents beside them have told. */
-  const addressByRank = new Map<number, string>()
-  const workerAt = (address: string): Worker | undefined =>
-    knowledge.workers.all().find(worker => worker.service === service && ipOf(worker.address) === address)
-
-  const sendOrder = async (effect: Extract<MapCoordinatorEffect, { kind: MapCoordinatorEffectKind.SendOrder }>) => {
-    const { switchId, orderId, rank, epoch, order } = effect
-    const worker = workerAt(addressByRank.get(rank) ?? '')
-    const accepted = worker === undefined ? undefined : await port.order(worker.address, worker.workerId, epoch, order)
-    const answer = accepted === undefined ? OrderAnswer.None : accepted ? OrderAnswer.Accepted : OrderAnswer.Rejected
-    if (answer !== OrderAnswer.Accepted) log(LogEvent.OrderRefused, { rank, order: order.kind, answer })
+  const sender = () => ({ group: own?.group ?? '', rank: own?.view.rank ?? -1 })
+
+  const carryOut = async (epoch: number, order: RankOrder): Promise<OrderAnswer> => {
+    const answer = toAnswer(await port.order(epoch, order))
+    if (answer !== OrderAnswer.Accepted) log(LogEvent.OrderRefused, { order: order.kind, epoch, answer })
+    return answer
+  }
+
+  const carryOutFor = async (coordinatorIp: string, message: Extract<AgentMessage, { kind: AgentMessageKind.Order }>) => {
+    const { switchId, orderId, epoch, order } = message
+    const answer = await carryOut(epoch, order)
+    socket.send(coordinatorIp, { ...sender(), kind: AgentMessageKind.OrderAnswer, switchId, orderId, answer })
+  }
+
+  const carryOutOwn = async (switchId: number, orderId: number, epoch: number, order: RankOrder) => {
+    const answer = await carryOut(epoch, order)
     task.post({ kind: MapCoordinatorMessageKind.OrderAnswered, switchId, orderId, answer })
   }
 
+  const noteError = (error: unknown) => log(LogEvent.InternalError, { reason: error instanceof Error ? error.stack : String(error) })
+
   const performers: HandlerTable<MapCoordinatorEffect, void> = {
-    [MapCoordinatorEffectKind.SendOrder]: effect => {
-      sendOrder(effect).catch(error => log(LogEvent.InternalError, { reason: String(error) }))
+    [MapCoordinatorEffectKind.SendOrder]: ({ switchId, orderId, rank, epoch, order }) => {
+      const target = ipByRank.get(rank)
+      if (rank === own?.view.rank) carryOutOwn(switchId, orderId, epoch, order).catch(noteError)
+      else if (target !== undefined) socket.send(target, { ...sender(), kind: AgentMessageKind.Order, switchId, orderId, epoch, order })
     },
     [MapCoordinatorEffectKind.Planned]: ({ version, copies, peakBefore, peakAfter }) =>
       log(LogEvent.MapPlanned, { version, copies, peakBefore: peakBefore.toFixed(2), peakAfter: peakAfter.toFixed(2) }),
@@ -108,42 +106,47 @@
   })
   task.tickEvery(COORDINATOR_TICK_MS, () => ({ kind: MapCoordinatorMessageKind.Tick }))
 
-  const send = (address: string, message: AgentMessage) => {
-    const bytes = Buffer.from(JSON.stringify(message))
-    socket.send(bytes, agentPort, address, error => {
-      if (error !== null) log(LogEvent.PeerFault, { reason: `send to ${address}: ${error.message}` })
-    })
+  const handlers: { [Kind in AgentMessageKind]: (message: Extract<AgentMessage, { kind: Kind }>, fromIp: string) => void } = {
+    [AgentMessageKind.Alive]: () => {},
+    // The sender's clock is not comparable with this one.
+    [AgentMessageKind.Reading]: ({ reading }) => {
+      task.post({
+        kind: MapCoordinatorMessageKind.ReadingReceived, reading: { ...reading, view: { ...reading.view, stepAtMs: clock.nowMs() } }
+      })
+    },
+    [AgentMessageKind.Order]: (message, fromIp) => { carryOutFor(fromIp, message).catch(noteError) },
+    [AgentMessageKind.OrderAnswer]: ({ switchId, orderId, answer }) => {
+      task.post({ kind: MapCoordinatorMessageKind.OrderAnswered, switchId, orderId, answer })
+    }
+  }
+
+  const onMessage = (message: AgentMessage, fromIp: string) => {
+    if (own === undefined || message.group !== own.group) return
+    heardAtMs.set(message.rank, clock.nowMs())
+    ipByRank.set(message.rank, fromIp)
+    const handle = handlers[message.kind] as (message: AgentMessage, fromIp: string) => void
+    handle(message, fromIp)
   }
 
-  const aliveRanks = () => [...heardAtMs].filter(([, atMs]) => clock.nowMs() - atMs < AGENT_SILENCE_MS).map(([rank]) => rank)
+  const socket = openAgentSocket({ ip, port: agentPort, onMessage, onFault: reason => log(LogEvent.PeerFault, { reason }) })
 
-  const updateRole = (reading: RankReading) => {
-    const isLowest = aliveRanks().every(rank => rank >= reading.view.rank)
+  const lowestLiveRank = (ownRank: number) =>
+    Math.min(ownRank, ...[...heardAtMs].filter(([, atMs]) => clock.nowMs() - atMs < AGENT_SILENCE_MS).map(([rank]) => rank))
+
+  const updateRole = (ownRank: number) => {
+    const isLowest = lowestLiveRank(ownRank) === ownRank
     if (isLowest === isCoordinator) return
     isCoordinator = isLowest
-    log(LogEvent.CoordinatorChanged, { rank: reading.view.rank, isCoordinator })
+    log(LogEvent.CoordinatorChanged, { rank: ownRank, isCoordinator })
     task.post({ kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator })
   }
 
-  const spread = (reading: RankReading) => {
-    const { group, view: { rank } } = reading
-    const readers = new Set([...aliveRanks(), rank].sort((a, b) => a - b).slice(0, READERS).map(reader => addressByRank.get(reader)))
-    for (const { address } of knowledge.workers.all().filter(worker => worker.service === service)) {
-      const target = ipOf(address)
-      if (target === ip) continue
-      send(target, readers.has(target) ? { rank, group, reading } : { rank, group })
-    }
-  }
-
-  const note = (message: AgentMessage, address: string) => {
-    if (own !== undefined && message.group !== own.group) return
-    heardAtMs.set(message.rank, clock.nowMs())
-    addressByRank.set(message.rank, address)
-    // Steps carry the time of the reader's clock, which is not comparable with this one.
-    if (message.reading !== undefined) {
-      const reading = { ...message.reading, view: { ...message.reading.view, stepAtMs: clock.nowMs() } }
-      task.post({ kind: MapCoordinatorMessageKind.ReadingReceived, reading })
-    }
+  const report = (reading: RankReading) => {
+    const ownRank = reading.view.rank
+    updateRole(ownRank)
+    task.post({ kind: MapCoordinatorMessageKind.ReadingReceived, reading })
+    const coordinatorIp = ipByRank.get(lowestLiveRank(ownRank))
+    if (!isCoordinator && coordinatorIp !== undefined) socket.send(coordinatorIp, { ...sender(), kind: AgentMessageKind.Reading, reading })
   }
 
   const readOwn = async () => {
@@ -151,32 +154,27 @@
     isReading = true
     try {
       own = await port.read()
+      if (own !== undefined) report(own)
     } catch (error) {
       own = undefined
-      log(LogEvent.RankUnreadable, { workerAddress, reason: error instanceof Error ? error.message : String(error) })
+      log(LogEvent.RankUnreadable, { reason: error instanceof Error ? error.message : String(error) })
     } finally {
       isReading = false
     }
-    if (own === undefined) return
-    note({ rank: own.view.rank, group: own.group, reading: own }, ip)
-    updateRole(own)
-    spread(own)
   }
 
-  socket.on('message', (bytes, { address }) => {
-    try {
-      note(decodeMessage(bytes), address)
-    } catch (error) {
-      log(LogEvent.PeerFault, { reason: `datagram from ${address}: ${error instanceof Error ? error.message : String(error)}` })
+  const tellAlive = () => {
+    if (own === undefined) return
+    for (const worker of knowledge.workers.all()) {
+      const target = ipOf(worker.address)
+      if (worker.service === service && target !== ip) socket.send(target, { ...sender(), kind: AgentMessageKind.Alive })
     }
-  })
-  socket.on('error', error => log(LogEvent.PeerFault, { reason: error.message }))
-  const bindAddress = parseAddress(`${ip}:${agentPort}`)
-  socket.bind(agentPort, bindAddress?.host ?? ip)
+  }
 
   const timers = [
-    setInterval(() => { readOwn().catch(error => log(LogEvent.InternalError, { reason: String(error) })) }, READ_INTERVAL_MS),
-    setInterval(() => knowledge.tick(), READ_TIMEOUT_MS)
+    setInterval(() => { readOwn().catch(noteError) }, READ_INTERVAL_MS),
+    setInterval(tellAlive, ALIVE_INTERVAL_MS),
+    setInterval(() => knowledge.tick(), WORKERS_TICK_MS)
   ]
 
   return {
--- a/src/nodes/mapAgent/types.ts
+++ b/src/nodes/mapAgent/types.ts
@@ -1,17 +1,27 @@
-import type { RankOrder, RankReading } from '../../expertMaps/index.js'
+import type { OrderAnswer, RankOrder, RankReading } from '../../expertMaps/index.js'
 
-/** The agent's own worker and the other ranks, behind their protocol. */
+/** The worker on the agent's machine, behind its protocol. */
 export interface RankPort {
-  /** Reads the own rank; undefined if it is in no group. Rejects if the worker does not answer. */
+  /** Reads the rank; undefined if it is in no group. Rejects if the worker does not answer. */
   read (): Promise<RankReading | undefined>
-  /** Sends an order to the rank at an address; resolves with undefined if there was no answer. */
-  order (address: string, workerId: string, epoch: number, order: RankOrder): Promise<boolean | undefined>
+  /** Resolves with whether the rank accepted the order, or with undefined if there was no answer. */
+  order (epoch: number, order: RankOrder): Promise<boolean | undefined>
 }
 
-/** What agents of one group send each other. */
-export interface AgentMessage {
-  rank: number
-  group: string
-  /** Sent to the coordinator only; others need to know just that the agent lives. */
-  reading?: RankReading
+export enum AgentMessageKind {
+  /** The sender lives. */
+  Alive = 'alive',
+  /** State of the sender's rank, for the coordinator. */
+  Reading = 'reading',
+  /** An order of the coordinator for the receiver's rank. */
+  Order = 'order',
+  OrderAnswer = 'order-answer'
 }
+
+/** What agents of one group send each other. */
+export type AgentMessage = { group: string, rank: number } & (
+  | { kind: AgentMessageKind.Alive }
+  | { kind: AgentMessageKind.Reading, reading: RankReading }
+  | { kind: AgentMessageKind.Order, switchId: number, orderId: number, epoch: number, order: RankOrder }
+  | { kind: AgentMessageKind.OrderAnswer, switchId: number, orderId: number, answer: OrderAnswer }
+)
