--- a/src/limits/createStreamLimit.ts
+++ b/src/limits/createStreamLimit.ts
@@ -14,21 +14,21 @@
 
 export interface PauseWindow {
   pauseCount: number
-  latePauseCount: number
+  pauseSumMs: number
 }
 
 export const ADJUST_INTERVAL_MS = 250
 const STREAMS_PER_WORKER_FIRST = 2.5
 const STREAMS_PER_WORKER_MIN = 0.75
 const STREAMS_PER_WORKER_MAX = 8
-/** Share of late pauses above which the limit falls, and below which it may rise. */
-const LATE_SHARE_HIGH = 0.06
-const LATE_SHARE_LOW = 0.02
-const DECREASE_FACTOR = 0.92
-const INCREASE_STREAMS_PER_WORKER = 0.05
+/** A stream is late by its longest pause, so the mean must stay well below the objective. */
+const MEAN_PAUSE_SHARE = 0.6
+/** Largest fall in one step: the pauses of a window still come from the streams before it. */
+const DECREASE_MIN = 0.6
+const INCREASE_STREAMS_PER_WORKER = 0.3
 /** The limit rises only while it binds. */
 const BINDING_SHARE = 0.85
-/** Fewer pauses say little about the share of late ones. */
+/** Fewer pauses say little about their mean. */
 const PAUSES_MIN = 8
 
 /**
@@ -41,27 +41,35 @@
 export const createStreamLimit = (): StreamLimit => {
   let streamsPerWorker = STREAMS_PER_WORKER_FIRST
   let workers = 1
-  let window: PauseWindow = { pauseCount: 0, latePauseCount: 0 }
+  let objectiveMs = Infinity
+  let window: PauseWindow = { pauseCount: 0, pauseSumMs: 0 }
+
+  const follow = (meanMs: number, runningPerWorker: number) => {
+    const targetMs = objectiveMs * MEAN_PAUSE_SHARE
+    if (meanMs > targetMs) {
+      const fitting = runningPerWorker * Math.max(DECREASE_MIN, targetMs / meanMs)
+      streamsPerWorker = Math.min(streamsPerWorker, fitting)
+    } else if (runningPerWorker >= BINDING_SHARE * streamsPerWorker) {
+      streamsPerWorker += INCREASE_STREAMS_PER_WORKER * (1 - meanMs / targetMs)
+    }
+    streamsPerWorker = Math.min(STREAMS_PER_WORKER_MAX, Math.max(STREAMS_PER_WORKER_MIN, streamsPerWorker))
+  }
 
   return {
     get streams () { return Math.max(1, streamsPerWorker * workers) },
-    notePause: (pauseMs, objectiveMs) => {
+    notePause: (pauseMs, routeObjectiveMs) => {
+      objectiveMs = routeObjectiveMs
       window.pauseCount += 1
-      if (pauseMs > objectiveMs) window.latePauseCount += 1
+      window.pauseSumMs += pauseMs
     },
     takeWindow: () => {
       const taken = window
-      window = { pauseCount: 0, latePauseCount: 0 }
+      window = { pauseCount: 0, pauseSumMs: 0 }
       return taken
     },
-    adjust: ({ pauseCount, latePauseCount }, load) => {
-      workers = Math.max(1, load.workers)
-      if (pauseCount < PAUSES_MIN) return
-      const lateShare = latePauseCount / pauseCount
-      const isBinding = load.runningStreams >= BINDING_SHARE * streamsPerWorker * workers
-      if (lateShare > LATE_SHARE_HIGH) streamsPerWorker *= DECREASE_FACTOR
-      else if (lateShare < LATE_SHARE_LOW && isBinding) streamsPerWorker += INCREASE_STREAMS_PER_WORKER
-      streamsPerWorker = Math.min(STREAMS_PER_WORKER_MAX, Math.max(STREAMS_PER_WORKER_MIN, streamsPerWorker))
+    adjust: ({ pauseCount, pauseSumMs }, { runningStreams, workers: count }) => {
+      workers = Math.max(1, count)
+      if (pauseCount >= PAUSES_MIN) follow(pauseSumMs / pauseCount, runningStreams / workers)
     }
   }
 }
--- a/src/membership/createPeerReports.ts
+++ b/src/membership/createPeerReports.ts
@@ -1,7 +1,8 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, type TimestampMs } from '../core/index.js'
 import {
-  type PeerEffect, PeerEffectKind, PEER_FANOUT_MAX, PEER_FORGET_MS, PEER_HEARTBEAT_MS, PEER_LIST_INTERVAL_MS,
-  type PeerMessage, PeerMessageKind, type PeerReport, PEER_SILENCE_MS, type SelfDescription
+  PEER_CHANGE_DELAY_MS, type PeerEffect, PeerEffectKind, PEER_FANOUT_MAX, PEER_FORGET_MS, PEER_HEARTBEAT_MS,
+  PEER_LIST_INTERVAL_MS, type PeerLoad, type PeerMessage, PeerMessageKind, type PeerReport, PEER_SILENCE_MS, SelfChange,
+  type SelfDescription
 } from './peerTypes.js'
 
 interface Peer {
@@ -39,7 +40,9 @@
 export const createPeerReports = ({ clock, random, ownAddress, seeds, describeSelf }: PeerReportsOptions): PeerReports => {
   const peers = new Map<string, Peer>()
   let sequence = 0
-  let hasChanged = true
+  /** When a pending change goes out, and whether it needs a full report. */
+  let dueAtMs: TimestampMs = 0
+  let needsFull = true
   let lastSentMs = -PEER_HEARTBEAT_MS
   let lastListMs = -PEER_LIST_INTERVAL_MS
 
@@ -60,6 +63,12 @@
     return { ...describeSelf(), sequence, ...(withAddresses ? { peerAddresses: aliveAddresses() } : {}) }
   }
 
+  const createLoad = (): PeerLoad => {
+    const { incarnation, running, pauseCount, pauseSumMs } = describeSelf()
+    sequence += 1
+    return { incarnation, sequence, running, pauseCount, pauseSumMs }
+  }
+
   const aliveTargets = () => {
     const targets = [...peers.values()].filter(({ isAlive }) => isAlive).map(({ address }) => address)
     return targets.length <= PEER_FANOUT_MAX ? targets : random.shuffle(targets).slice(0, PEER_FANOUT_MAX)
@@ -79,24 +88,35 @@
     return effects
   }
 
+  const noteSent = () => {
+    lastSentMs = clock.nowMs()
+    dueAtMs = Infinity
+    needsFull = false
+  }
+
   const onTick = (): PeerEffect[] => {
     const nowMs = clock.nowMs()
     const effects = expire()
     if (nowMs - lastListMs >= PEER_LIST_INTERVAL_MS) {
       lastListMs = nowMs
-      lastSentMs = nowMs
-      hasChanged = false
+      noteSent()
       // Silent peers are told too: a cut may have healed, or the seed has only now started.
       effects.push({ kind: PeerEffectKind.SendReport, addresses: [...peers.keys()], report: createReport(true) })
-    } else if (hasChanged || nowMs - lastSentMs >= PEER_HEARTBEAT_MS) {
-      lastSentMs = nowMs
-      hasChanged = false
-      effects.push({ kind: PeerEffectKind.SendReport, addresses: aliveTargets(), report: createReport(false) })
+    } else if (nowMs >= dueAtMs || nowMs - lastSentMs >= PEER_HEARTBEAT_MS) {
+      const report = needsFull ? createReport(false) : createLoad()
+      noteSent()
+      effects.push({ kind: PeerEffectKind.SendReport, addresses: aliveTargets(), report })
     }
     return effects
   }
 
-  const isStale = ({ report, endedIncarnation }: Peer, { incarnation, sequence: received }: PeerReport) =>
+  const onSelfChanged = (change: SelfChange): PeerEffect[] => {
+    dueAtMs = Math.min(dueAtMs, clock.nowMs() + PEER_CHANGE_DELAY_MS[change])
+    needsFull ||= change === SelfChange.State
+    return []
+  }
+
+  const isStale = ({ report, endedIncarnation }: Peer, { incarnation, sequence: received }: PeerLoad) =>
     incarnation === endedIncarnation || (report?.incarnation === incarnation && report.sequence >= received)
 
   const onReport = (report: PeerReport, fromAddress: string): PeerEffect[] => {
@@ -116,13 +136,18 @@
       : [...effects, { kind: PeerEffectKind.SendReport, addresses: greeted, report: createReport(true) }]
   }
 
+  /** A short report only adds to a full one of the same run. */
+  const onLoad = (load: PeerLoad, fromAddress: string): PeerEffect[] => {
+    const peer = peers.get(fromAddress)
+    if (peer?.report?.incarnation !== load.incarnation) return []
+    return onReport({ ...peer.report, ...load, peerAddresses: [] }, fromAddress)
+  }
+
   const handlers: HandlerTable<PeerMessage, PeerEffect[]> = {
     [PeerMessageKind.Tick]: onTick,
     [PeerMessageKind.ReportReceived]: ({ report, fromAddress }) => onReport(report, fromAddress),
-    [PeerMessageKind.SelfChanged]: () => {
-      hasChanged = true
-      return []
-    },
+    [PeerMessageKind.LoadReceived]: ({ load, fromAddress }) => onLoad(load, fromAddress),
+    [PeerMessageKind.SelfChanged]: ({ change }) => onSelfChanged(change),
     [PeerMessageKind.Woken]: () => {
       // What was known before a freeze is out of date, but silence during it proves nothing.
       for (const peer of peers.values()) {
--- a/src/membership/peerReportTask.ts
+++ b/src/membership/peerReportTask.ts
@@ -2,7 +2,7 @@
 import { createTask, dispatch, type HandlerTable, OverflowPolicy } from '../core/index.js'
 import { type PeerReports, createPeerReports, type PeerReportsOptions } from './createPeerReports.js'
 import { parseAddress } from './parseAddress.js'
-import { type PeerEffect, PeerEffectKind, type PeerMessage, PeerMessageKind, PEER_TICK_MS, type PeerReport } from './peerTypes.js'
+import { type PeerEffect, PeerEffectKind, type PeerMessage, PeerMessageKind, type PeerLoad, PEER_TICK_MS, type PeerReport } from './peerTypes.js'
 
 /** What other tasks learn; datagrams stay inside the task. */
 export type PeerNews = Exclude<PeerEffect, { kind: PeerEffectKind.SendReport }>
@@ -22,15 +22,20 @@
 const isRecordOfNumbers = (value: unknown): value is Record<string, number> =>
   typeof value === 'object' && value !== null && Object.values(value).every(entry => typeof entry === 'number')
 
-/** Reports come from any process that reaches the port; only whole ones are used. */
-const decodeReport = (bytes: Buffer): PeerReport => {
+const isLoad = ({ incarnation, sequence, running, pauseCount, pauseSumMs }: PeerLoad) =>
+  typeof incarnation === 'string' && [sequence, pauseCount, pauseSumMs].every(Number.isFinite) && isRecordOfNumbers(running)
+
+const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, peerAddresses = [] }: PeerReport) =>
+  [nodeId, zone, frontAddress, ...peerAddresses].every(text => typeof text === 'string') &&
+  typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets)
+
+/** Datagrams come from any process that reaches the port; only whole reports are used. */
+const decodeReport = (bytes: Buffer, fromAddress: string): PeerMessage => {
   const report = JSON.parse(bytes.toString('utf8')) as PeerReport
-  const texts = [report.nodeId, report.incarnation, report.zone, report.frontAddress]
-  const numbers = [report.sequence, report.configurationVersion, report.pauseCount, report.latePauseCount]
-  const isWhole = texts.every(text => typeof text === 'string') && numbers.every(Number.isFinite) &&
-    typeof report.isReady === 'boolean' && isRecordOfNumbers(report.storeOffsets) && isRecordOfNumbers(report.running)
-  if (!isWhole) throw new TypeError('report lacks a field')
-  return report
+  if (!isLoad(report)) throw new TypeError('report lacks a field')
+  if (report.nodeId === undefined) return { kind: PeerMessageKind.LoadReceived, load: report, fromAddress }
+  if (!isReport(report)) throw new TypeError('report lacks a field')
+  return { kind: PeerMessageKind.ReportReceived, report, fromAddress }
 }
 
 /**
@@ -45,7 +50,7 @@
   const own = parseAddress(options.ownAddress)
   if (own === undefined) throw new TypeError(`not an IP address and port: ${options.ownAddress}`)
 
-  const sendReport = (addresses: readonly string[], report: PeerReport) => {
+  const sendReport = (addresses: readonly string[], report: PeerReport | PeerLoad) => {
     const bytes = Buffer.from(JSON.stringify(report))
     for (const address of addresses) {
       const target = parseAddress(address)
@@ -65,7 +70,7 @@
 
   socket.on('message', (bytes, { address, port }) => {
     try {
-      task.post({ kind: PeerMessageKind.ReportReceived, report: decodeReport(bytes), fromAddress: `${address}:${port}` })
+      task.post(decodeReport(bytes, `${address}:${port}`))
     } catch (error) {
       onFault(`datagram from ${address}:${port}: ${error instanceof Error ? error.message : String(error)}`)
     }
--- a/src/membership/peerTypes.ts
+++ b/src/membership/peerTypes.ts
@@ -1,10 +1,19 @@
-/** What one entry tells the others about itself; the newest report replaces the one before. */
-export interface PeerReport {
-  nodeId: string
+/** The work of one entry, in a short report. */
+export interface PeerLoad {
   /** Random identity of this run of the process. */
   incarnation: string
   /** Grows with each report of an incarnation. */
   sequence: number
+  /** Requests under way by worker; workers without any are left out. */
+  running: Record<string, number>
+  /** Pauses between stream events in the last window, and their sum. */
+  pauseCount: number
+  pauseSumMs: number
+}
+
+/** What one entry tells the others about itself; the newest report replaces the one before. */
+export interface PeerReport extends PeerLoad {
+  nodeId: string
   zone: string
   /** `ip:port` for callers. */
   frontAddress: string
@@ -13,11 +22,6 @@
   configurationVersion: number
   /** Offset read up to, by topic of the store. */
   storeOffsets: Record<string, number>
-  /** Requests under way by worker; workers without any are left out. */
-  running: Record<string, number>
-  /** Pauses of streams in the last window, and those over their objective. */
-  pauseCount: number
-  latePauseCount: number
   /** Addresses of other entries that the sender knows; only in some reports. */
   peerAddresses?: string[]
 }
@@ -25,10 +29,19 @@
 /** The part of the report that the rest of the process states. */
 export type SelfDescription = Omit<PeerReport, 'sequence' | 'peerAddresses'>
 
+/** What changed about this process; the first two need only a short report. */
+export enum SelfChange {
+  /** A request was sent: the others must know at once, as they place theirs by it. */
+  LoadRose = 'load-rose',
+  LoadFell = 'load-fell',
+  /** Readiness, configuration or offsets. */
+  State = 'state'
+}
+
 export enum PeerMessageKind {
   Tick = 'tick',
   ReportReceived = 'report-received',
-  /** The own running requests, readiness or offsets changed. */
+  LoadReceived = 'load-received',
   SelfChanged = 'self-changed',
   Woken = 'woken'
 }
@@ -36,7 +49,8 @@
 export type PeerMessage =
   | { kind: PeerMessageKind.Tick }
   | { kind: PeerMessageKind.ReportReceived, report: PeerReport, fromAddress: string }
-  | { kind: PeerMessageKind.SelfChanged }
+  | { kind: PeerMessageKind.LoadReceived, load: PeerLoad, fromAddress: string }
+  | { kind: PeerMessageKind.SelfChanged, change: SelfChange }
   | { kind: PeerMessageKind.Woken }
 
 export enum PeerEffectKind {
@@ -47,12 +61,17 @@
 }
 
 export type PeerEffect =
-  | { kind: PeerEffectKind.SendReport, addresses: readonly string[], report: PeerReport }
+  | { kind: PeerEffectKind.SendReport, addresses: readonly string[], report: PeerReport | PeerLoad }
   | { kind: PeerEffectKind.PeerUpdated, report: PeerReport, isNew: boolean }
   | { kind: PeerEffectKind.PeerLost, nodeId: string, address: string }
 
-/** Changes within this time go out in one report. */
 export const PEER_TICK_MS = 40
+/** Changes within these times go out in one report. */
+export const PEER_CHANGE_DELAY_MS: Record<SelfChange, number> = {
+  [SelfChange.LoadRose]: 0,
+  [SelfChange.LoadFell]: 160,
+  [SelfChange.State]: 0
+}
 /** An entry without changes reports this often, to be known as alive. */
 export const PEER_HEARTBEAT_MS = 500
 /** Reports with the addresses of all known peers, for those that know few. */
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,7 +1,7 @@
 import { type Clock, createIncarnation, type Random, ResultCode } from '../../core/index.js'
-import { ADJUST_INTERVAL_MS, createRepeatBudget, createStreamLimit, type RepeatBudgetSettings, type StreamLimit } from '../../limits/index.js'
+import { ADJUST_INTERVAL_MS, createRepeatBudget, createStreamLimit, type PauseWindow, type RepeatBudgetSettings, type StreamLimit } from '../../limits/index.js'
 import {
-  PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, type SelfDescription, startPeerReportTask
+  PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask
 } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
@@ -75,7 +75,7 @@
   let isStopping = false
   let lastHousekeepingMs = clock.nowMs()
   let lastAdjustMs = clock.nowMs()
-  let ownWindow = { pauseCount: 0, latePauseCount: 0 }
+  let ownWindow: PauseWindow = { pauseCount: 0, pauseSumMs: 0 }
 
   const streamLimitOf = (service: string): StreamLimit => {
     const limit = limits.get(service) ?? createStreamLimit()
@@ -83,13 +83,21 @@
     return limit
   }
 
+  const noteStateChanged = () => peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
+
   const knowledge = createFleetKnowledge({
     clock,
     random,
     store,
     log,
-    onConfiguration: () => options.onConfiguration(knowledge),
-    onWorkersChanged: () => forward.closeUnused()
+    onConfiguration: () => {
+      options.onConfiguration(knowledge)
+      noteStateChanged()
+    },
+    onWorkersChanged: () => {
+      forward.closeUnused()
+      noteStateChanged()
+    }
   })
 
   const alivePeers = () => peers.reports.alive()
@@ -100,9 +108,9 @@
 
   const budget = createRepeatBudget({ clock, settings: options.repeatBudget, countEntries: () => alivePeers().length + 1 })
 
-  const noteRunningChanged = () => {
-    peers.post({ kind: PeerMessageKind.SelfChanged })
-    forward.notePlaceFreed()
+  const noteRunningChanged = (change: SelfChange) => {
+    peers.post({ kind: PeerMessageKind.SelfChanged, change })
+    if (change === SelfChange.LoadFell) forward.notePlaceFreed()
   }
 
   const forward: ForwardTask = startForwardTask({
@@ -160,14 +168,15 @@
     const reports = alivePeers()
     for (const [service, limit] of limits) {
       ownWindow = limit.takeWindow()
-      const fleet = reports.reduce((sum, { pauseCount, latePauseCount }) => ({
-        pauseCount: sum.pauseCount + pauseCount, latePauseCount: sum.latePauseCount + latePauseCount
+      const fleet = reports.reduce((sum, { pauseCount, pauseSumMs }) => ({
+        pauseCount: sum.pauseCount + pauseCount, pauseSumMs: sum.pauseSumMs + pauseSumMs
       }), ownWindow)
       const before = limit.streams
       limit.adjust(fleet, { runningStreams: placement.runningIn(service), workers: knowledge.workers.usable(service).length })
-      if (limit.streams !== before) log(LogEvent.StreamLimitChanged, { service, before, streams: limit.streams, ...fleet })
+      if (limit.streams !== before) {
+        log(LogEvent.StreamLimitChanged, { service, before, streams: limit.streams, running: placement.runningIn(service), ...fleet })
+      }
     }
-    peers.post({ kind: PeerMessageKind.SelfChanged })
   }
 
   const housekeeping = setInterval(() => {
@@ -227,7 +236,7 @@
     get isStopping () { return isStopping },
     startStopping: () => {
       isStopping = true
-      peers.post({ kind: PeerMessageKind.SelfChanged })
+      peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
     },
     get liveCount () { return forward.core.liveCount },
     counters,
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationHolder } from '../../configuration/index.js'
 import type { Random } from '../../core/index.js'
 import type { RepeatBudget, StreamLimit } from '../../limits/index.js'
+import { SelfChange } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { AttemptEnd, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
 import { PlaceKind, type WorkerPlacement } from '../../routing/index.js'
@@ -15,7 +16,7 @@
   counters: ForwardCounters
   log: EventLog
   now: () => number
-  onRunningChanged: () => void
+  onRunningChanged: (change: SelfChange) => void
 }
 
 /** Plain services queue a few requests for each slot. */
@@ -65,14 +66,14 @@
     },
     onSent: ({ requestId, deadlineAtMs }, { workerId }, attempt) => {
       placement.noteSent(workerId)
-      onRunningChanged()
+      onRunningChanged(SelfChange.LoadRose)
       log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
     },
     onAttemptEnded: ({ requestId, service }, { workerId }, end, detail) => {
       placement.noteEnded(workerId)
       if (IS_LOSS[end]) placement.noteLost(workerId)
       counters.countAttempt(service, end)
-      onRunningChanged()
+      onRunningChanged(SelfChange.LoadFell)
       log(LogEvent.AttemptEnded, { requestId, workerId, end, detail })
     },
     onPause: ({ route, service }, _worker, pauseMs, isFirst) => {
