--- a/src/limits/createStreamLimit.ts
+++ b/src/limits/createStreamLimit.ts
@@ -18,13 +18,13 @@
 }
 
 export const ADJUST_INTERVAL_MS = 250
-const STREAMS_PER_WORKER_FIRST = 2.5
+const STREAMS_PER_WORKER_FIRST = 4
 const STREAMS_PER_WORKER_MIN = 0.75
 const STREAMS_PER_WORKER_MAX = 8
 /** A stream is late by its longest pause, so the mean must stay well below the objective. */
-const MEAN_PAUSE_SHARE = 0.6
+const MEAN_PAUSE_SHARE = 0.85
 /** Largest fall in one step: the pauses of a window still come from the streams before it. */
-const DECREASE_MIN = 0.6
+const DECREASE_MIN = 0.8
 const INCREASE_STREAMS_PER_WORKER = 0.3
 /** The limit rises only while it binds. */
 const BINDING_SHARE = 0.85
