Copy one expert a rank for each map, and only for a gain of an eighth of the pass

Cause: a small plan kept the group busy copying for a second while demand shifted. Ruled out: the switch itself, which takes 10 ms from hold to release.

--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -55,7 +55,7 @@
 /** Choices that must be known before a plan; fewer show chance more than demand. */
 export const DEMAND_MIN = 1_500
 /** A new map must make passes shorter by this share. */
-export const PASS_GAIN_MIN = 0.07
+export const PASS_GAIN_MIN = 0.12
 /** Versions are unique by the rank of the coordinator that gives them. */
 const VERSION_STRIDE = 4_096
 const PASS_MS_DEFAULT = 60
--- a/src/limits/createStreamLimit.ts
+++ b/src/limits/createStreamLimit.ts
@@ -17,7 +17,7 @@
   pauseSumMs: number
 }
 
-export const ADJUST_INTERVAL_MS = 250
+export const ADJUST_INTERVAL_MS = 200
 const STREAMS_PER_WORKER_FIRST = 4
 const STREAMS_PER_WORKER_MIN = 0.75
 const STREAMS_PER_WORKER_MAX = 8
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -26,13 +26,13 @@
   stop (): void
 }
 
-const READ_INTERVAL_MS = 200
+const READ_INTERVAL_MS = 150
 const ALIVE_INTERVAL_MS = 600
 const COORDINATOR_TICK_MS = 30
 /** An agent that is silent for this time takes no part. */
 const AGENT_SILENCE_MS = 1_500
 /** Copies of one rank run one after the other, and passes take longer meanwhile. */
-const COPIES_PER_RANK_MAX = 2
+const COPIES_PER_RANK_MAX = 1
 const WORKERS_TICK_MS = 1_000
 
 const ipOf = (address: string) => address.slice(0, address.lastIndexOf(':'))
