--- /dev/null
+++ b/src/expertMaps/planReplicas.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from 'vitest'
+import { createRandom } from '../core/index.js'
+import { planReplicas } from './planReplicas.js'
+import type { ReplicaLimits, ReplicaMap } from './replicaTypes.js'
+
+const RANKS = 12
+const EXPERTS = 96
+const SETS = 3
+const LIMITS: ReplicaLimits = { placementsMax: 11, copiesMax: 4, copiesPerRankMax: 1 }
+const BASE: ReplicaMap = Array.from({ length: SETS }, () =>
+  Array.from({ length: RANKS }, (_, rank) => Array.from({ length: EXPERTS / RANKS }, (_, at) => rank + at * RANKS)))
+
+const skewedLoads = (seed: number) => {
+  const random = createRandom(seed)
+  return Array.from({ length: SETS }, () =>
+    random.shuffle(Array.from({ length: EXPERTS }, (_, rank) => Math.round(10_000 / (rank + 1) ** 1.3))))
+}
+
+describe('plan of the next map', () => {
+  it('keeps every expert and the limits of the ranks, over random demand', () => {
+    for (let seed = 1; seed <= 40; seed++) {
+      let base = BASE
+      for (let round = 0; round < 4; round++) {
+        const { map, copies } = planReplicas(base, skewedLoads(seed * 10 + round), LIMITS)
+        const copiesByRank: number[] = Array(RANKS).fill(0)
+        map.forEach((ranksOfSet, set) => {
+          expect(new Set(ranksOfSet.flat()).size, `seed ${seed}`).toBe(EXPERTS)
+          ranksOfSet.forEach((experts, rank) => {
+            expect(experts.length).toBeLessThanOrEqual(LIMITS.placementsMax)
+            copiesByRank[rank]! += experts.filter(expert => !base[set]![rank]!.includes(expert)).length
+          })
+        })
+        expect(Math.max(...copiesByRank)).toBeLessThanOrEqual(LIMITS.copiesPerRankMax)
+        expect(copiesByRank.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(copies)
+        base = map
+      }
+    }
+  })
+
+  it('lowers the peak of skewed demand by a third or more', () => {
+    const { peakBefore, peakAfter } = planReplicas(BASE, skewedLoads(1), { ...LIMITS, copiesPerRankMax: 3 })
+    expect(peakAfter).toBeLessThan(peakBefore * 2 / 3)
+  })
+
+  it('leaves a balanced map as it is', () => {
+    const even = Array.from({ length: SETS }, () => Array<number>(EXPERTS).fill(10))
+    expect(planReplicas(BASE, even, LIMITS)).toMatchObject({ copies: 0, map: BASE })
+  })
+})
--- /dev/null
+++ b/src/membership/createPeerReports.test.ts
@@ -0,0 +1,101 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { createManualClock, createRandom, type ManualClock } from '../core/index.js'
+import { createPeerReports, type PeerReports } from './createPeerReports.js'
+import {
+  PEER_HEARTBEAT_MS, PEER_LIST_INTERVAL_MS, type PeerEffect, PeerEffectKind, PeerMessageKind, type PeerReport, PEER_SILENCE_MS, SelfChange
+} from './peerTypes.js'
+
+const report = (nodeId: string, sequence: number, overrides: Partial<PeerReport> = {}): PeerReport => ({
+  nodeId,
+  incarnation: `${nodeId}-1`,
+  sequence,
+  zone: 'a',
+  frontAddress: `${nodeId}:80`,
+  isReady: true,
+  configurationVersion: 1,
+  storeOffsets: {},
+  running: { w1: 2 },
+  pauseCount: 0,
+  pauseSumMs: 0,
+  ...overrides
+})
+
+describe('reports among entries', () => {
+  let clock: ManualClock
+  let peers: PeerReports
+
+  beforeEach(() => {
+    clock = createManualClock(10_000)
+    const { sequence: _sequence, ...self } = report('self', 0)
+    peers = createPeerReports({ clock, random: createRandom(1), ownAddress: 'self:1', seeds: ['seed:1', 'self:1'], describeSelf: () => self })
+  })
+
+  const receive = (received: PeerReport, fromAddress = `${received.nodeId}:1`) =>
+    peers.handle({ kind: PeerMessageKind.ReportReceived, report: received, fromAddress })
+  const tickAfter = (durationMs: number) => {
+    clock.advance(durationMs)
+    return peers.handle({ kind: PeerMessageKind.Tick })
+  }
+  const addressesOf = (effects: readonly PeerEffect[]) =>
+    effects.flatMap(effect => effect.kind === PeerEffectKind.SendReport ? [...effect.addresses] : [])
+
+  it('tells the seeds at once, and never itself', () => {
+    expect(addressesOf(tickAfter(0))).toEqual(['seed:1'])
+  })
+
+  it('greets a new peer and those that it names', () => {
+    expect(addressesOf(receive(report('p', 1, { peerAddresses: ['q:1', 'self:1'] })))).toEqual(['p:1', 'q:1'])
+  })
+
+  it('counts the requests of live peers at a worker, and forgets those of a silent one', () => {
+    receive(report('p', 1))
+    receive(report('q', 1, { running: { w1: 1, w2: 4 } }))
+    expect(peers.runningAt('w1')).toBe(3)
+    clock.advance(PEER_SILENCE_MS / 2)
+    receive(report('q', 2, { running: { w1: 1 } }))
+    expect(tickAfter(PEER_SILENCE_MS / 2 + 1)).toContainEqual({ kind: PeerEffectKind.PeerLost, nodeId: 'p', address: 'p:1' })
+    expect(peers.runningAt('w1')).toBe(1)
+  })
+
+  // Guards against datagrams that overtake each other.
+  it('ignores older reports, also those of an ended run', () => {
+    receive(report('p', 5))
+    expect(receive(report('p', 4, { running: { w1: 9 } }))).toEqual([])
+    receive(report('p', 1, { incarnation: 'p-2', running: {} }))
+    expect(receive(report('p', 6, { running: { w1: 9 } }))).toEqual([])
+    expect(peers.runningAt('w1')).toBe(0)
+  })
+
+  it('adds a short report to the full one of the same run only', () => {
+    const load = { incarnation: 'p-1', sequence: 2, running: { w1: 7 }, pauseCount: 0, pauseSumMs: 0 }
+    expect(peers.handle({ kind: PeerMessageKind.LoadReceived, load, fromAddress: 'p:1' })).toEqual([])
+    receive(report('p', 1))
+    peers.handle({ kind: PeerMessageKind.LoadReceived, load, fromAddress: 'p:1' })
+    expect(peers.runningAt('w1')).toBe(7)
+    expect(peers.alive()[0]?.frontAddress).toBe('p:80')
+  })
+
+  it('reports a request that was sent at the next tick, and an ended one a little later', () => {
+    tickAfter(0)
+    receive(report('p', 1))
+    peers.handle({ kind: PeerMessageKind.SelfChanged, change: SelfChange.LoadRose })
+    expect(addressesOf(tickAfter(40))).toEqual(['p:1'])
+    peers.handle({ kind: PeerMessageKind.SelfChanged, change: SelfChange.LoadFell })
+    expect(addressesOf(tickAfter(40))).toEqual([])
+    expect(addressesOf(tickAfter(160))).toEqual(['p:1'])
+  })
+
+  it('reports without any change, and tells silent peers too from time to time', () => {
+    tickAfter(0)
+    receive(report('p', 1))
+    expect(addressesOf(tickAfter(PEER_HEARTBEAT_MS))).toEqual(['p:1'])
+    expect(addressesOf(tickAfter(PEER_LIST_INTERVAL_MS)).sort()).toEqual(['p:1', 'seed:1'])
+  })
+
+  it('does not take its own freeze for the silence of others', () => {
+    receive(report('p', 1))
+    clock.advance(PEER_SILENCE_MS * 3)
+    peers.handle({ kind: PeerMessageKind.Woken })
+    expect(peers.handle({ kind: PeerMessageKind.Tick }).some(({ kind }) => kind === PeerEffectKind.PeerLost)).toBe(false)
+  })
+})
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -92,7 +92,7 @@
       return undefined
     }
     const consumed = parser.execute(bytes)
-    if (isComplete) return undefined
+    if (isComplete) return fault
     if (typeof consumed !== 'number') fault ??= ExchangeFault.MalformedResponse
     return fault
   }
