--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['dist', 'node_modules', 'bench-report'] },
+  { ignores: ['dist', 'node_modules', 'bench-report', 'target'] },
   ...neostandard({ ts: true }),
   {
     rules: {
