--- a/src/upstreams/connectionPool.test.ts
+++ b/src/upstreams/connectionPool.test.ts
@@ -80,8 +80,8 @@
   })
 
   const cut: [string, string, ExchangeFault][] = [
-    ['a body shorter than its length', 'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhel', ExchangeFault.ConnectionLost],
-    ['chunks without the last one', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n', ExchangeFault.ConnectionLost],
+    ['a body shorter than its length', 'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhel', ExchangeFault.CutOrUnframed],
+    ['chunks without the last one', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n', ExchangeFault.CutOrUnframed],
     ['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!', ExchangeFault.MalformedResponse],
     ['a length beside chunks', 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', ExchangeFault.MalformedResponse],
     ['bytes that are no response', 'SSH-2.0-x\r\n\r\n', ExchangeFault.MalformedResponse],
@@ -92,11 +92,10 @@
     expect((await exchange()).at(-1)).toEqual({ kind: ExchangeEventKind.Failed, fault, hasLeft: true })
   })
 
-  it('takes an answer without a length as whole when the connection ends in order', async () => {
+  // Guards against an answer of a crashed worker that is passed on as whole: its connection ends in order too.
+  it('never takes an answer without a length as whole', async () => {
     await serve(socket => socket.end(`HTTP/1.1 200 OK\r\n\r\n${BODY}`))
-    const events = await exchange()
-    expect(bodyOf(events)).toBe(BODY)
-    expect(events.at(-1)).toEqual({ kind: ExchangeEventKind.Finished })
+    expect((await exchange()).at(-1)).toEqual({ kind: ExchangeEventKind.Failed, fault: ExchangeFault.CutOrUnframed, hasLeft: true })
   })
 
   // Guards against an answer without a length that is cut by a reset and passed on as whole.
--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -10,8 +10,10 @@
 export enum ExchangeFault {
   /** The connection was never established; the upstream has seen nothing. */
   NotConnected = 'not-connected',
-  /** The connection ended or was reset before the response was whole. */
+  /** The connection was reset, or ended before the head of the response. */
   ConnectionLost = 'connection-lost',
+  /** The connection ended in order inside the response, or at the end of one without a length: it may be cut. */
+  CutOrUnframed = 'cut-or-unframed',
   /** The bytes received are no HTTP response, or frame it in two ways. */
   MalformedResponse = 'malformed-response',
   /** The response is longer than the limit. */
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -102,8 +102,8 @@
     end: () => {
       if (isComplete) return undefined
       if (fault !== undefined) return fault
-      const result = parser.finish() as unknown
-      return result instanceof Error || !isComplete ? ExchangeFault.ConnectionLost : undefined
+      // A response without a length ends with its connection whether it is whole or the upstream crashed.
+      return hasFinalHead ? ExchangeFault.CutOrUnframed : ExchangeFault.ConnectionLost
     },
     get isComplete () { return isComplete },
     get hasExtraBytes () { return hasExtraBytes },
