--- a/bench/once/fakeLog.ts
+++ b/bench/once/fakeLog.ts
@@ -1,5 +1,5 @@
 import type { Random } from '../../src/core/index.js'
-import type { LogPage, LogRecord } from '../../src/platform/index.js'
+import type { LogPage, LogRecord } from '../../src/clients/index.js'
 import type { EventQueue } from '../harness/index.js'
 
 /** How the fake log treats operations. */
--- a/bench/overhead/deployment.ts
+++ b/bench/overhead/deployment.ts
@@ -6,7 +6,7 @@
 import { createConfigurationSession } from '../../src/cli/configurationSession.js'
 import { parseRows } from '../../src/configuration/index.js'
 import { createSystemClock } from '../../src/core/index.js'
-import { createLogClient } from '../../src/platform/index.js'
+import { createLogClient } from '../../src/clients/index.js'
 import { type Child, freeAddress, startChild } from './childProcess.js'
 import { ChildServer } from './standInProcess.js'
 
--- a/src/cli/configurationSession.ts
+++ b/src/cli/configurationSession.ts
@@ -6,7 +6,7 @@
   type EditVerdict, FollowerMessageKind, type Row, type RowChange, rowKeyOf, type RowVersion, type SubmitEffect, SubmitEffectKind,
   type SubmitMessage, SubmitMessageKind, toConfigurationPage, toConfigurationRecord
 } from '../configuration/index.js'
-import type { LogClient } from '../platform/index.js'
+import type { LogClient } from '../clients/index.js'
 
 const SUBMIT_TICK_MS = 100
 const READ_RETRY_MS = 250
--- a/src/cli/withSession.ts
+++ b/src/cli/withSession.ts
@@ -1,5 +1,5 @@
 import { createSystemClock } from '../core/index.js'
-import { createLogClient } from '../platform/index.js'
+import { createLogClient } from '../clients/index.js'
 import { type CliSettings, requireLogUrl } from './cliSettings.js'
 import { type ConfigurationSession, createConfigurationSession } from './configurationSession.js'
 
--- a/src/limits/createStreamLimit.ts
+++ b/src/limits/createStreamLimit.ts
@@ -3,8 +3,8 @@
  * stream too many makes every stream late; the limit follows the pauses that the fleet measures.
  */
 export interface StreamLimit {
-  /** Streams that the group may run at once. */
-  readonly streams: number
+  /** Streams that a group of so many workers may run at once. */
+  streamsFor (workers: number): number
   notePause (pauseMs: number, objectiveMs: number): void
   /** Pauses since the last call, for the report to the others. */
   takeWindow (): PauseWindow
@@ -40,7 +40,6 @@
  */
 export const createStreamLimit = (): StreamLimit => {
   let streamsPerWorker = STREAMS_PER_WORKER_FIRST
-  let workers = 1
   let objectiveMs = Infinity
   let window: PauseWindow = { pauseCount: 0, pauseSumMs: 0 }
 
@@ -56,7 +55,7 @@
   }
 
   return {
-    get streams () { return Math.max(1, streamsPerWorker * workers) },
+    streamsFor: workers => Math.max(1, streamsPerWorker * workers),
     notePause: (pauseMs, routeObjectiveMs) => {
       objectiveMs = routeObjectiveMs
       window.pauseCount += 1
@@ -67,9 +66,8 @@
       window = { pauseCount: 0, pauseSumMs: 0 }
       return taken
     },
-    adjust: ({ pauseCount, pauseSumMs }, { runningStreams, workers: count }) => {
-      workers = Math.max(1, count)
-      if (pauseCount >= PAUSES_MIN) follow(pauseSumMs / pauseCount, runningStreams / workers)
+    adjust: ({ pauseCount, pauseSumMs }, { runningStreams, workers }) => {
+      if (pauseCount >= PAUSES_MIN) follow(pauseSumMs / pauseCount, runningStreams / Math.max(1, workers))
     }
   }
 }
--- a/src/limits/forwardLimits.test.ts
+++ b/src/limits/forwardLimits.test.ts
@@ -41,29 +41,34 @@
     const limit = createStreamLimit()
     limit.notePause(90, 120)
     limit.adjust(windowOf(50), { runningStreams: 10, workers: WORKERS })
-    const first = limit.streams
+    const first = limit.streamsFor(WORKERS)
     limit.adjust(windowOf(50), { runningStreams: first, workers: WORKERS })
-    const risen = limit.streams
+    const risen = limit.streamsFor(WORKERS)
     expect(risen).toBeGreaterThan(first)
     limit.adjust(windowOf(50), { runningStreams: 5, workers: WORKERS })
-    expect(limit.streams).toBe(risen)
+    expect(limit.streamsFor(WORKERS)).toBe(risen)
     limit.adjust(windowOf(160), { runningStreams: risen, workers: WORKERS })
-    expect(limit.streams).toBeLessThan(risen)
+    expect(limit.streamsFor(WORKERS)).toBeLessThan(risen)
+  })
+
+  // Guards against a process that refuses its first requests because no adjustment has told it the size of the group.
+  it('counts all workers of the group before its first adjustment', () => {
+    expect(createStreamLimit().streamsFor(WORKERS)).toBe(WORKERS * createStreamLimit().streamsFor(1))
   })
 
   it('stays above its floor however long the pauses are', () => {
     const limit = createStreamLimit()
     limit.notePause(500, 120)
-    for (let at = 0; at < 100; at++) limit.adjust(windowOf(900), { runningStreams: limit.streams, workers: WORKERS })
-    expect(limit.streams).toBeGreaterThanOrEqual(WORKERS / 2)
+    for (let at = 0; at < 100; at++) limit.adjust(windowOf(900), { runningStreams: limit.streamsFor(WORKERS), workers: WORKERS })
+    expect(limit.streamsFor(WORKERS)).toBeGreaterThanOrEqual(WORKERS / 2)
   })
 
   it('is not moved by a few pauses', () => {
     const limit = createStreamLimit()
     limit.notePause(500, 120)
     limit.adjust({ pauseCount: 2, pauseSumMs: 1_000 }, { runningStreams: 40, workers: WORKERS })
-    const before = limit.streams
+    const before = limit.streamsFor(WORKERS)
     limit.adjust({ pauseCount: 2, pauseSumMs: 1_000 }, { runningStreams: 40, workers: WORKERS })
-    expect(limit.streams).toBe(before)
+    expect(limit.streamsFor(WORKERS)).toBe(before)
   })
 })
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -6,7 +6,7 @@
   type PeerIdentity, splitAddress
 } from '../../links/index.js'
 import { MetricName } from '../../observe/index.js'
-import { createOrderClient, createRankClient, createUpstreamClient } from '../../platform/index.js'
+import { createOrderClient, createRankClient, createUpstreamClient } from '../../clients/index.js'
 import { createObservability } from '../observability.js'
 import type { AgentSettings } from '../settings.js'
 import { waitForDrain } from '../waitForDrain.js'
--- a/src/nodes/agent/mapPlanning.ts
+++ b/src/nodes/agent/mapPlanning.ts
@@ -4,7 +4,7 @@
   type PlanEffect, PlanEffectKind, type PlanMessage, PlanMessageKind, type PlanWeights, type RankReport
 } from '../../expertMaps/index.js'
 import { type Metrics, MetricName } from '../../observe/index.js'
-import type { StepResult } from '../../platform/index.js'
+import type { StepResult } from '../../clients/index.js'
 
 const log = createLog('maps')
 
--- a/src/nodes/agent/mapsTask.ts
+++ b/src/nodes/agent/mapsTask.ts
@@ -7,7 +7,7 @@
 } from '../../expertMaps/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
 import { type Metrics, MetricName } from '../../observe/index.js'
-import { fetchWeights, type RankClient, WeightStoreBusyError } from '../../platform/index.js'
+import { fetchWeights, type RankClient, WeightStoreBusyError } from '../../clients/index.js'
 import { parseFrame } from '../../requests/index.js'
 import type { AgentSettings } from '../settings.js'
 import { createMapPlanning, type MapPlanning } from './mapPlanning.js'
--- a/src/nodes/agent/ordersTask.ts
+++ b/src/nodes/agent/ordersTask.ts
@@ -6,7 +6,7 @@
   assignmentFrameSchema, createOrderGate, type EngineState, fenceConfirmedFrameSchema, type GateEffect, GateEffectKind,
   type GateMessage, GateMessageKind
 } from '../../orders/index.js'
-import type { OrderClient } from '../../platform/index.js'
+import type { OrderClient } from '../../clients/index.js'
 import { parseFrame } from '../../requests/index.js'
 
 const log = createLog('orders')
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -1,6 +1,6 @@
 import { type Clock, createLog, ResultCode } from '../../core/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
-import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../platform/index.js'
+import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../clients/index.js'
 import { LOAD_REPORT_INTERVAL_MS, toReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
 
 const log = createLog('upstream')
--- a/src/nodes/entry/configurationFeed.ts
+++ b/src/nodes/entry/configurationFeed.ts
@@ -5,7 +5,7 @@
   createFollowerTask, FollowerMessageKind, toConfigurationPage, toConfigurationRecord
 } from '../../configuration/index.js'
 import type { Frame } from '../../links/index.js'
-import type { LogClient } from '../../platform/index.js'
+import type { LogClient } from '../../clients/index.js'
 import { parsePeerState, parsePeerStateRequest, toPeerState, toPeerStateRequest } from './peerStateFrames.js'
 import type { RowTable } from './rowTable.js'
 
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -4,7 +4,7 @@
 import { BroadcastTopic } from '../../membership/index.js'
 import { MetricName } from '../../observe/index.js'
 import type { BindRequest } from '../../once/index.js'
-import { createLogClient } from '../../platform/index.js'
+import { createLogClient } from '../../clients/index.js'
 import { REQUEST_TICK_MS } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { EntrySettings } from '../settings.js'
--- a/src/nodes/entry/membershipHub.ts
+++ b/src/nodes/entry/membershipHub.ts
@@ -6,7 +6,7 @@
   type Broadcast, BroadcastTopic, chooseSubset, createDirectory, DirectoryMessageKind, type GossipCounts,
   GossipEffectKind, GossipMessageKind, type GossipReport, type MemberRecord, MemberStatus, startGossipTask
 } from '../../membership/index.js'
-import { createHostListClient } from '../../platform/index.js'
+import { createHostListClient } from '../../clients/index.js'
 import type { AddressAnswer } from './types.js'
 
 const log = createLog('membership')
--- a/src/nodes/entry/ownerTask.ts
+++ b/src/nodes/entry/ownerTask.ts
@@ -5,7 +5,7 @@
   type BindReply, type BindRequest, bindFrameSchema, createBindingOwner, ONCE_SHARDS, onceStream, type OwnerEffect,
   OwnerEffectKind, type OwnerMessage, OwnerMessageKind
 } from '../../once/index.js'
-import type { LogClient } from '../../platform/index.js'
+import type { LogClient } from '../../clients/index.js'
 import { parseFrame, REQUEST_TICK_MS } from '../../requests/index.js'
 
 const log = createLog('once')
--- a/src/nodes/entry/placementTask.ts
+++ b/src/nodes/entry/placementTask.ts
@@ -9,7 +9,7 @@
   type HolderMessage, HolderMessageKind, LEASE_STREAM, type LeaseDocument, leaseDocumentSchema, LeaseEffectKind,
   LeaseRecordKind, type LeaseMessage, type LeaseOwnEffect, type Placement, planPlacement, type PoolAssignment, toLeasePage
 } from '../../orders/index.js'
-import type { LogClient } from '../../platform/index.js'
+import type { LogClient } from '../../clients/index.js'
 import { parseFrame } from '../../requests/index.js'
 import { parsePeerState, parsePeerStateRequest, toPeerState, toPeerStateRequest } from './peerStateFrames.js'
 
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -100,6 +100,8 @@
     }
   })
 
+  const workersOf = (service: string) => knowledge.workers.usable(service).length
+
   const alivePeers = () => peers.reports.alive()
 
   const placement = createWorkerPlacement({
@@ -123,6 +125,7 @@
       placement,
       budget,
       streamLimitOf,
+      workersOf,
       counters,
       log,
       now: clock.nowMs,
@@ -171,11 +174,12 @@
       const fleet = reports.reduce((sum, { pauseCount, pauseSumMs }) => ({
         pauseCount: sum.pauseCount + pauseCount, pauseSumMs: sum.pauseSumMs + pauseSumMs
       }), ownWindow)
-      const before = limit.streams
-      limit.adjust(fleet, { runningStreams: placement.runningIn(service), workers: knowledge.workers.usable(service).length })
-      if (limit.streams !== before) {
-        log(LogEvent.StreamLimitChanged, { service, before, streams: limit.streams, running: placement.runningIn(service), ...fleet })
-      }
+      const workers = workersOf(service)
+      const running = placement.runningIn(service)
+      const before = limit.streamsFor(workers)
+      limit.adjust(fleet, { runningStreams: running, workers })
+      const streams = limit.streamsFor(workers)
+      if (streams !== before) log(LogEvent.StreamLimitChanged, { service, before, streams, running, workers, ...fleet })
     }
   }
 
@@ -243,7 +247,7 @@
     knowledge,
     get openedConnections () { return forward.openedConnections },
     get livePeers () { return alivePeers().length },
-    streamLimits: () => Object.fromEntries([...limits].map(([service, { streams }]) => [service, streams])),
+    streamLimits: () => Object.fromEntries([...limits].map(([service, limit]) => [service, limit.streamsFor(workersOf(service))])),
     stop: () => {
       clearInterval(housekeeping)
       forward.stop()
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -13,6 +13,8 @@
   placement: WorkerPlacement
   budget: RepeatBudget
   streamLimitOf: (service: string) => StreamLimit
+  /** Usable workers of a service. */
+  workersOf: (service: string) => number
   counters: ForwardCounters
   log: EventLog
   now: () => number
@@ -42,18 +44,18 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, configuration, placement, budget, streamLimitOf, counters, log, now, onRunningChanged
+  random, configuration, placement, budget, streamLimitOf, workersOf, counters, log, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
 
   const place = ({ service, requestId }: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
     const hasLimit = isEngine(service)
     // A request that was already sent once has its place in the limit.
-    const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streams : undefined
+    const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streamsFor(workersOf(service)) : undefined
     const slotsFactor = hasLimit ? ENGINE_SLOTS_FACTOR : PLAIN_SLOTS_FACTOR
     const found = placement.place({ service, triedWorkerIds, serviceLimit, slotsFactor })
     if (found.kind === PlaceKind.Placed) return { kind: PlacementKind.Placed, worker: found.worker }
-    log(LogEvent.RequestRefused, { requestId, service, place: found.kind, running: placement.runningIn(service), serviceLimit })
+    log(LogEvent.RequestWaits, { requestId, service, place: found.kind, running: placement.runningIn(service), serviceLimit })
     return { kind: PlacementKind.Wait }
   }
 
--- a/src/nodes/localFleet.ts
+++ b/src/nodes/localFleet.ts
@@ -1,7 +1,7 @@
 import { parseRows } from '../configuration/index.js'
 import { createConfigurationSession } from '../cli/configurationSession.js'
 import { createSystemClock, ResultCode } from '../core/index.js'
-import { createLogClient } from '../platform/index.js'
+import { createLogClient } from '../clients/index.js'
 import { type LogStandIn, startLogStandIn } from '../standIns/index.js'
 import { randomBytes } from 'node:crypto'
 import { type AgentNode, startAgentNode } from './agent/createAgentNode.js'
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -18,6 +18,8 @@
   PeerLost = 'peer-lost',
   PeerFault = 'peer-fault',
   RequestAdmitted = 'request-admitted',
+  /** There was no place for it when it was tried. */
+  RequestWaits = 'request-waits',
   RequestSent = 'request-sent',
   AttemptEnded = 'attempt-ended',
   RequestEnded = 'request-ended',
--- a/src/programs/standIns.test.ts
+++ b/src/programs/standIns.test.ts
@@ -1,7 +1,7 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
 import { afterEach, expect, it } from 'vitest'
-import { createLogClient } from '../platform/index.js'
+import { createLogClient } from '../clients/index.js'
 
 const cleanups: (() => unknown)[] = []
 afterEach(async () => {
--- a/src/standIns/engineStandIn.ts
+++ b/src/standIns/engineStandIn.ts
@@ -1,7 +1,7 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
 import { fingerprint } from '../core/index.js'
 import { applyOrder, type EngineOrder, type EngineState } from '../orders/index.js'
-import type { CacheEvent } from '../platform/index.js'
+import type { CacheEvent } from '../clients/index.js'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
 
 export interface EngineStandInOptions {
--- a/src/standIns/rankGroupStandIn.ts
+++ b/src/standIns/rankGroupStandIn.ts
@@ -1,5 +1,5 @@
 import type { FastifyInstance } from 'fastify'
-import type { RankMap, StepResult } from '../platform/index.js'
+import type { RankMap, StepResult } from '../clients/index.js'
 
 export interface RankGroupOptions {
   ranks: number
