--- /dev/null
+++ b/src/observe/createEventLog.test.ts
@@ -0,0 +1,40 @@
+import { spawn } from 'node:child_process'
+import { join } from 'node:path'
+import { describe, expect, it } from 'vitest'
+
+const LINES = 40_000
+const RESIDENT_GROWTH_MAX_MB = 60
+
+/** Writes lines as fast as it can while nobody reads its standard output, and reports over IPC. */
+const FLOOD = `
+  import { createEventLog, LogEvent } from './createEventLog.ts'
+  let nowMs = 0
+  const log = createEventLog({ clock: { nowMs: () => nowMs }, process: 'flood' })
+  const before = process.memoryUsage().rss
+  let turns = 0
+  const step = () => {
+    for (let at = 0; at < 400; at++) {
+      nowMs += 20
+      log(LogEvent.RequestEnded, { requestId: 'r' + at, text: 'x'.repeat(400) })
+    }
+    turns += 1
+    if (turns * 400 < ${LINES}) setImmediate(step)
+    else { process.send({ grownMb: (process.memoryUsage().rss - before) / 1e6 }); process.exit(0) }
+  }
+  step()
+`
+
+describe('structured log', () => {
+  // Guards against a process that stops serving, or grows, because nobody reads its standard output.
+  it('neither blocks nor grows when nobody reads its output', async () => {
+    const child = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '-e', FLOOD], {
+      cwd: join(import.meta.dirname), stdio: ['ignore', 'pipe', 'inherit', 'ipc']
+    })
+    child.stdout?.pause()
+    const { grownMb } = await new Promise<{ grownMb: number }>((resolve, reject) => {
+      child.on('message', message => resolve(message as { grownMb: number }))
+      child.on('exit', code => reject(new Error(`ended with ${code} before it reported`)))
+    })
+    expect(grownMb).toBeLessThan(RESIDENT_GROWTH_MAX_MB)
+  })
+})
--- /dev/null
+++ b/src/routing/createWorkerPlacement.test.ts
@@ -0,0 +1,82 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { createManualClock, createRandom, type ManualClock, ResultCode } from '../core/index.js'
+import { createWorkerTable, type WorkerEntry, type WorkerTable } from '../membership/index.js'
+import { createWorkerPlacement, LOST_AVOID_MS, PlaceKind, type PlaceRequest, type WorkerPlacement } from './createWorkerPlacement.js'
+
+const SERVICE = 's'
+const entry = (workerId: string, zone: string): WorkerEntry =>
+  ({ workerId, startedAtUnixMs: 1, service: SERVICE, address: `10.0.0.1:${workerId}`, zone, slots: 4, isDraining: false })
+
+describe('placement by the work of the whole fleet', () => {
+  let clock: ManualClock
+  let workers: WorkerTable
+  let placement: WorkerPlacement
+  let peers: Record<string, number>
+
+  beforeEach(() => {
+    clock = createManualClock(10_000)
+    workers = createWorkerTable({ clock })
+    workers.replaceAll([entry('1', 'a'), entry('2', 'a'), entry('3', 'b')])
+    peers = {}
+    placement = createWorkerPlacement({
+      clock, random: createRandom(1), ownZone: 'a', workers, peersRunningAt: workerId => peers[workerId] ?? 0
+    })
+  })
+
+  const place = (overrides: Partial<PlaceRequest> = {}) =>
+    placement.place({ service: SERVICE, triedWorkerIds: [], serviceLimit: undefined, slotsFactor: 1, ...overrides })
+  const placedAt = (overrides: Partial<PlaceRequest> = {}) => {
+    const found = place(overrides)
+    return found.kind === PlaceKind.Placed ? found.worker.workerId : found.kind
+  }
+
+  it('counts the requests of other entries beside its own', () => {
+    peers = { 1: 2, 3: 1 }
+    placement.noteSent('2')
+    placement.noteSent('2')
+    expect(placedAt()).toBe('3')
+    expect(placement.runningIn(SERVICE)).toBe(5)
+  })
+
+  it('prefers the own zone only among equals', () => {
+    expect(['1', '2']).toContain(placedAt())
+    peers = { 1: 1, 2: 1 }
+    expect(placedAt()).toBe('3')
+  })
+
+  // Guards against entries that all choose the same worker on the same view.
+  it('draws among equals', () => {
+    expect(new Set(Array.from({ length: 30 }, () => placedAt()))).toEqual(new Set(['1', '2']))
+  })
+
+  it('keeps the limit of the service and of each worker', () => {
+    peers = { 1: 1, 2: 1, 3: 1 }
+    expect(place({ serviceLimit: 3 })).toEqual({ kind: PlaceKind.Full, code: ResultCode.Overloaded })
+    expect(placedAt({ serviceLimit: 3.5 })).not.toBe(PlaceKind.Full)
+    peers = { 1: 4, 2: 4, 3: 4 }
+    expect(placedAt()).toBe(PlaceKind.Full)
+    expect(placedAt({ slotsFactor: 2 })).not.toBe(PlaceKind.Full)
+  })
+
+  it('passes over a worker that lost a request for a while, and one that was tried', () => {
+    placement.noteLost('1')
+    expect(placedAt({ triedWorkerIds: ['2'] })).toBe('3')
+    expect(placedAt({ triedWorkerIds: ['2', '3'] })).toBe('1')
+    clock.advance(LOST_AVOID_MS)
+    expect(['1', '2']).toContain(placedAt())
+  })
+
+  it('says that no worker serves', () => {
+    workers.replaceAll([])
+    clock.advance(60_000)
+    workers.tick()
+    expect(place()).toEqual({ kind: PlaceKind.NoWorker, code: ResultCode.NoUpstream })
+  })
+
+  it('never counts a worker below zero', () => {
+    placement.noteEnded('1')
+    expect(placement.ownRunning()).toEqual({})
+    placement.noteSent('1')
+    expect(placement.ownRunning()).toEqual({ 1: 1 })
+  })
+})
