--- /dev/null
+++ b/src/cli/operations/explainFromLogs.test.ts
@@ -0,0 +1,40 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { explainFromLogs } from './explainFromLogs.js'
+
+const line = (fields: Record<string, unknown>) => JSON.stringify({ level: 30, ...fields })
+
+describe('life of a request from collected logs', () => {
+  let folder: string
+  let file: string
+
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), 'baobabdrift-logs-'))
+    file = join(folder, 'all.log')
+    writeFileSync(file, [
+      `12.5 entry-1 ${line({ time: 120, process: 'entry-1', event: 'attempt-ended', requestId: 'r7', end: 'lost' })}`,
+      line({ time: 100, process: 'entry-1', event: 'request-admitted', requestId: 'r7', callerAttemptId: 'abc' }),
+      line({ time: 110, process: 'entry-2', event: 'request-admitted', requestId: 'r7', callerAttemptId: 'other' }),
+      'no line of ours {'
+    ].join('\n'))
+  })
+
+  afterEach(() => rmSync(folder, { recursive: true }))
+
+  const explain = (id: string): string[] => {
+    const printed: string[] = []
+    explainFromLogs({ print: text => { printed.push(text) } }, [file], id)
+    return printed
+  }
+
+  // Guards against lines of another process whose own counter gave the same id.
+  it('prints the lines of the process that had the request, in order of time', () => {
+    expect(explain('abc')).toEqual(['     0 ms  entry-1  request-admitted', '    20 ms  entry-1  attempt-ended  end="lost"'])
+  })
+
+  it('says that no line names the id', () => {
+    expect(() => explain('unknown')).toThrow('no log line names request unknown')
+  })
+})
--- a/src/cli/operations/index.ts
+++ b/src/cli/operations/index.ts
@@ -1,6 +1,7 @@
 /** What the commands do, as functions without a command line. */
 export * from './applyFiles.js'
 export * from './diffFiles.js'
+export * from './explainFromLogs.js'
 export * from './explainRequest.js'
 export * from './fleetStatus.js'
 export * from './getRows.js'
