--- a/src/cli/operations/explainFromLogs.test.ts
+++ b/src/cli/operations/explainFromLogs.test.ts
@@ -17,7 +17,9 @@
       `12.5 entry-1 ${line({ time: 120, process: 'entry-1', event: 'attempt-ended', requestId: 'r7', end: 'lost' })}`,
       line({ time: 100, process: 'entry-1', event: 'request-admitted', requestId: 'r7', callerAttemptId: 'abc' }),
       line({ time: 110, process: 'entry-2', event: 'request-admitted', requestId: 'r7', callerAttemptId: 'other' }),
-      'no line of ours {'
+      'no line of ours {',
+      line({ time: 200, process: 'entry-1', event: 'process-started' }),
+      line({ time: 210, process: 'entry-1', event: 'request-admitted', requestId: 'r7', callerAttemptId: 'later' })
     ].join('\n'))
   })
 
@@ -29,7 +31,7 @@
     return printed
   }
 
-  // Guards against lines of another process whose own counter gave the same id.
+  // Guards against lines of another process, or of its next run, whose own counter gave the same id.
   it('prints the lines of the process that had the request, in order of time', () => {
     expect(explain('abc')).toEqual(['     0 ms  entry-1  request-admitted', '    20 ms  entry-1  attempt-ended  end="lost"'])
   })
--- a/src/cli/operations/explainFromLogs.ts
+++ b/src/cli/operations/explainFromLogs.ts
@@ -30,7 +30,23 @@
   return `${String(line.time - firstMs).padStart(6)} ms  ${line.process}  ${line.event}  ${inputs.join(' ')}`.trimEnd()
 }
 
-const lifeKey = ({ process: name, requestId }: LogLine) => `${name} ${requestId}`
+/** First line of each run of a process. */
+const START_EVENT = 'process-started'
+
+interface PlacedLine {
+  line: LogLine
+  /** Process, run of the process and request: a process that starts again counts its requests anew. */
+  life: string
+}
+
+const placeInRuns = (lines: readonly LogLine[]): PlacedLine[] => {
+  const runs = new Map<string, number>()
+  return [...lines].sort((a, b) => a.time - b.time).map(line => {
+    const run = (runs.get(line.process) ?? 0) + Number(line.event === START_EVENT)
+    runs.set(line.process, run)
+    return { line, life: `${line.process} ${run} ${line.requestId}` }
+  })
+}
 
 /**
  * Prints the life of a request over all processes in order of time, from collected log files.
@@ -41,8 +57,11 @@
  */
 export const explainFromLogs = ({ print }: Pick<OperationContext, 'print'>, files: readonly string[], id: string): OperationResult => {
   const lines = files.flatMap(file => readFileSync(file, 'utf8').split('\n')).flatMap(text => parseLine(text) ?? [])
-  const lives = new Set(lines.filter(line => line.requestId !== undefined && (line.callerAttemptId === id || line.requestId === id)).map(lifeKey))
-  const found = lines.filter(line => lives.has(lifeKey(line))).sort((a, b) => a.time - b.time)
+  const placed = placeInRuns(lines)
+  const lives = new Set(placed
+    .filter(({ line }) => line.requestId !== undefined && (line.callerAttemptId === id || line.requestId === id))
+    .map(({ life }) => life))
+  const found = placed.filter(({ life }) => lives.has(life)).map(({ line }) => line)
   if (found.length === 0) throw new BaobabdriftError(ResultCode.NotFound, `no log line names request ${id}`)
   for (const line of found) print(formatLine(line, found[0]!.time))
   return { code: ResultCode.Ok }
