Read ranks every 100 ms and plan from the demand of the last half second

The demand account forgets with a half-life of 900 ms, a reading comes every 150 ms and a plan waits 300 ms after a switch, so a hot expert gets its second holder late.

--- a/src/expertMaps/createExpertDemand.ts
+++ b/src/expertMaps/createExpertDemand.ts
@@ -10,7 +10,7 @@
 }
 
 /** Demand loses half of its weight in this time; it moves within seconds. */
-export const DEMAND_HALF_LIFE_MS = 900
+export const DEMAND_HALF_LIFE_MS = 500
 
 /**
  * Creates the account of one group.
--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -51,7 +51,7 @@
 /** A group that is held this long without a switch of this process has lost its coordinator. */
 export const HELD_LIMIT_MS = 400
 /** Time after a switch in which its effect shows in the counts. */
-export const SETTLE_MS = 300
+export const SETTLE_MS = 150
 /** Choices that must be known before a plan; fewer show chance more than demand. */
 export const DEMAND_MIN = 1_500
 /** A new map must make passes shorter by this share. */
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -26,7 +26,7 @@
   stop (): void
 }
 
-const READ_INTERVAL_MS = 150
+const READ_INTERVAL_MS = 100
 const ALIVE_INTERVAL_MS = 600
 const COORDINATOR_TICK_MS = 30
 /** An agent that is silent for this time takes no part. */
