Keep the pauses of each service apart, and split what grew

Cause: an entry reported one window of pauses for all its engine services, so the service adjusted last replaced the others, and every limit followed the sum of unlike pauses. Reports now carry windows by service; streamLimits.ts owns the limits.

Also: a request that waits in vain is refused with what it lacked, request ids are unique among runs of an entry, the store's follower tasks live in nodes/knowledge, the switch and the forward core are split into types, state and core, and fields that nothing read are gone.

--- a/src/configuration/createConfigurationHolder.test.ts
+++ b/src/configuration/createConfigurationHolder.test.ts
@@ -11,7 +11,6 @@
   isEventStream: false,
   isResumable: false,
   timeoutMs: 1_000,
-  objectiveMs: 100,
   pauseObjectiveMs: 0,
   attemptsMax: 1,
   priority: 0,
--- a/src/configuration/createStoreFollower.ts
+++ b/src/configuration/createStoreFollower.ts
@@ -80,8 +80,6 @@
   /** Offset up to which this process has read; undefined before the first list. */
   readonly position: number | undefined
   readonly isConnected: boolean
-  /** Time of the last answer of the store. */
-  readonly lastAnswerMs: TimestampMs | undefined
 }
 
 /**
@@ -96,7 +94,6 @@
   let position: number | undefined
   let isConnected = true
   let lostAtMs = 0
-  let lastAnswerMs: TimestampMs | undefined
   let nextCallId = 1
   let runningCallId: number | undefined
   let retryMs = RETRY_FIRST_MS
@@ -118,7 +115,6 @@
   const onAnswer = (): StoreEffect[] => {
     runningCallId = undefined
     retryMs = RETRY_FIRST_MS
-    lastAnswerMs = clock.nowMs()
     if (isConnected) return []
     isConnected = true
     return [{ kind: StoreEffectKind.StoreRegained, outageMs: clock.nowMs() - lostAtMs }]
@@ -200,7 +196,6 @@
   return {
     handle: message => dispatch(handlers, message),
     get position () { return position },
-    get isConnected () { return isConnected },
-    get lastAnswerMs () { return lastAnswerMs }
+    get isConnected () { return isConnected }
   }
 }
--- a/src/configuration/fleetConfiguration.ts
+++ b/src/configuration/fleetConfiguration.ts
@@ -1,17 +1,7 @@
 import { RepeatPolicy } from './constants.js'
 
-/** Shape of an engine's work, as the operator publishes it for a service. */
+/** What the operator publishes about the engines of a service. */
 export interface EngineProfile {
-  /** Requests that one engine runs at once. */
-  slots: number
-  /** Steps in one pass that has writers. */
-  stepsPerPass: number
-  stepMs: number
-  perRequestMs: number
-  readTokensPerS: number
-  /** Mean number of prompt tokens. */
-  usualPromptTokens: number
-  usualAnswerTokens: number
   /** Absent for engines without expert groups. */
   experts?: ExpertProfile
 }
@@ -47,8 +37,6 @@
   /** A stream may go on at another worker after the last event that was passed on. */
   isResumable: boolean
   timeoutMs: number
-  /** Time to the first event or the answer within which the answer has its full worth. */
-  objectiveMs: number
   /** Longest pause between two events within which a stream has its full worth; 0 if none is stated. */
   pauseObjectiveMs: number
   attemptsMax: number
--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -1,51 +1,13 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type TimestampMs } from '../core/index.js'
 import { createExpertDemand } from './createExpertDemand.js'
+import { createMapSwitch, type MapSwitch } from './createMapSwitch.js'
 import {
-  createMapSwitch, type MapSwitch, type MapSwitchEffect, MapSwitchEffectKind, MapSwitchMessageKind, type OrderAnswer,
-  type RankOrder, type RankStatus, SwitchPhase, type SwitchPlan, SwitchResult
-} from './createMapSwitch.js'
+  type MapCoordinatorEffect, MapCoordinatorEffectKind, type MapCoordinatorMessage, MapCoordinatorMessageKind, type RankReading
+} from './mapCoordinatorTypes.js'
+import { type MapSwitchEffect, MapSwitchEffectKind, MapSwitchMessageKind, type RankStatus, type SwitchPlan } from './mapSwitchTypes.js'
 import { planReplicas } from './planReplicas.js'
 import type { ReplicaLimits, ReplicaMap } from './replicaTypes.js'
 
-/** What the agent of a rank reads from its worker. */
-export interface RankReading {
-  group: string
-  isOpen: boolean
-  ranks: number
-  view: RankStatus
-  /** Experts that the rank holds, by set. */
-  experts: readonly (readonly number[])[]
-  /** Choices by set and expert since the reading before. */
-  choices: readonly (readonly number[])[]
-}
-
-export enum MapCoordinatorMessageKind {
-  ReadingReceived = 'reading-received',
-  OrderAnswered = 'order-answered',
-  /** Whether this process is the one that plans for the group. */
-  RoleChanged = 'role-changed',
-  Tick = 'tick'
-}
-
-export type MapCoordinatorMessage =
-  | { kind: MapCoordinatorMessageKind.ReadingReceived, reading: RankReading }
-  | { kind: MapCoordinatorMessageKind.OrderAnswered, switchId: number, orderId: number, answer: OrderAnswer }
-  | { kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator: boolean }
-  | { kind: MapCoordinatorMessageKind.Tick }
-
-export enum MapCoordinatorEffectKind {
-  SendOrder = 'send-order',
-  Planned = 'planned',
-  PhaseChanged = 'phase-changed',
-  SwitchEnded = 'switch-ended'
-}
-
-export type MapCoordinatorEffect =
-  | { kind: MapCoordinatorEffectKind.SendOrder, switchId: number, orderId: number, rank: number, epoch: number, order: RankOrder }
-  | { kind: MapCoordinatorEffectKind.Planned, version: number, copies: number, peakBefore: number, peakAfter: number }
-  | { kind: MapCoordinatorEffectKind.PhaseChanged, phase: SwitchPhase, step: number | undefined, reason: string }
-  | { kind: MapCoordinatorEffectKind.SwitchEnded, result: SwitchResult, tookMs: number }
-
 /** A reading older than this says nothing about a rank. */
 export const READING_STALE_MS = 900
 /** A group that is held this long without a switch of this process has lost its coordinator. */
--- a/src/expertMaps/mapSwitchSchedules.test.ts
+++ b/src/expertMaps/mapSwitchSchedules.test.ts
@@ -1,9 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import { createManualClock, createRandom } from '../core/index.js'
-import {
-  createMapCoordinator, type MapCoordinatorEffect, MapCoordinatorEffectKind, MapCoordinatorMessageKind
-} from './createMapCoordinator.js'
-import { OrderAnswer, type RankOrder, RankOrderKind } from './createMapSwitch.js'
+import { createMapCoordinator } from './createMapCoordinator.js'
+import { type MapCoordinatorEffect, MapCoordinatorEffectKind, MapCoordinatorMessageKind } from './mapCoordinatorTypes.js'
+import { OrderAnswer, type RankOrder, RankOrderKind } from './mapSwitchTypes.js'
 import { createRankGroupFake } from './rankGroupFake.js'
 import type { ReplicaMap } from './replicaTypes.js'
 
--- a/src/expertMaps/rankGroupFake.ts
+++ b/src/expertMaps/rankGroupFake.ts
@@ -1,6 +1,6 @@
 import type { Random } from '../core/index.js'
-import { OrderAnswer, type RankOrder, RankOrderKind } from './createMapSwitch.js'
-import type { RankReading } from './createMapCoordinator.js'
+import { OrderAnswer, type RankOrder, RankOrderKind } from './mapSwitchTypes.js'
+import type { RankReading } from './mapCoordinatorTypes.js'
 import type { ReplicaMap } from './replicaTypes.js'
 
 interface FakeRank {
--- a/src/membership/createPeerReports.test.ts
+++ b/src/membership/createPeerReports.test.ts
@@ -15,8 +15,7 @@
   configurationVersion: 1,
   storeOffsets: {},
   running: { w1: 2 },
-  pauseCount: 0,
-  pauseSumMs: 0,
+  pauses: {},
   ...overrides
 })
 
@@ -67,7 +66,7 @@
   })
 
   it('adds a short report to the full one of the same run only', () => {
-    const load = { incarnation: 'p-1', sequence: 2, running: { w1: 7 }, pauseCount: 0, pauseSumMs: 0 }
+    const load = { incarnation: 'p-1', sequence: 2, running: { w1: 7 }, pauses: {} }
     expect(peers.handle({ kind: PeerMessageKind.LoadReceived, load, fromAddress: 'p:1' })).toEqual([])
     receive(report('p', 1))
     peers.handle({ kind: PeerMessageKind.LoadReceived, load, fromAddress: 'p:1' })
--- a/src/membership/createPeerReports.ts
+++ b/src/membership/createPeerReports.ts
@@ -64,9 +64,9 @@
   }
 
   const createLoad = (): PeerLoad => {
-    const { incarnation, running, pauseCount, pauseSumMs } = describeSelf()
+    const { incarnation, running, pauses } = describeSelf()
     sequence += 1
-    return { incarnation, sequence, running, pauseCount, pauseSumMs }
+    return { incarnation, sequence, running, pauses }
   }
 
   const aliveTargets = () => {
--- a/src/membership/peerReportTask.ts
+++ b/src/membership/peerReportTask.ts
@@ -22,8 +22,11 @@
 const isRecordOfNumbers = (value: unknown): value is Record<string, number> =>
   typeof value === 'object' && value !== null && Object.values(value).every(entry => typeof entry === 'number')
 
-const isLoad = ({ incarnation, sequence, running, pauseCount, pauseSumMs }: PeerLoad) =>
-  typeof incarnation === 'string' && [sequence, pauseCount, pauseSumMs].every(Number.isFinite) && isRecordOfNumbers(running)
+const arePauses = (value: unknown): boolean =>
+  typeof value === 'object' && value !== null && Object.values(value).every(isRecordOfNumbers)
+
+const isLoad = ({ incarnation, sequence, running, pauses }: PeerLoad) =>
+  typeof incarnation === 'string' && Number.isFinite(sequence) && isRecordOfNumbers(running) && arePauses(pauses)
 
 const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, peerAddresses = [] }: PeerReport) =>
   [nodeId, zone, frontAddress, ...peerAddresses].every(text => typeof text === 'string') &&
--- a/src/membership/peerTypes.ts
+++ b/src/membership/peerTypes.ts
@@ -1,3 +1,5 @@
+import type { PauseWindow } from '../limits/index.js'
+
 /** The work of one entry, in a short report. */
 export interface PeerLoad {
   /** Random identity of this run of the process. */
@@ -6,9 +8,8 @@
   sequence: number
   /** Requests under way by worker; workers without any are left out. */
   running: Record<string, number>
-  /** Pauses between stream events in the last window, and their sum. */
-  pauseCount: number
-  pauseSumMs: number
+  /** Pauses between stream events in the last window, by service. */
+  pauses: Record<string, PauseWindow>
 }
 
 /** What one entry tells the others about itself; the newest report replaces the one before. */
--- a/src/nodes/forward/admitCaller.ts
+++ b/src/nodes/forward/admitCaller.ts
@@ -45,8 +45,6 @@
     method: caller.method,
     path: caller.path,
     headers: caller.headers,
-    promptTokens: caller.promptTokens,
-    answerTokensMax: caller.answerTokensMax,
     lastEventId: caller.lastEventId
   }
 }
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,16 +1,17 @@
-import { type Clock, createIncarnation, type Random, ResultCode } from '../../core/index.js'
-import { ADJUST_INTERVAL_MS, createRepeatBudget, createStreamLimit, type PauseWindow, type RepeatBudgetSettings, type StreamLimit } from '../../limits/index.js'
+import { type Clock, createIncarnation, createRequestIds, type Random, ResultCode } from '../../core/index.js'
+import { ADJUST_INTERVAL_MS, createRepeatBudget, type RepeatBudgetSettings } from '../../limits/index.js'
 import {
   PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask
 } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
+import { createFleetKnowledge, type FleetKnowledge, type StorePort } from '../knowledge/index.js'
 import { admitCaller } from './admitCaller.js'
-import { createFleetKnowledge, type FleetKnowledge } from './fleetKnowledge.js'
 import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
 import { createForwardPorts } from './forwardPorts.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
-import type { CallerRequest, CallerSink, StorePort, WorkerCodec } from './types.js'
+import { createStreamLimits } from './streamLimits.js'
+import type { CallerRequest, CallerSink, WorkerCodec } from './types.js'
 
 export interface ForwardNodeOptions {
   nodeId: string
@@ -34,6 +35,8 @@
 
 /** An entry that forwards requests straight to workers. */
 export interface ForwardNode {
+  /** Unique among all runs of all entries. */
+  nextRequestId (): string
   /** Admits the head of a request, or refuses it through the sink and returns undefined. */
   open (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined
   cancel (requestId: string): void
@@ -71,17 +74,9 @@
   const { nodeId, zone, frontAddress, clock, random, store, codec, log } = options
   const incarnation = createIncarnation(random)
   const counters = createForwardCounters()
-  const limits = new Map<string, StreamLimit>()
   let isStopping = false
   let lastHousekeepingMs = clock.nowMs()
   let lastAdjustMs = clock.nowMs()
-  let ownWindow: PauseWindow = { pauseCount: 0, pauseSumMs: 0 }
-
-  const streamLimitOf = (service: string): StreamLimit => {
-    const limit = limits.get(service) ?? createStreamLimit()
-    limits.set(service, limit)
-    return limit
-  }
 
   const noteStateChanged = () => peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
 
@@ -108,6 +103,8 @@
     clock, random, ownZone: zone, workers: knowledge.workers, peersRunningAt: workerId => peers.reports.runningAt(workerId)
   })
 
+  const streamLimits = createStreamLimits({ workersOf, runningIn: placement.runningIn, log })
+
   const budget = createRepeatBudget({ clock, settings: options.repeatBudget, countEntries: () => alivePeers().length + 1 })
 
   const noteRunningChanged = (change: SelfChange) => {
@@ -124,7 +121,7 @@
       configuration: knowledge.configuration,
       placement,
       budget,
-      streamLimitOf,
+      streamLimitOf: streamLimits.of,
       workersOf,
       counters,
       log,
@@ -144,7 +141,7 @@
     configurationVersion: knowledge.configuration.version,
     storeOffsets: knowledge.storeOffsets(),
     running: placement.ownRunning(),
-    ...ownWindow
+    pauses: streamLimits.ownPauses()
   })
 
   const onPeerNews = (news: PeerNews) => {
@@ -167,22 +164,6 @@
     onFault: reason => log(LogEvent.PeerFault, { reason })
   })
 
-  const adjustLimits = () => {
-    const reports = alivePeers()
-    for (const [service, limit] of limits) {
-      ownWindow = limit.takeWindow()
-      const fleet = reports.reduce((sum, { pauseCount, pauseSumMs }) => ({
-        pauseCount: sum.pauseCount + pauseCount, pauseSumMs: sum.pauseSumMs + pauseSumMs
-      }), ownWindow)
-      const workers = workersOf(service)
-      const running = placement.runningIn(service)
-      const before = limit.streamsFor(workers)
-      limit.adjust(fleet, { runningStreams: running, workers })
-      const streams = limit.streamsFor(workers)
-      if (streams !== before) log(LogEvent.StreamLimitChanged, { service, before, streams, running, workers, ...fleet })
-    }
-  }
-
   const housekeeping = setInterval(() => {
     const nowMs = clock.nowMs()
     const gapMs = nowMs - lastHousekeepingMs
@@ -195,7 +176,7 @@
     knowledge.tick()
     if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
       lastAdjustMs = nowMs
-      adjustLimits()
+      streamLimits.adjust(alivePeers())
     }
   }, HOUSEKEEPING_MS)
 
@@ -233,6 +214,7 @@
   }
 
   return {
+    nextRequestId: createRequestIds(incarnation),
     open,
     cancel: forward.cancel,
     addressesFor,
@@ -247,7 +229,7 @@
     knowledge,
     get openedConnections () { return forward.openedConnections },
     get livePeers () { return alivePeers().length },
-    streamLimits: () => Object.fromEntries([...limits].map(([service, limit]) => [service, limit.streamsFor(workersOf(service))])),
+    streamLimits: streamLimits.inForce,
     stop: () => {
       clearInterval(housekeeping)
       forward.stop()
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -4,7 +4,7 @@
 import { SelfChange } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { AttemptEnd, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
-import { PlaceKind, type WorkerPlacement } from '../../routing/index.js'
+import type { WorkerPlacement } from '../../routing/index.js'
 import type { ForwardCounters } from './forwardCounters.js'
 
 export interface ForwardPortsOptions {
@@ -54,9 +54,10 @@
     const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streamsFor(workersOf(service)) : undefined
     const slotsFactor = hasLimit ? ENGINE_SLOTS_FACTOR : PLAIN_SLOTS_FACTOR
     const found = placement.place({ service, triedWorkerIds, serviceLimit, slotsFactor })
-    if (found.kind === PlaceKind.Placed) return { kind: PlacementKind.Placed, worker: found.worker }
-    log(LogEvent.RequestWaits, { requestId, service, place: found.kind, running: placement.runningIn(service), serviceLimit })
-    return { kind: PlacementKind.Wait }
+    if (found.worker !== undefined) return { kind: PlacementKind.Placed, worker: found.worker }
+    const { code } = found
+    log(LogEvent.RequestWaits, { requestId, service, code, running: placement.runningIn(service), serviceLimit })
+    return { kind: PlacementKind.Wait, code }
   }
 
   return {
--- a/src/nodes/forward/types.ts
+++ b/src/nodes/forward/types.ts
@@ -1,5 +1,3 @@
-import type { FleetConfiguration, KeyedRecord } from '../../configuration/index.js'
-import type { WorkerEntry } from '../../membership/index.js'
 import type { ForwardRequest, WorkerAnswer } from '../../requests/index.js'
 import type { HeaderField, OutgoingRequest, ResponseHeadRaw } from '../../upstreams/index.js'
 import type { ResultCode } from '../../core/index.js'
@@ -15,8 +13,6 @@
   apiKey: string | undefined
   remainingMs: number | undefined
   lastEventId: string | undefined
-  promptTokens: number
-  answerTokensMax: number
   /** Headers that a worker receives as they are. */
   headers: readonly HeaderField[]
 }
@@ -36,24 +32,3 @@
   encode (send: { request: ForwardRequest, worker: Worker, remainingMs: number, lastEventId: string | undefined }): OutgoingRequest
   decode (head: ResponseHeadRaw, callerAttemptId: string): WorkerAnswer
 }
-
-export interface RecordCall {
-  result: Promise<{ records: KeyedRecord[], end: number }>
-  abort (): void
-}
-
-/** One keyed topic of the store. */
-export interface TopicPort {
-  list (timeoutMs: number): RecordCall
-  read (from: number, waitMs: number, timeoutMs: number): RecordCall
-  isHistoryLost (error: unknown): boolean
-}
-
-/** The store, and how its records are decoded. */
-export interface StorePort {
-  operator: TopicPort
-  workers: TopicPort
-  /** Undefined for records of other keys; throws SettingsError on a record that cannot be used. */
-  decodeConfiguration (record: KeyedRecord): FleetConfiguration | undefined
-  decodeWorker (record: KeyedRecord): WorkerEntry
-}
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -4,8 +4,7 @@
   MapCoordinatorMessageKind, OrderAnswer, type RankOrder, type RankReading, type ReplicaLimits
 } from '../../expertMaps/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
-import { createFleetKnowledge } from '../forward/fleetKnowledge.js'
-import type { StorePort } from '../forward/index.js'
+import { createFleetKnowledge, type StorePort } from '../knowledge/index.js'
 import { openAgentSocket } from './agentSocket.js'
 import { type AgentMessage, AgentMessageKind, type RankPort } from './types.js'
 
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -23,7 +23,6 @@
   isEventStream: false,
   isResumable: false,
   timeoutMs: TIMEOUT_MS,
-  objectiveMs: 300,
   pauseObjectiveMs: 0,
   attemptsMax: 2,
   priority: 1,
@@ -41,14 +40,16 @@
   let core: ForwardCore
   let hasPlace: boolean
   let hasBudget: boolean
+  let waitCode: ResultCode
 
   beforeEach(() => {
     clock = createManualClock(0)
     hasPlace = true
     hasBudget = true
+    waitCode = ResultCode.Overloaded
     const ports: ForwardPorts = {
       place: (_request, tried): Placement =>
-        hasPlace ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait },
+        hasPlace ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait, code: waitCode },
       takeRepeat: () => hasBudget,
       onSent: () => {},
       onAttemptEnded: () => {},
@@ -74,8 +75,6 @@
       path: '/r/x',
       headers: [],
       body: Buffer.from('body'),
-      promptTokens: 0,
-      answerTokensMax: 0,
       lastEventId: undefined,
       ...overrides
     }
@@ -212,6 +211,15 @@
       expect(lose(1, true)).toMatchObject([{ remainingMs: TIMEOUT_MS - 400 }])
     })
 
+    // Guards against a refusal that blames load where no worker serves at all.
+    it('is refused with what it lacked when it waits in vain', () => {
+      hasPlace = false
+      waitCode = ResultCode.NoUpstream
+      submit(baseRoute)
+      clock.advance(QUEUE_WAIT_MAX_MS)
+      expect(refusal(core.handle({ kind: ForwardMessageKind.Tick }))).toMatchObject({ code: ResultCode.NoUpstream })
+    })
+
     it('answers at the deadline: not run if it never left, unknown if it did', () => {
       submit(baseRoute)
       hasPlace = false
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,37 +1,13 @@
-import { RepeatPolicy } from '../configuration/index.js'
-import { type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode, type TimestampMs } from '../core/index.js'
+import { type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { FORWARDS_MAX, QUEUE_WAIT_MAX_MS, REPEAT_TIME_MIN_MS } from './constants.js'
-import { createEventSplitter, type EventSplitter, type StreamEvent } from './createEventSplitter.js'
+import type { StreamEvent } from './createEventSplitter.js'
+import { type Attempt, byUrgency, getDefaultAttempt, getDefaultForward, isRepeatable, isStream, type LiveForward } from './forwardState.js'
 import {
   AnswerVerdict, AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
   type ForwardRequest, PlacementKind, type WorkerAnswer
 } from './forwardTypes.js'
 
-/** One exchange with one worker. */
-interface Attempt {
-  exchangeId: number
-  worker: Worker
-  answer: WorkerAnswer | undefined
-  splitter: EventSplitter
-  held: Uint8Array[]
-  lastEventAtMs: TimestampMs
-  hasEvents: boolean
-}
-
-interface LiveForward {
-  request: ForwardRequest
-  attempt: Attempt | undefined
-  attemptCount: number
-  triedWorkerIds: string[]
-  /** Some attempt may have run: the request can no longer end as not run. */
-  mayHaveRun: boolean
-  isHeadSent: boolean
-  lastEventId: string | undefined
-  /** While it waits for a place: when it is refused. */
-  waitsUntilMs: TimestampMs | undefined
-}
-
 export interface ForwardCore extends Core<ForwardMessage, ForwardEffect> {
   readonly liveCount: number
   readonly waitingCount: number
@@ -57,9 +33,6 @@
   const waiting = new Set<LiveForward>()
   let nextExchangeId = 1
 
-  const isRepeatable = ({ route }: ForwardRequest) =>
-    route.isEventStream ? route.isResumable : route.repeat === RepeatPolicy.Idempotent
-
   const forget = (forward: LiveForward, code: ResultCode, detail: string) => {
     live.delete(forward.request.requestId)
     waiting.delete(forward)
@@ -96,9 +69,7 @@
     const { request } = forward
     const nowMs = clock.nowMs()
     const exchangeId = nextExchangeId++
-    forward.attempt = {
-      exchangeId, worker, answer: undefined, splitter: createEventSplitter(), held: [], lastEventAtMs: nowMs, hasEvents: false
-    }
+    forward.attempt = getDefaultAttempt(exchangeId, worker, nowMs)
     forward.attemptCount += 1
     forward.triedWorkerIds.push(worker.workerId)
     forward.waitsUntilMs = undefined
@@ -119,23 +90,14 @@
   const place = (forward: LiveForward): ForwardEffect[] => {
     const placement = ports.place(forward.request, forward.triedWorkerIds)
     if (placement.kind === PlacementKind.Placed) return send(forward, placement.worker)
-    if (placement.kind === PlacementKind.Refused) return fail(forward, placement.code, 'no worker can take it')
+    forward.waitCode = placement.code
     forward.waitsUntilMs ??= Math.min(clock.nowMs() + QUEUE_WAIT_MAX_MS, forward.request.deadlineAtMs)
     waiting.add(forward)
     return []
   }
 
   const onSubmitted = (request: ForwardRequest): ForwardEffect[] => {
-    const forward: LiveForward = {
-      request,
-      attempt: undefined,
-      attemptCount: 0,
-      triedWorkerIds: [],
-      mayHaveRun: false,
-      isHeadSent: false,
-      lastEventId: request.lastEventId,
-      waitsUntilMs: undefined
-    }
+    const forward = getDefaultForward(request)
     live.set(request.requestId, forward)
     if (live.size > FORWARDS_MAX) return fail(forward, ResultCode.Overloaded, 'too many requests at this process')
     return place(forward)
@@ -190,8 +152,6 @@
     return { kind: ForwardEffectKind.SendHead, requestId: forward.request.requestId, status, headers, bodyBytes: undefined }
   }
 
-  const isStream = ({ answer }: Attempt) => answer !== undefined && answer.isEventStream && answer.verdict === AnswerVerdict.Success
-
   const onAnswerBytes = (forward: LiveForward, attempt: Attempt, bytes: Uint8Array): ForwardEffect[] => {
     if (isStream(attempt)) return passEvents(forward, attempt, attempt.splitter.push(bytes))
     attempt.held.push(bytes)
@@ -268,9 +228,6 @@
     return effects
   }
 
-  const byUrgency = (a: LiveForward, b: LiveForward) =>
-    a.request.priority - b.request.priority || a.request.deadlineAtMs - b.request.deadlineAtMs
-
   const placeWaiting = (): ForwardEffect[] => {
     const effects: ForwardEffect[] = []
     for (const forward of [...waiting].sort(byUrgency)) {
@@ -289,7 +246,7 @@
       return [...effects, ...fail(forward, code, 'deadline passed')]
     }
     const isOverdue = forward.waitsUntilMs !== undefined && nowMs >= forward.waitsUntilMs
-    return isOverdue ? fail(forward, ResultCode.Overloaded, 'no place in time') : []
+    return isOverdue ? fail(forward, forward.waitCode, 'no place in time') : []
   }
 
   const withAttempt = <Message extends { exchangeId: number }>(
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -23,10 +23,6 @@
   /** End-to-end headers as the caller sent them. */
   headers: readonly HeaderField[]
   body: Uint8Array
-  /** Prompt tokens; 0 for plain calls. */
-  promptTokens: number
-  /** Most tokens that the answer may have; 0 for plain calls. */
-  answerTokensMax: number
   /** Last event that the caller has, if it resumes a stream. */
   lastEventId: string | undefined
 }
@@ -53,14 +49,13 @@
 export enum PlacementKind {
   Placed = 'placed',
   /** No place now; one may be free soon. */
-  Wait = 'wait',
-  Refused = 'refused'
+  Wait = 'wait'
 }
 
 export type Placement =
   | { kind: PlacementKind.Placed, worker: Worker }
-  | { kind: PlacementKind.Wait }
-  | { kind: PlacementKind.Refused, code: ResultCode }
+  /** The code says what the request lacks, and is its result if it waits in vain. */
+  | { kind: PlacementKind.Wait, code: ResultCode }
 
 /** How one attempt at a worker ended. */
 export enum AttemptEnd {
--- a/src/routing/createWorkerPlacement.test.ts
+++ b/src/routing/createWorkerPlacement.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createManualClock, createRandom, type ManualClock, ResultCode } from '../core/index.js'
 import { createWorkerTable, type WorkerEntry, type WorkerTable } from '../membership/index.js'
-import { createWorkerPlacement, LOST_AVOID_MS, PlaceKind, type PlaceRequest, type WorkerPlacement } from './createWorkerPlacement.js'
+import { createWorkerPlacement, LOST_AVOID_MS, type PlaceRequest, type WorkerPlacement } from './createWorkerPlacement.js'
 
 const SERVICE = 's'
 const entry = (workerId: string, zone: string): WorkerEntry =>
@@ -27,7 +27,7 @@
     placement.place({ service: SERVICE, triedWorkerIds: [], serviceLimit: undefined, slotsFactor: 1, ...overrides })
   const placedAt = (overrides: Partial<PlaceRequest> = {}) => {
     const found = place(overrides)
-    return found.kind === PlaceKind.Placed ? found.worker.workerId : found.kind
+    return found.worker === undefined ? found.code : found.worker.workerId
   }
 
   it('counts the requests of other entries beside its own', () => {
@@ -51,11 +51,11 @@
 
   it('keeps the limit of the service and of each worker', () => {
     peers = { 1: 1, 2: 1, 3: 1 }
-    expect(place({ serviceLimit: 3 })).toEqual({ kind: PlaceKind.Full, code: ResultCode.Overloaded })
-    expect(placedAt({ serviceLimit: 3.5 })).not.toBe(PlaceKind.Full)
+    expect(place({ serviceLimit: 3 })).toEqual({ worker: undefined, code: ResultCode.Overloaded })
+    expect(placedAt({ serviceLimit: 3.5 })).not.toBe(ResultCode.Overloaded)
     peers = { 1: 4, 2: 4, 3: 4 }
-    expect(placedAt()).toBe(PlaceKind.Full)
-    expect(placedAt({ slotsFactor: 2 })).not.toBe(PlaceKind.Full)
+    expect(placedAt()).toBe(ResultCode.Overloaded)
+    expect(placedAt({ slotsFactor: 2 })).not.toBe(ResultCode.Overloaded)
   })
 
   it('passes over a worker that lost a request for a while, and one that was tried', () => {
@@ -70,7 +70,7 @@
     workers.replaceAll([])
     clock.advance(60_000)
     workers.tick()
-    expect(place()).toEqual({ kind: PlaceKind.NoWorker, code: ResultCode.NoUpstream })
+    expect(place()).toEqual({ worker: undefined, code: ResultCode.NoUpstream })
   })
 
   it('never counts a worker below zero', () => {
--- a/src/routing/createWorkerPlacement.ts
+++ b/src/routing/createWorkerPlacement.ts
@@ -1,16 +1,8 @@
 import { type Clock, type Random, ResultCode, type TimestampMs } from '../core/index.js'
 import type { Worker, WorkerTable } from '../membership/index.js'
 
-export enum PlaceKind {
-  Placed = 'placed',
-  Full = 'full',
-  NoWorker = 'no-worker'
-}
-
-export type Place =
-  | { kind: PlaceKind.Placed, worker: Worker }
-  | { kind: PlaceKind.Full, code: ResultCode }
-  | { kind: PlaceKind.NoWorker, code: ResultCode }
+/** A worker, or the result code that says why there is none. */
+export type Place = { worker: Worker } | { worker: undefined, code: ResultCode }
 
 export interface PlaceRequest {
   service: string
@@ -71,10 +63,10 @@
 
   const place = ({ service, triedWorkerIds, serviceLimit, slotsFactor }: PlaceRequest): Place => {
     const usable = workers.usable(service)
-    if (usable.length === 0) return { kind: PlaceKind.NoWorker, code: ResultCode.NoUpstream }
+    if (usable.length === 0) return { worker: undefined, code: ResultCode.NoUpstream }
     const loads = new Map(usable.map(({ workerId }) => [workerId, runningAt(workerId)]))
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0)
-    if (serviceLimit !== undefined && total >= serviceLimit) return { kind: PlaceKind.Full, code: ResultCode.Overloaded }
+    if (serviceLimit !== undefined && total >= serviceLimit) return { worker: undefined, code: ResultCode.Overloaded }
     const rated = preferUntroubled(usable, triedWorkerIds).map(worker => ({
       worker,
       share: loads.get(worker.workerId)! / Math.max(1, worker.slots),
@@ -83,7 +75,7 @@
     }))
     rated.sort((a, b) => a.share - b.share || Number(b.isNear) - Number(a.isNear) || a.draw - b.draw)
     const best = rated[0]!
-    return best.share >= slotsFactor ? { kind: PlaceKind.Full, code: ResultCode.Overloaded } : { kind: PlaceKind.Placed, worker: best.worker }
+    return best.share >= slotsFactor ? { worker: undefined, code: ResultCode.Overloaded } : { worker: best.worker }
   }
 
   return {
