Stop requests that have crashed three workers

Cause: a request that crashes each worker that begins it was sent again with every attempt of its caller, as the quarantine was connected to the own interface only. An entry now keeps which runs of workers went down after they lost the answer of a request, shares that in its reports, and stops the request after three runs without an answer in between; an answer acquits it, so hot requests that were under way at a crash go on.

Ruled out: counting every lost answer, because resets and cuts of the network lose answers of sound workers. The result is 503 on the platform: it says that the request has not run, and a status of the 4xx class there blames the caller.

--- a/src/membership/createPeerReports.test.ts
+++ b/src/membership/createPeerReports.test.ts
@@ -16,6 +16,7 @@
   storeOffsets: {},
   running: { w1: 2 },
   pauses: {},
+  crashes: {},
   ...overrides
 })
 
--- a/src/membership/createWorkerTable.test.ts
+++ b/src/membership/createWorkerTable.test.ts
@@ -53,6 +53,6 @@
 
   it('shows a worker that started again under its id', () => {
     expect(table.put(entry('1'))).toEqual([])
-    expect(table.put(entry('1', { startedAtUnixMs: 2 }))).toMatchObject([{ workerId: '1', isRestart: true }])
+    expect(table.put(entry('1', { startedAtUnixMs: 2 }))).toMatchObject([{ workerId: '1', startedAtUnixMs: 1, isRunOver: true }])
   })
 })
--- a/src/membership/createWorkerTable.ts
+++ b/src/membership/createWorkerTable.ts
@@ -36,7 +36,10 @@
   workerId: string
   before: WorkerState | undefined
   after: WorkerState | undefined
-  isRestart: boolean
+  /** The run that was known before. */
+  startedAtUnixMs: number
+  /** That run has ended, or is no longer registered. */
+  isRunOver: boolean
 }
 
 /** The workers that this process knows. */
@@ -72,7 +75,10 @@
     const state = entry.isDraining ? WorkerState.Draining : WorkerState.Serving
     workers.set(entry.workerId, { ...entry, state, missingSinceMs: undefined })
     const isRestart = known !== undefined && known.startedAtUnixMs !== entry.startedAtUnixMs
-    return known?.state === state && !isRestart ? [] : [{ workerId: entry.workerId, before: known?.state, after: state, isRestart }]
+    const startedAtUnixMs = known?.startedAtUnixMs ?? entry.startedAtUnixMs
+    return known?.state === state && !isRestart
+      ? []
+      : [{ workerId: entry.workerId, before: known?.state, after: state, startedAtUnixMs, isRunOver: isRestart }]
   }
 
   const remove = (workerId: string): WorkerChange[] => {
@@ -81,10 +87,10 @@
     // A draining worker that is gone has left as announced.
     if (known.state === WorkerState.Draining) {
       workers.delete(workerId)
-      return [{ workerId, before: known.state, after: undefined, isRestart: false }]
+      return [{ workerId, before: known.state, after: undefined, startedAtUnixMs: known.startedAtUnixMs, isRunOver: true }]
     }
     workers.set(workerId, { ...known, state: WorkerState.Missing, missingSinceMs: clock.nowMs() })
-    return [{ workerId, before: known.state, after: WorkerState.Missing, isRestart: false }]
+    return [{ workerId, before: known.state, after: WorkerState.Missing, startedAtUnixMs: known.startedAtUnixMs, isRunOver: true }]
   }
 
   const isOverdue = ({ state, missingSinceMs }: Worker) => {
@@ -105,9 +111,9 @@
     put,
     remove,
     noteStoreRegained: () => { regainedAtMs = clock.nowMs() },
-    tick: () => [...workers.values()].filter(isOverdue).map(({ workerId, state }) => {
+    tick: () => [...workers.values()].filter(isOverdue).map(({ workerId, state, startedAtUnixMs }) => {
       workers.delete(workerId)
-      return { workerId, before: state, after: undefined, isRestart: false }
+      return { workerId, before: state, after: undefined, startedAtUnixMs, isRunOver: true }
     }),
     get: workerId => workers.get(workerId),
     usable: service => {
--- a/src/membership/peerReportTask.ts
+++ b/src/membership/peerReportTask.ts
@@ -28,9 +28,13 @@
 const isLoad = ({ incarnation, sequence, running, pauses }: PeerLoad) =>
   typeof incarnation === 'string' && Number.isFinite(sequence) && isRecordOfNumbers(running) && arePauses(pauses)
 
-const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, peerAddresses = [] }: PeerReport) =>
+const areTextLists = (value: unknown): boolean =>
+  typeof value === 'object' && value !== null && Object.values(value).every(list =>
+    Array.isArray(list) && list.every(text => typeof text === 'string'))
+
+const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, crashes, peerAddresses = [] }: PeerReport) =>
   [nodeId, zone, frontAddress, ...peerAddresses].every(text => typeof text === 'string') &&
-  typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets)
+  typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && areTextLists(crashes)
 
 /** Datagrams come from any process that reaches the port; only whole reports are used. */
 const decodeReport = (bytes: Buffer, fromAddress: string): PeerMessage => {
--- a/src/membership/peerTypes.ts
+++ b/src/membership/peerTypes.ts
@@ -23,6 +23,8 @@
   configurationVersion: number
   /** Offset read up to, by topic of the store. */
   storeOffsets: Record<string, number>
+  /** Runs of workers that crashed with a request, by the fingerprint of the request. */
+  crashes: Record<string, string[]>
   /** Addresses of other entries that the sender knows; only in some reports. */
   peerAddresses?: string[]
 }
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -4,6 +4,7 @@
   PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask
 } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
+import { createCrashRecord, type WorkerRun } from '../../quarantine/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
 import { createFleetKnowledge, type FleetKnowledge, type StorePort } from '../knowledge/index.js'
 import { admitCaller } from './admitCaller.js'
@@ -74,10 +75,18 @@
   const { nodeId, zone, frontAddress, clock, random, store, codec, log } = options
   const incarnation = createIncarnation(random)
   const counters = createForwardCounters()
+  const crashes = createCrashRecord({ clock })
   let isStopping = false
   let lastHousekeepingMs = clock.nowMs()
   let lastAdjustMs = clock.nowMs()
 
+  const noteWorkerDown = (run: WorkerRun) => {
+    const fingerprints = crashes.noteDown(run)
+    if (fingerprints.length === 0) return
+    log(LogEvent.WorkerCrashed, { workerId: run.workerId, startedAtUnixMs: run.startedAtUnixMs, fingerprints })
+    noteStateChanged()
+  }
+
   const noteStateChanged = () => peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
 
   const knowledge = createFleetKnowledge({
@@ -89,7 +98,8 @@
       options.onConfiguration(knowledge)
       noteStateChanged()
     },
-    onWorkersChanged: () => {
+    onWorkersChanged: changes => {
+      for (const { workerId, startedAtUnixMs, isRunOver } of changes) if (isRunOver) noteWorkerDown({ workerId, startedAtUnixMs })
       forward.closeUnused()
       noteStateChanged()
     }
@@ -123,6 +133,8 @@
       budget,
       streamLimitOf: streamLimits.of,
       workersOf,
+      crashes,
+      onWorkerDown: noteWorkerDown,
       counters,
       log,
       now: clock.nowMs,
@@ -141,7 +153,8 @@
     configurationVersion: knowledge.configuration.version,
     storeOffsets: knowledge.storeOffsets(),
     running: placement.ownRunning(),
-    pauses: streamLimits.ownPauses()
+    pauses: streamLimits.ownPauses(),
+    crashes: crashes.newest()
   })
 
   const onPeerNews = (news: PeerNews) => {
@@ -150,6 +163,7 @@
     } else {
       if (news.isNew) log(LogEvent.PeerFound, { nodeId: news.report.nodeId, incarnation: news.report.incarnation })
       knowledge.noteOffsets(news.report)
+      crashes.notePeer(news.report.crashes)
     }
     forward.notePlaceFreed()
   }
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -1,8 +1,9 @@
 import type { ConfigurationHolder } from '../../configuration/index.js'
-import type { Random } from '../../core/index.js'
+import { type Random, ResultCode } from '../../core/index.js'
 import type { RepeatBudget, StreamLimit } from '../../limits/index.js'
-import { SelfChange } from '../../membership/index.js'
+import { SelfChange, type Worker } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
+import { type CrashRecord, fingerprintRequest } from '../../quarantine/index.js'
 import { AttemptEnd, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
 import type { WorkerPlacement } from '../../routing/index.js'
 import type { ForwardCounters } from './forwardCounters.js'
@@ -15,6 +16,9 @@
   streamLimitOf: (service: string) => StreamLimit
   /** Usable workers of a service. */
   workersOf: (service: string) => number
+  crashes: CrashRecord
+  /** A worker cannot be reached. */
+  onWorkerDown: (worker: Worker) => void
   counters: ForwardCounters
   log: EventLog
   now: () => number
@@ -44,11 +48,13 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, configuration, placement, budget, streamLimitOf, workersOf, counters, log, now, onRunningChanged
+  random, configuration, placement, budget, streamLimitOf, workersOf, crashes, onWorkerDown, counters, log, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
 
-  const place = ({ service, requestId }: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
+  const place = (request: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
+    const { service, requestId } = request
+    if (!crashes.isEmpty && crashes.isStopped(fingerprintRequest(request))) return { kind: PlacementKind.Refused, code: ResultCode.Quarantined }
     const hasLimit = isEngine(service)
     // A request that was already sent once has its place in the limit.
     const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streamsFor(workersOf(service)) : undefined
@@ -60,6 +66,21 @@
     return { kind: PlacementKind.Wait, code }
   }
 
+  const noteNothing = () => {}
+  const noteAnswered = (request: ForwardRequest) => {
+    if (!crashes.isEmpty) crashes.noteAnswered(fingerprintRequest(request))
+  }
+
+  /** What the end of an attempt says about a crash of its worker. */
+  const noteCrashEvidence: Record<AttemptEnd, (request: ForwardRequest, worker: Worker) => void> = {
+    [AttemptEnd.Answered]: noteAnswered,
+    [AttemptEnd.Failed]: noteAnswered,
+    [AttemptEnd.NotRun]: noteNothing,
+    [AttemptEnd.Lost]: (request, worker) => crashes.noteLost(worker, fingerprintRequest(request)),
+    [AttemptEnd.Cancelled]: noteNothing,
+    [AttemptEnd.NotConnected]: (_request, worker) => onWorkerDown(worker)
+  }
+
   return {
     place,
     takeRepeat: service => {
@@ -72,8 +93,11 @@
       onRunningChanged(SelfChange.LoadRose)
       log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
     },
-    onAttemptEnded: ({ requestId, service }, { workerId }, end, detail) => {
+    onAttemptEnded: (request, worker, end, detail) => {
+      const { requestId, service } = request
+      const { workerId } = worker
       placement.noteEnded(workerId)
+      noteCrashEvidence[end](request, worker)
       if (IS_LOSS[end]) placement.noteLost(workerId)
       counters.countAttempt(service, end)
       onRunningChanged(SelfChange.LoadFell)
--- a/src/nodes/knowledge/fleetKnowledge.ts
+++ b/src/nodes/knowledge/fleetKnowledge.ts
@@ -11,7 +11,7 @@
   store: StorePort
   log: EventLog
   onConfiguration: () => void
-  onWorkersChanged: () => void
+  onWorkersChanged: (changes: readonly WorkerChange[]) => void
 }
 
 /** What this process knows from the store: the configuration in force and the workers. */
@@ -76,7 +76,7 @@
 
   const noteChanges = (changes: readonly WorkerChange[]) => {
     for (const change of changes) log(LogEvent.WorkerChanged, { ...change, service: workers.get(change.workerId)?.service })
-    if (changes.length > 0) onWorkersChanged()
+    if (changes.length > 0) onWorkersChanged(changes)
   }
 
   const applyWorker = (record: KeyedRecord): WorkerChange[] => {
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -24,6 +24,8 @@
   AttemptEnded = 'attempt-ended',
   RequestEnded = 'request-ended',
   RequestRefused = 'request-refused',
+  /** A worker went down after it lost the answers to these requests. */
+  WorkerCrashed = 'worker-crashed',
   StreamLimitChanged = 'stream-limit-changed',
   MapPlanned = 'map-planned',
   MapSwitchPhase = 'map-switch-phase',
--- /dev/null
+++ b/src/quarantine/createCrashRecord.test.ts
@@ -0,0 +1,84 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { createManualClock, type ManualClock } from '../core/index.js'
+import {
+  CRASH_CONFIRM_MS, CRASH_FINGERPRINTS_MAX, CRASH_KEEP_MS, CRASH_REPORT_MAX, CRASHES_MAX, createCrashRecord, type CrashRecord, fingerprintRequest
+} from './createCrashRecord.js'
+
+const run = (at: number) => ({ workerId: `w${at}`, startedAtUnixMs: 1 })
+
+describe('record of requests that crash workers', () => {
+  let clock: ManualClock
+  let record: CrashRecord
+
+  beforeEach(() => {
+    clock = createManualClock(0)
+    record = createCrashRecord({ clock })
+  })
+
+  const crash = (fingerprint: string, at: number) => {
+    record.noteLost(run(at), fingerprint)
+    return record.noteDown(run(at))
+  }
+
+  it('stops a request after its third crash, and not before', () => {
+    for (let at = 1; at < CRASHES_MAX; at++) crash('f', at)
+    expect(record.isStopped('f')).toBe(false)
+    crash('f', CRASHES_MAX)
+    expect(record.isStopped('f')).toBe(true)
+    expect(record.isStopped('other')).toBe(false)
+  })
+
+  // Guards against a request that is stopped because the network cuts its connections.
+  it('does not count a lost answer of a worker that stays up', () => {
+    for (let at = 1; at <= CRASHES_MAX; at++) record.noteLost(run(at), 'f')
+    clock.advance(CRASH_CONFIRM_MS + 1)
+    for (let at = 1; at <= CRASHES_MAX; at++) expect(record.noteDown(run(at))).toEqual([])
+    expect(record.isStopped('f')).toBe(false)
+  })
+
+  it('counts each run of a worker once, and its next run again', () => {
+    crash('f', 1)
+    expect(crash('f', 1)).toEqual([])
+    record.noteLost({ workerId: 'w1', startedAtUnixMs: 2 }, 'f')
+    expect(record.noteDown({ workerId: 'w1', startedAtUnixMs: 2 })).toEqual(['f'])
+  })
+
+  // Guards against hot requests that are stopped because they were under way at many crashes.
+  it('acquits a request that is answered, also of what peers report later', () => {
+    for (let at = 1; at < CRASHES_MAX; at++) crash('f', at)
+    record.noteAnswered('f')
+    record.notePeer({ f: ['w1/1', 'w2/1'] })
+    crash('f', CRASHES_MAX)
+    expect(record.isStopped('f')).toBe(false)
+    expect(record.newest()).toEqual({ f: [`w${CRASHES_MAX}/1`] })
+  })
+
+  it('joins what several entries have seen', () => {
+    crash('f', 1)
+    record.notePeer({ f: ['w2/1', 'w1/1'] })
+    expect(record.isStopped('f')).toBe(false)
+    record.notePeer({ f: ['w3/1'] })
+    expect(record.isStopped('f')).toBe(true)
+  })
+
+  it('forgets after a while, and keeps a bounded number', () => {
+    for (let at = 1; at <= CRASHES_MAX; at++) crash('f', at)
+    clock.advance(CRASH_KEEP_MS + 1)
+    expect(record.isStopped('f')).toBe(false)
+    for (let at = 0; at <= CRASH_FINGERPRINTS_MAX; at++) crash(`g${at}`, 1_000 + at)
+    expect(Object.keys(record.newest())).toHaveLength(CRASH_REPORT_MAX)
+    record.notePeer({ g0: ['a', 'b'] })
+    expect(record.isStopped('g0')).toBe(false)
+  })
+})
+
+describe('fingerprint of a request', () => {
+  const request = { method: 'POST', path: '/a', tenant: 't', body: Buffer.from('b') }
+
+  it('is the same for the same work, and differs by each part', () => {
+    const whole = fingerprintRequest(request)
+    expect(fingerprintRequest({ ...request })).toBe(whole)
+    const others = [{ method: 'PUT' }, { path: '/b' }, { tenant: undefined }, { body: Buffer.from('c') }]
+    expect(new Set([whole, ...others.map(part => fingerprintRequest({ ...request, ...part }))]).size).toBe(5)
+  })
+})
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -90,6 +90,7 @@
   const place = (forward: LiveForward): ForwardEffect[] => {
     const placement = ports.place(forward.request, forward.triedWorkerIds)
     if (placement.kind === PlacementKind.Placed) return send(forward, placement.worker)
+    if (placement.kind === PlacementKind.Refused) return fail(forward, placement.code, 'it must reach no worker')
     forward.waitCode = placement.code
     forward.waitsUntilMs ??= Math.min(clock.nowMs() + QUEUE_WAIT_MAX_MS, forward.request.deadlineAtMs)
     waiting.add(forward)
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -49,13 +49,16 @@
 export enum PlacementKind {
   Placed = 'placed',
   /** No place now; one may be free soon. */
-  Wait = 'wait'
+  Wait = 'wait',
+  /** It must reach no worker. */
+  Refused = 'refused'
 }
 
 export type Placement =
   | { kind: PlacementKind.Placed, worker: Worker }
   /** The code says what the request lacks, and is its result if it waits in vain. */
   | { kind: PlacementKind.Wait, code: ResultCode }
+  | { kind: PlacementKind.Refused, code: ResultCode }
 
 /** How one attempt at a worker ended. */
 export enum AttemptEnd {
