Start from what a peer knows while the store is away

Cause: a process that started while the store was away stayed unready until the store was back, although every other entry knew the configuration and the workers. A follower that has no list of the store after 250 ms asks a live, ready peer over HTTP on the TCP side of the control address, and serves from its answer; the store's own list still follows and replaces it.

Ruled out: records in the datagrams of the reports, as the workers of a large fleet do not fit into one.

--- a/src/configuration/createStoreFollower.test.ts
+++ b/src/configuration/createStoreFollower.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createManualClock, createRandom, type ManualClock } from '../core/index.js'
 import {
-  createStoreFollower, type KeyedRecord, PEER_AHEAD_LIMIT_MS, READ_GAP_MS, READ_WAIT_MAX_MS, RETRY_MAX_MS, type StoreEffect, StoreEffectKind,
+  ASK_PEER_INTERVAL_MS, createStoreFollower, type KeyedRecord, PEER_AHEAD_LIMIT_MS, READ_GAP_MS, READ_WAIT_MAX_MS, RETRY_MAX_MS, type StoreEffect, StoreEffectKind,
   type StoreFollower, StoreMessageKind
 } from './createStoreFollower.js'
 
@@ -91,4 +91,35 @@
     expect(read.waitMs).toBeLessThanOrEqual(READ_WAIT_MAX_MS)
     expect(read.timeoutMs).toBeGreaterThan(read.waitMs)
   })
+
+  describe('before the store has answered', () => {
+    const askedPeers = (effects: readonly StoreEffect[]) => effects.filter(({ kind }) => kind === StoreEffectKind.AskPeer).length
+
+    // Guards against an entry that cannot serve until the store is back, although its peers know everything.
+    it('asks a peer until one answers, and takes its state', () => {
+      follower.handle({ kind: StoreMessageKind.Started })
+      expect(askedPeers(tickAfter(ASK_PEER_INTERVAL_MS - 1))).toBe(0)
+      expect(askedPeers(tickAfter(1))).toBe(1)
+      expect(askedPeers(tickAfter(ASK_PEER_INTERVAL_MS))).toBe(1)
+      expect(follower.hasState).toBe(false)
+      expect(follower.handle({ kind: StoreMessageKind.PeerAnswered, records: [record('a', 1)] })).toMatchObject([{ kind: StoreEffectKind.ReplaceAll }])
+      expect(follower.hasState).toBe(true)
+      expect(askedPeers(tickAfter(ASK_PEER_INTERVAL_MS))).toBe(0)
+    })
+
+    // Guards against an entry that stays at the state of a peer, which may itself be behind.
+    it('still lists from the store, and a late answer of a peer changes nothing after that', () => {
+      const { callId } = callOf(follower.handle({ kind: StoreMessageKind.Started }))
+      follower.handle({ kind: StoreMessageKind.PeerAnswered, records: [record('a', 1)] })
+      expect(follower.handle({ kind: StoreMessageKind.Listed, callId, records: [record('b', 2)], end: 3 })[0]).toMatchObject({
+        kind: StoreEffectKind.ReplaceAll, records: [{ key: 'b' }]
+      })
+      expect(follower.handle({ kind: StoreMessageKind.PeerAnswered, records: [record('a', 1)] })).toEqual([])
+    })
+
+    it('asks no peer when the store answers at once', () => {
+      listed()
+      expect(askedPeers(tickAfter(10 * ASK_PEER_INTERVAL_MS))).toBe(0)
+    })
+  })
 })
--- a/src/configuration/createStoreFollower.ts
+++ b/src/configuration/createStoreFollower.ts
@@ -16,6 +16,8 @@
   /** The records to read next are deleted; the newest of each key are still there. */
   HistoryLost = 'history-lost',
   CallFailed = 'call-failed',
+  /** What a peer knows of the topic, in answer to AskPeer. */
+  PeerAnswered = 'peer-answered',
   /** A peer has read up to this offset. */
   PeerAhead = 'peer-ahead',
   /** The process was frozen: what it believes may be long out of date. */
@@ -29,6 +31,7 @@
   | { kind: StoreMessageKind.RecordsRead, callId: number, records: readonly KeyedRecord[], end: number }
   | { kind: StoreMessageKind.HistoryLost, callId: number }
   | { kind: StoreMessageKind.CallFailed, callId: number, reason: string }
+  | { kind: StoreMessageKind.PeerAnswered, records: readonly KeyedRecord[] }
   | { kind: StoreMessageKind.PeerAhead, offset: number }
   | { kind: StoreMessageKind.Woken }
   | { kind: StoreMessageKind.Tick }
@@ -40,6 +43,8 @@
   List = 'list',
   /** Asks for records; the store answers when there is one, or after `waitMs`. */
   Read = 'read',
+  /** Asks another process what it knows of the topic, as the store has not answered since the start. */
+  AskPeer = 'ask-peer',
   /** Ends a running call and its connection. */
   Abort = 'abort',
   /** All keys that exist; any other key is gone. */
@@ -52,6 +57,7 @@
 export type StoreEffect =
   | { kind: StoreEffectKind.List, callId: number, timeoutMs: number }
   | { kind: StoreEffectKind.Read, callId: number, from: number, waitMs: number, timeoutMs: number }
+  | { kind: StoreEffectKind.AskPeer, timeoutMs: number }
   | { kind: StoreEffectKind.Abort, callId: number }
   | { kind: StoreEffectKind.ReplaceAll, records: readonly KeyedRecord[] }
   | { kind: StoreEffectKind.Apply, records: readonly KeyedRecord[] }
@@ -71,15 +77,20 @@
 /** News that a peer has and this process lacks for this time is fetched on a new connection. */
 export const PEER_AHEAD_LIMIT_MS = 300
 
+/** A process that starts gives the store this time before it asks its peers, and asks again as often. */
+export const ASK_PEER_INTERVAL_MS = 250
+
 export interface StoreFollowerOptions {
   clock: Clock
   random: Random
 }
 
 export interface StoreFollower extends Core<StoreMessage, StoreEffect> {
-  /** Offset up to which this process has read; undefined before the first list. */
+  /** Offset up to which this process has read from the store; undefined before the first list. */
   readonly position: number | undefined
   readonly isConnected: boolean
+  /** Some state of the topic is known, from the store or from a peer. */
+  readonly hasState: boolean
 }
 
 /**
@@ -100,6 +111,8 @@
   /** When the next call is due, while none is running. */
   let dueAtMs: TimestampMs = 0
   let mustList = true
+  let hasPeerState = false
+  let askPeerAtMs = clock.nowMs() + ASK_PEER_INTERVAL_MS
   let aheadOffset = 0
   let aheadSinceMs: TimestampMs | undefined
 
@@ -157,13 +170,27 @@
     return [...aborted, ...startCall()]
   }
 
+  const askPeer = (): StoreEffect[] => {
+    const nowMs = clock.nowMs()
+    if (position !== undefined || hasPeerState || nowMs < askPeerAtMs) return []
+    askPeerAtMs = nowMs + ASK_PEER_INTERVAL_MS
+    return [{ kind: StoreEffectKind.AskPeer, timeoutMs: ASK_PEER_INTERVAL_MS }]
+  }
+
+  /** The store's own list still replaces what a peer knows. */
+  const onPeerAnswered = (records: readonly KeyedRecord[]): StoreEffect[] => {
+    if (position !== undefined || hasPeerState) return []
+    hasPeerState = true
+    return [{ kind: StoreEffectKind.ReplaceAll, records }]
+  }
+
   const onTick = (): StoreEffect[] => {
     const nowMs = clock.nowMs()
     if (aheadSinceMs !== undefined && nowMs - aheadSinceMs > PEER_AHEAD_LIMIT_MS && isConnected) {
       aheadSinceMs = undefined
       return restart()
     }
-    return runningCallId === undefined && nowMs >= dueAtMs ? startCall() : []
+    return [...askPeer(), ...runningCallId === undefined && nowMs >= dueAtMs ? startCall() : []]
   }
 
   const onPeerAhead = (offset: number): StoreEffect[] => {
@@ -185,6 +212,7 @@
       return [...onAnswer(), ...startCall()]
     }),
     [StoreMessageKind.CallFailed]: ifRunning<{ callId: number, reason: string }>(({ reason }) => onCallFailed(reason)),
+    [StoreMessageKind.PeerAnswered]: ({ records }) => onPeerAnswered(records),
     [StoreMessageKind.PeerAhead]: ({ offset }) => onPeerAhead(offset),
     [StoreMessageKind.Woken]: () => {
       mustList = true
@@ -196,6 +224,7 @@
   return {
     handle: message => dispatch(handlers, message),
     get position () { return position },
-    get isConnected () { return isConnected }
+    get isConnected () { return isConnected },
+    get hasState () { return hasPeerState || position !== undefined }
   }
 }
--- a/src/membership/createPeerReports.ts
+++ b/src/membership/createPeerReports.ts
@@ -25,6 +25,8 @@
 /** Knowledge of the other entries, and of the requests that they have under way. */
 export interface PeerReports extends Core<PeerMessage, PeerEffect> {
   alive (): PeerReport[]
+  /** Addresses of live peers that are ready. */
+  readyAddresses (): string[]
   /** Requests under way at a worker from all live peers. */
   runningAt (workerId: string): number
 }
@@ -162,6 +164,7 @@
   return {
     handle: message => dispatch(handlers, message),
     alive,
+    readyAddresses: () => [...peers.values()].filter(({ isAlive, report }) => isAlive && report!.isReady).map(({ address }) => address),
     runningAt: workerId => alive().reduce((sum, { running }) => sum + (running[workerId] ?? 0), 0)
   }
 }
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -11,6 +11,7 @@
 import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
 import { createForwardPorts } from './forwardPorts.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
+import { createPeerStateClient, startPeerStateServer } from './peerState.js'
 import { createStreamLimits } from './streamLimits.js'
 import type { CallerRequest, CallerSink, WorkerCodec } from './types.js'
 
@@ -93,6 +94,7 @@
     clock,
     random,
     store,
+    peers: createPeerStateClient({ clock, random, addresses: () => peers.reports.readyAddresses() }),
     log,
     onConfiguration: () => {
       options.onConfiguration(knowledge)
@@ -178,6 +180,8 @@
     onFault: reason => log(LogEvent.PeerFault, { reason })
   })
 
+  const closePeerState = startPeerStateServer({ address: options.peerAddress, stateOf: knowledge.stateOf, onFault: reason => log(LogEvent.PeerFault, { reason }) })
+
   const housekeeping = setInterval(() => {
     const nowMs = clock.nowMs()
     const gapMs = nowMs - lastHousekeepingMs
@@ -249,6 +253,7 @@
       forward.stop()
       knowledge.stop()
       peers.stop()
+      closePeerState()
     }
   }
 }
--- a/src/nodes/knowledge/fleetKnowledge.ts
+++ b/src/nodes/knowledge/fleetKnowledge.ts
@@ -3,12 +3,13 @@
 import { createWorkerTable, type PeerReport, type WorkerChange, type WorkerEntry, type WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { startTopicTask, type TopicTask } from './topicTask.js'
-import type { StorePort } from './types.js'
+import type { PeerStatePort, StorePort } from './types.js'
 
 export interface FleetKnowledgeOptions {
   clock: Clock
   random: Random
   store: StorePort
+  peers?: PeerStatePort
   log: EventLog
   onConfiguration: () => void
   onWorkersChanged: (changes: readonly WorkerChange[]) => void
@@ -18,10 +19,12 @@
 export interface FleetKnowledge {
   readonly configuration: ConfigurationHolder
   readonly workers: WorkerTable
-  /** Both topics have been read at least once. */
+  /** Both topics are known, from the store or from a peer. */
   readonly isComplete: boolean
   readonly isStoreConnected: boolean
   storeOffsets (): Record<string, number>
+  /** Newest records of a topic, for a peer that starts while the store is away; undefined if they are not known. */
+  stateOf (topic: string): KeyedRecord[] | undefined
   /** Fetches what a peer has read and this process has not. */
   noteOffsets (report: PeerReport): void
   /** Reads everything again after a freeze. */
@@ -35,6 +38,8 @@
   Workers = 'workers'
 }
 
+const isTopic = (name: string): name is Topic => Object.values<string>(Topic).includes(name)
+
 /**
  * Follows the store and keeps the configuration and the workers up to date.
  *
@@ -43,7 +48,7 @@
  * knowledge.workers.usable('quotes')
  */
 export const createFleetKnowledge = (
-  { clock, random, store, log, onConfiguration, onWorkersChanged }: FleetKnowledgeOptions
+  { clock, random, store, peers, log, onConfiguration, onWorkersChanged }: FleetKnowledgeOptions
 ): FleetKnowledge => {
   const configuration = createConfigurationHolder()
   const workers = createWorkerTable({ clock })
@@ -91,8 +96,10 @@
       clock,
       random,
       port: store[topic],
+      peers,
       onReplaceAll,
       onRecords,
+      onPeerFault: reason => log(LogEvent.PeerFault, { topic, reason }),
       onLost: reason => log(LogEvent.StoreLost, { topic, reason }),
       onRegained: outageMs => {
         log(LogEvent.StoreRegained, { topic, outageMs: Math.round(outageMs) })
@@ -113,10 +120,11 @@
   return {
     configuration,
     workers,
-    get isComplete () { return configuration.current !== undefined && topics[Topic.Workers].follower.position !== undefined },
+    get isComplete () { return configuration.current !== undefined && topics[Topic.Workers].follower.hasState },
     get isStoreConnected () { return entries.every(([, { follower }]) => follower.isConnected) },
     storeOffsets: () => Object.fromEntries(entries.flatMap(([topic, { follower }]) =>
       follower.position === undefined ? [] : [[topic, follower.position]])),
+    stateOf: topic => isTopic(topic) ? topics[topic].state() : undefined,
     noteOffsets: ({ storeOffsets }) => {
       for (const [topic, task] of entries) {
         const offset = storeOffsets[topic]
--- a/src/nodes/knowledge/topicTask.ts
+++ b/src/nodes/knowledge/topicTask.ts
@@ -2,7 +2,7 @@
   createStoreFollower, type KeyedRecord, type StoreEffect, StoreEffectKind, type StoreFollower, type StoreMessage, StoreMessageKind
 } from '../../configuration/index.js'
 import { type Clock, createTask, dispatch, type HandlerTable, type Random } from '../../core/index.js'
-import type { RecordCall, TopicPort } from './types.js'
+import type { PeerStatePort, RecordCall, TopicPort } from './types.js'
 
 const TICK_MS = 50
 
@@ -11,14 +11,19 @@
   clock: Clock
   random: Random
   port: TopicPort
+  /** Where the state of the topic can be had while the store is away; undefined if nowhere. */
+  peers: PeerStatePort | undefined
   onReplaceAll: (records: readonly KeyedRecord[]) => void
   onRecords: (records: readonly KeyedRecord[]) => void
+  onPeerFault: (reason: string) => void
   onLost: (reason: string) => void
   onRegained: (outageMs: number) => void
 }
 
 export interface TopicTask {
   readonly follower: StoreFollower
+  /** The newest record of each key that this process knows; undefined before it knows any state. */
+  state (): KeyedRecord[] | undefined
   post (message: StoreMessage): void
   stop (): void
 }
@@ -29,9 +34,10 @@
  * @example
  * const task = startTopicTask({ name: 'workers', clock, random, port, ... })
  */
-export const startTopicTask = ({ name, clock, random, port, ...listeners }: TopicTaskOptions): TopicTask => {
+export const startTopicTask = ({ name, clock, random, port, peers, ...listeners }: TopicTaskOptions): TopicTask => {
   const follower = createStoreFollower({ clock, random })
   const calls = new Map<number, RecordCall>()
+  let newest = new Map<string, KeyedRecord>()
 
   const run = (callId: number, call: RecordCall, toMessage: (records: KeyedRecord[], end: number) => StoreMessage) => {
     calls.set(callId, call)
@@ -43,14 +49,34 @@
       .finally(() => calls.delete(callId))
   }
 
+  const askPeer = (timeoutMs: number) => {
+    peers?.fetch(name, timeoutMs)
+      .then(records => { if (records !== undefined) task.post({ kind: StoreMessageKind.PeerAnswered, records }) })
+      .catch(error => listeners.onPeerFault(error instanceof Error ? error.message : String(error)))
+  }
+
+  const replaceAll = (records: readonly KeyedRecord[]) => {
+    newest = new Map(records.map(record => [record.key, record]))
+    listeners.onReplaceAll(records)
+  }
+
+  const applyRecords = (records: readonly KeyedRecord[]) => {
+    for (const record of records) {
+      if (record.value === undefined) newest.delete(record.key)
+      else newest.set(record.key, record)
+    }
+    listeners.onRecords(records)
+  }
+
   const performers: HandlerTable<StoreEffect, void> = {
     [StoreEffectKind.List]: ({ callId, timeoutMs }) =>
       run(callId, port.list(timeoutMs), (records, end) => ({ kind: StoreMessageKind.Listed, callId, records, end })),
     [StoreEffectKind.Read]: ({ callId, from, waitMs, timeoutMs }) =>
       run(callId, port.read(from, waitMs, timeoutMs), (records, end) => ({ kind: StoreMessageKind.RecordsRead, callId, records, end })),
+    [StoreEffectKind.AskPeer]: ({ timeoutMs }) => askPeer(timeoutMs),
     [StoreEffectKind.Abort]: ({ callId }) => calls.get(callId)?.abort(),
-    [StoreEffectKind.ReplaceAll]: ({ records }) => listeners.onReplaceAll(records),
-    [StoreEffectKind.Apply]: ({ records }) => listeners.onRecords(records),
+    [StoreEffectKind.ReplaceAll]: ({ records }) => replaceAll(records),
+    [StoreEffectKind.Apply]: ({ records }) => applyRecords(records),
     [StoreEffectKind.StoreLost]: ({ reason }) => listeners.onLost(reason),
     [StoreEffectKind.StoreRegained]: ({ outageMs }) => listeners.onRegained(outageMs)
   }
@@ -58,5 +84,10 @@
   const task = createTask<StoreMessage, StoreEffect>({ name, core: follower, perform: effect => dispatch(performers, effect) })
   task.tickEvery(TICK_MS, () => ({ kind: StoreMessageKind.Tick }))
   task.post({ kind: StoreMessageKind.Started })
-  return { follower, post: message => { task.post(message) }, stop: () => task.stop() }
+  return {
+    follower,
+    state: () => follower.hasState ? [...newest.values()] : undefined,
+    post: message => { task.post(message) },
+    stop: () => task.stop()
+  }
 }
--- a/src/nodes/knowledge/types.ts
+++ b/src/nodes/knowledge/types.ts
@@ -13,6 +13,12 @@
   isHistoryLost (error: unknown): boolean
 }
 
+/** Other processes that may know the state of a topic. */
+export interface PeerStatePort {
+  /** Resolves with the newest records of a topic, or with undefined if no peer is known. Rejects if the peer asked does not answer. */
+  fetch (topic: string, timeoutMs: number): Promise<KeyedRecord[] | undefined>
+}
+
 /** The store, and how its records are decoded. */
 export interface StorePort {
   operator: TopicPort
--- a/src/upstreams/httpCall.ts
+++ b/src/upstreams/httpCall.ts
@@ -1,7 +1,6 @@
-import type { Clock } from '../src/core/index.js'
-import {
-  type ConnectionPool, ConnectionUse, createConnectionPool, ExchangeEventKind, type HeaderField
-} from '../src/upstreams/index.js'
+import type { Clock } from '../core/index.js'
+import { type ConnectionPool, createConnectionPool } from './connectionPool.js'
+import { ConnectionUse, ExchangeEventKind, type HeaderField } from './types.js'
 
 export interface HttpAnswer {
   status: number
--- a/src/upstreams/index.ts
+++ b/src/upstreams/index.ts
@@ -2,4 +2,5 @@
 export * from './connectionPool.js'
 export * from './constants.js'
 export * from './createResponseReader.js'
+export * from './httpCall.js'
 export * from './types.js'
