Talk to ranks whose agents are silent directly, and end a switch before an agent stops

Cause: the orders for a rank go through the agent on its machine. While that agent is frozen, the group keeps its map, and if its rank holds the group for a switch, no pass begins until it wakes. An agent that is told to stop in the middle of a switch leaves the group held until another one takes over. An agent that stops ends its switch first, for 1.5 s at most, and tells the others that it leaves.

Ruled out: reading every rank directly at all times, as such calls cost money and hold the group up.

--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -4,7 +4,7 @@
 import {
   type MapCoordinatorEffect, MapCoordinatorEffectKind, type MapCoordinatorMessage, MapCoordinatorMessageKind, type RankReading
 } from './mapCoordinatorTypes.js'
-import { type MapSwitchEffect, MapSwitchEffectKind, MapSwitchMessageKind, type RankStatus, type SwitchPlan } from './mapSwitchTypes.js'
+import { type MapSwitchEffect, MapSwitchEffectKind, MapSwitchMessageKind, type RankStatus, SwitchPhase, type SwitchPlan } from './mapSwitchTypes.js'
 import { planReplicas } from './planReplicas.js'
 import type { ReplicaLimits, ReplicaMap } from './replicaTypes.js'
 
@@ -30,6 +30,11 @@
   expertShare: () => number
 }
 
+export interface MapCoordinator extends Core<MapCoordinatorMessage, MapCoordinatorEffect> {
+  /** A switch under way has held the group or armed ranks; it must not be left alone. */
+  readonly isSwitching: boolean
+}
+
 /**
  * Plans the maps of one group and runs their switches, one at a time.
  *
@@ -39,7 +44,7 @@
  */
 export const createMapCoordinator = (
   { clock, ownRank, limits, expertShare }: MapCoordinatorOptions
-): Core<MapCoordinatorMessage, MapCoordinatorEffect> => {
+): MapCoordinator => {
   const demand = createExpertDemand({ clock })
   const readings = new Map<number, RankReading>()
   let isCoordinator = false
@@ -171,5 +176,8 @@
     [MapCoordinatorMessageKind.Tick]: onTick
   }
 
-  return { handle: message => dispatch(handlers, message) }
+  return {
+    handle: message => dispatch(handlers, message),
+    get isSwitching () { return mapSwitch !== undefined && mapSwitch.phase !== SwitchPhase.Preparing }
+  }
 }
--- a/src/expertMaps/mapSwitchSchedules.test.ts
+++ b/src/expertMaps/mapSwitchSchedules.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createManualClock, createRandom } from '../core/index.js'
 import { createMapCoordinator } from './createMapCoordinator.js'
-import { type MapCoordinatorEffect, MapCoordinatorEffectKind, MapCoordinatorMessageKind } from './mapCoordinatorTypes.js'
+import { type MapCoordinatorEffect, MapCoordinatorEffectKind, MapCoordinatorMessageKind, type RankReading } from './mapCoordinatorTypes.js'
 import { OrderAnswer, type RankOrder, RankOrderKind } from './mapSwitchTypes.js'
 import { createRankGroupFake } from './rankGroupFake.js'
 import type { ReplicaMap } from './replicaTypes.js'
@@ -22,12 +22,14 @@
   lateShare: number
   freezes: boolean
   crashes: boolean
+  /** The views of two ranks, one of them the holder's, are this many readings old, as those of workers read from another machine. */
+  lagReadings: number
 }
 
 interface Delivery { atMs: number, run: () => void }
 
 /** Runs two coordinators, one of which takes over while the other stands still, against one group. */
-const runSchedule = (seed: number, { lossShare, lateShare, freezes, crashes }: Schedule) => {
+const runSchedule = (seed: number, { lossShare, lateShare, freezes, crashes, lagReadings }: Schedule) => {
   const random = createRandom(seed)
   const clock = createManualClock(0)
   const group = createRankGroupFake({ random, ranks: RANKS, baseMap: BASE_MAP, passMs: 40, copyMs: 300 })
@@ -56,6 +58,16 @@
       })
     }
   }
+  const lagging = [0, RANKS - 1]
+  const history = new Map<number, RankReading[]>()
+  const readAt = (rank: number, nowMs: number): RankReading => {
+    const current = group.read(rank, nowMs)
+    if (!lagging.includes(rank)) return current
+    const past = [...history.get(rank) ?? [], current].slice(-1 - lagReadings)
+    history.set(rank, past)
+    return { ...past[0]!, view: { ...past[0]!.view, stepAtMs: nowMs } }
+  }
+
   const post = (node: Node, message: Parameters<Node['core']['handle']>[0]): void => {
     // A frozen process handles what arrived meanwhile as soon as it wakes.
     const waitMs = node.frozenUntilMs - clock.nowMs()
@@ -73,11 +85,12 @@
     const isAnyFrozen = nodes.some(({ frozenUntilMs }) => frozenUntilMs > nowMs)
     if (freezes && !isAnyFrozen && random.next() < 0.004) nodes[random.int(0, 1)]!.frozenUntilMs = nowMs + random.int(300, 4_000)
     if (crashes && random.next() < 0.0006) group.crash()
+    const readings = nowMs % READ_MS === 0 ? BASE_MAP[0]!.map((_, rank) => readAt(rank, nowMs)) : []
     const leader = nodes.find(node => node.frozenUntilMs <= nowMs)
     for (const node of nodes) {
       if (node.frozenUntilMs > nowMs) continue
       if (nowMs % READ_MS === 0) {
-        for (let rank = 0; rank < RANKS; rank++) post(node, { kind: MapCoordinatorMessageKind.ReadingReceived, reading: group.read(rank, nowMs) })
+        for (const reading of readings) post(node, { kind: MapCoordinatorMessageKind.ReadingReceived, reading })
         post(node, { kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator: node === leader })
       }
       if (nowMs % 30 === 0) post(node, { kind: MapCoordinatorMessageKind.Tick })
@@ -87,10 +100,11 @@
 }
 
 const SCHEDULES: Record<string, Schedule> = {
-  'every order answered': { lossShare: 0, lateShare: 0, freezes: false, crashes: false },
-  'orders carried out late': { lossShare: 0.4, lateShare: 0.8, freezes: false, crashes: false },
-  'coordinators frozen in turn': { lossShare: 0.1, lateShare: 0.5, freezes: true, crashes: false },
-  'ranks started again as well': { lossShare: 0.2, lateShare: 0.5, freezes: true, crashes: true }
+  'every order answered': { lossShare: 0, lateShare: 0, freezes: false, crashes: false, lagReadings: 0 },
+  'orders carried out late': { lossShare: 0.4, lateShare: 0.8, freezes: false, crashes: false, lagReadings: 0 },
+  'coordinators frozen in turn': { lossShare: 0.1, lateShare: 0.5, freezes: true, crashes: false, lagReadings: 0 },
+  'ranks started again as well': { lossShare: 0.2, lateShare: 0.5, freezes: true, crashes: true, lagReadings: 0 },
+  'two ranks read late as well': { lossShare: 0.2, lateShare: 0.5, freezes: true, crashes: true, lagReadings: 3 }
 }
 const SEEDS = 60
 
--- /dev/null
+++ b/src/nodes/mapAgent/createMapAgent.test.ts
@@ -0,0 +1,129 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import type { FleetConfiguration, KeyedRecord } from '../../configuration/index.js'
+import { type Clock, createRandom, createSteadyClock } from '../../core/index.js'
+import { OrderAnswer, type ReplicaMap } from '../../expertMaps/index.js'
+import { createRankGroupFake, type RankGroupFake } from '../../expertMaps/rankGroupFake.js'
+import type { RecordCall, StorePort, TopicPort } from '../knowledge/index.js'
+import { type MapAgent, startMapAgent } from './createMapAgent.js'
+import type { RankPort } from './types.js'
+
+const RANKS = 4
+const EXPERTS = 8
+const SERVICE = 'writer'
+/** Long enough for a test to see the group held. */
+const ORDER_DELAY_MS = 15
+const ADVANCE_MS = 5
+const POLL_MS = 2
+const WAIT_MAX_MS = 12_000
+const BASE_MAP: ReplicaMap = [Array.from({ length: RANKS }, (_, rank) => Array.from({ length: EXPERTS / RANKS }, (_, at) => rank + at * RANKS))]
+
+const configuration: FleetConfiguration = {
+  version: 1,
+  routes: [],
+  services: [{ name: SERVICE, engine: { experts: { sets: 1, experts: EXPERTS, placementsMax: 4, copiesMax: 2, expertShare: 0.85 } } }],
+  tenants: [],
+  limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+
+const ipOf = (rank: number) => `127.0.0.${rank + 2}`
+const sleep = (durationMs: number) => new Promise(resolve => setTimeout(resolve, durationMs))
+
+const topicOf = (records: KeyedRecord[]): TopicPort => ({
+  list: () => ({ result: Promise.resolve({ records, end: records.length }), abort: () => {} }),
+  // Nothing ever changes.
+  read: (): RecordCall => ({ result: new Promise(() => {}), abort: () => {} }),
+  isHistoryLost: () => false
+})
+
+const store: StorePort = {
+  operator: topicOf([{ key: 'configuration', value: Buffer.from('1'), offset: 0 }]),
+  workers: topicOf(Array.from({ length: RANKS }, (_, rank) => ({ key: `w${rank}`, value: Buffer.from(String(rank)), offset: rank }))),
+  decodeConfiguration: () => configuration,
+  decodeWorker: ({ key, value }) => ({
+    workerId: key, startedAtUnixMs: 1, service: SERVICE, address: `${ipOf(Number(String(value)))}:80`, zone: 'a', slots: 8, isDraining: false
+  })
+}
+
+describe('agents of one group', () => {
+  let clock: Clock
+  let group: RankGroupFake
+  let agentPort = 17_340
+  let agents: MapAgent[]
+  let advancing: NodeJS.Timeout
+
+  beforeEach(() => {
+    clock = createSteadyClock()
+    group = createRankGroupFake({ random: createRandom(1), ranks: RANKS, baseMap: BASE_MAP, passMs: 40, copyMs: 50 })
+    // Another port for each test: the sockets of the one before may still be closing.
+    agentPort += 1
+    agents = []
+    advancing = setInterval(() => group.advance(clock.nowMs()), ADVANCE_MS)
+  })
+
+  afterEach(async () => {
+    await Promise.all(agents.map(agent => agent.stop()))
+    clearInterval(advancing)
+  })
+
+  const rankPort = (rank: number): RankPort => ({
+    read: async ({ withChoices }) => {
+      const reading = group.read(rank, clock.nowMs())
+      return withChoices ? reading : { ...reading, choices: [] }
+    },
+    order: async (epoch, order) => {
+      await sleep(ORDER_DELAY_MS)
+      return group.order(rank, epoch, order, clock.nowMs()) === OrderAnswer.Accepted
+    }
+  })
+
+  const startAgents = (ranks: readonly number[]) => {
+    agents = ranks.map(rank => startMapAgent({
+      service: SERVICE,
+      agentPort,
+      ip: ipOf(rank),
+      clock,
+      random: createRandom(rank),
+      store,
+      rank: rankPort(rank),
+      rankAt: ({ workerId }) => rankPort(Number(workerId.slice(1))),
+      log: () => {}
+    }))
+  }
+
+  /** A pass is to be kept from beginning, whether it is due already or not. */
+  const isHolding = () => group.read(0, clock.nowMs()).view.heldStep !== undefined
+
+  const until = async (condition: () => boolean) => {
+    for (const startedMs = clock.nowMs(); clock.nowMs() - startedMs < WAIT_MAX_MS;) {
+      if (condition()) return
+      await sleep(POLL_MS)
+    }
+    throw new Error('condition did not hold in time')
+  }
+
+  it('switch it to maps that follow its demand', async () => {
+    startAgents([0, 1, 2, 3])
+    await until(() => group.switches > 1)
+    expect(group.mixedPasses).toBe(0)
+  })
+
+  // Guards against a group that keeps its map, or stays held, for as long as one agent is frozen; here the one of
+  // the rank that holds the group.
+  it('switch it although the agent of one rank is silent', async () => {
+    startAgents([1, 2, 3])
+    await until(() => group.switches > 1)
+    expect(group.mixedPasses).toBe(0)
+  })
+
+  // Guards against a group that stays held because the process that held it was told to stop.
+  it('leave it released when the one that holds it stops', async () => {
+    startAgents([0, 1, 2, 3])
+    await until(isHolding)
+    const [coordinator, ...others] = agents
+    await Promise.all(others.map(agent => agent.stop()))
+    await coordinator!.stop()
+    agents = []
+    expect(isHolding()).toBe(false)
+    expect(group.mixedPasses).toBe(0)
+  })
+})
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -3,9 +3,11 @@
   createMapCoordinator, type MapCoordinatorEffect, MapCoordinatorEffectKind, type MapCoordinatorMessage,
   MapCoordinatorMessageKind, OrderAnswer, type RankOrder, type RankReading, type ReplicaLimits
 } from '../../expertMaps/index.js'
+import type { Worker } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createFleetKnowledge, type StorePort } from '../knowledge/index.js'
 import { openAgentSocket } from './agentSocket.js'
+import { createSilentRanks } from './silentRanks.js'
 import { type AgentMessage, AgentMessageKind, type RankPort } from './types.js'
 
 export interface MapAgentOptions {
@@ -18,11 +20,14 @@
   random: Random
   store: StorePort
   rank: RankPort
+  /** The rank of a worker on another machine. */
+  rankAt: (worker: Worker) => RankPort
   log: EventLog
 }
 
 export interface MapAgent {
-  stop (): void
+  /** Ends once a switch of this process is over, or after STOP_WAIT_MAX_MS. */
+  stop (): Promise<void>
 }
 
 const READ_INTERVAL_MS = 100
@@ -33,6 +38,11 @@
 /** Copies of one rank run one after the other, and passes take longer meanwhile. */
 const COPIES_PER_RANK_MAX = 1
 const WORKERS_TICK_MS = 1_000
+/** A switch takes a few passes; whoever leaves the group held longer than this is replaced. */
+const STOP_WAIT_MAX_MS = 1_500
+const STOP_POLL_MS = 20
+
+type OrderToSend = Extract<MapCoordinatorEffect, { kind: MapCoordinatorEffectKind.SendOrder }>
 
 const ipOf = (address: string) => address.slice(0, address.lastIndexOf(':'))
 
@@ -46,12 +56,15 @@
  * @example
  * const agent = startMapAgent({ service, agentPort: 7340, ip, clock, random, store, rank, log })
  */
-export const startMapAgent = ({ service, agentPort, ip, clock, random, store, rank: port, log }: MapAgentOptions): MapAgent => {
+export const startMapAgent = (
+  { service, agentPort, ip, clock, random, store, rank: port, rankAt, log }: MapAgentOptions
+): MapAgent => {
   const heardAtMs = new Map<number, TimestampMs>()
   const ipByRank = new Map<number, string>()
   let own: RankReading | undefined
   let isReading = false
   let isCoordinator = false
+  let isStopping = false
 
   const knowledge = createFleetKnowledge({ clock, random, store, log, onConfiguration: () => {}, onWorkersChanged: () => {} })
   const experts = () => knowledge.configuration.findService(service)?.engine?.experts
@@ -63,36 +76,50 @@
       : { placementsMax: profile.placementsMax, copiesMax: profile.copiesMax, copiesPerRankMax: COPIES_PER_RANK_MAX }
   }
 
+  const otherWorkers = () => knowledge.workers.all().filter(worker => worker.service === service && ipOf(worker.address) !== ip)
+
+  const silentRanks = createSilentRanks({
+    clock,
+    workers: otherWorkers,
+    rankAt,
+    onReading: reading => {
+      if (reading.group === own?.group) task.post({ kind: MapCoordinatorMessageKind.ReadingReceived, reading })
+    },
+    onFault: ({ workerId }, reason) => log(LogEvent.RankUnreadable, { workerId, reason })
+  })
+
   const coordinator = createMapCoordinator({
     clock, ownRank: () => own?.view.rank, limits, expertShare: () => experts()?.expertShare ?? 0
   })
 
   const sender = () => ({ group: own?.group ?? '', rank: own?.view.rank ?? -1 })
 
-  const carryOut = async (epoch: number, order: RankOrder): Promise<OrderAnswer> => {
-    const answer = toAnswer(await port.order(epoch, order))
+  const carryOut = async (target: RankPort, epoch: number, order: RankOrder): Promise<OrderAnswer> => {
+    const answer = toAnswer(await target.order(epoch, order))
     if (answer !== OrderAnswer.Accepted) log(LogEvent.OrderRefused, { order: order.kind, epoch, answer })
     return answer
   }
 
   const carryOutFor = async (coordinatorIp: string, message: Extract<AgentMessage, { kind: AgentMessageKind.Order }>) => {
     const { switchId, orderId, epoch, order } = message
-    const answer = await carryOut(epoch, order)
+    const answer = await carryOut(port, epoch, order)
     socket.send(coordinatorIp, { ...sender(), kind: AgentMessageKind.OrderAnswer, switchId, orderId, answer })
   }
 
-  const carryOutOwn = async (switchId: number, orderId: number, epoch: number, order: RankOrder) => {
-    const answer = await carryOut(epoch, order)
+  const carryOutHere = async (target: RankPort, { switchId, orderId, epoch, order }: OrderToSend) => {
+    const answer = await carryOut(target, epoch, order)
     task.post({ kind: MapCoordinatorMessageKind.OrderAnswered, switchId, orderId, answer })
   }
 
   const noteError = (error: unknown) => log(LogEvent.InternalError, { reason: error instanceof Error ? error.stack : String(error) })
 
   const performers: HandlerTable<MapCoordinatorEffect, void> = {
-    [MapCoordinatorEffectKind.SendOrder]: ({ switchId, orderId, rank, epoch, order }) => {
-      const target = ipByRank.get(rank)
-      if (rank === own?.view.rank) carryOutOwn(switchId, orderId, epoch, order).catch(noteError)
-      else if (target !== undefined) socket.send(target, { ...sender(), kind: AgentMessageKind.Order, switchId, orderId, epoch, order })
+    [MapCoordinatorEffectKind.SendOrder]: effect => {
+      const { switchId, orderId, rank, epoch, order } = effect
+      const direct = rank === own?.view.rank ? port : silentRanks.find(rank)
+      const agentIp = ipByRank.get(rank)
+      if (direct !== undefined) carryOutHere(direct, effect).catch(noteError)
+      else if (agentIp !== undefined) socket.send(agentIp, { ...sender(), kind: AgentMessageKind.Order, switchId, orderId, epoch, order })
     },
     [MapCoordinatorEffectKind.Planned]: ({ version, copies, peakBefore, peakAfter }) =>
       log(LogEvent.MapPlanned, { version, copies, peakBefore: peakBefore.toFixed(2), peakAfter: peakAfter.toFixed(2) }),
@@ -108,11 +135,13 @@
   const handlers: { [Kind in AgentMessageKind]: (message: Extract<AgentMessage, { kind: Kind }>, fromIp: string) => void } = {
     [AgentMessageKind.Alive]: () => {},
     // The sender's clock is not comparable with this one.
-    [AgentMessageKind.Reading]: ({ reading }) => {
+    [AgentMessageKind.Reading]: ({ reading }, fromIp) => {
+      silentRanks.noteHeard(fromIp)
       task.post({
         kind: MapCoordinatorMessageKind.ReadingReceived, reading: { ...reading, view: { ...reading.view, stepAtMs: clock.nowMs() } }
       })
     },
+    [AgentMessageKind.Leaving]: ({ rank }) => { heardAtMs.delete(rank) },
     [AgentMessageKind.Order]: (message, fromIp) => { carryOutFor(fromIp, message).catch(noteError) },
     [AgentMessageKind.OrderAnswer]: ({ switchId, orderId, answer }) => {
       task.post({ kind: MapCoordinatorMessageKind.OrderAnswered, switchId, orderId, answer })
@@ -134,7 +163,7 @@
 
   const updateRole = (ownRank: number) => {
     const isLowest = lowestLiveRank(ownRank) === ownRank
-    if (isLowest === isCoordinator) return
+    if (isStopping || isLowest === isCoordinator) return
     isCoordinator = isLowest
     log(LogEvent.CoordinatorChanged, { rank: ownRank, isCoordinator })
     task.post({ kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator })
@@ -152,7 +181,7 @@
     if (isReading) return
     isReading = true
     try {
-      own = await port.read()
+      own = await port.read({ withChoices: true })
       if (own !== undefined) report(own)
     } catch (error) {
       own = undefined
@@ -162,22 +191,27 @@
     }
   }
 
-  const tellAlive = () => {
+  const tellAll = (kind: AgentMessageKind.Alive | AgentMessageKind.Leaving) => {
     if (own === undefined) return
-    for (const worker of knowledge.workers.all()) {
-      const target = ipOf(worker.address)
-      if (worker.service === service && target !== ip) socket.send(target, { ...sender(), kind: AgentMessageKind.Alive })
-    }
+    for (const worker of otherWorkers()) socket.send(ipOf(worker.address), { ...sender(), kind })
   }
 
   const timers = [
     setInterval(() => { readOwn().catch(noteError) }, READ_INTERVAL_MS),
-    setInterval(tellAlive, ALIVE_INTERVAL_MS),
+    setInterval(() => tellAll(AgentMessageKind.Alive), ALIVE_INTERVAL_MS),
+    setInterval(() => { if (isCoordinator) silentRanks.poll() }, READ_INTERVAL_MS),
     setInterval(() => knowledge.tick(), WORKERS_TICK_MS)
   ]
 
   return {
-    stop: () => {
+    stop: async () => {
+      isStopping = true
+      task.post({ kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator: false })
+      const startedMs = clock.nowMs()
+      while (coordinator.isSwitching && clock.nowMs() - startedMs < STOP_WAIT_MAX_MS) {
+        await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS))
+      }
+      tellAll(AgentMessageKind.Leaving)
       timers.forEach(clearInterval)
       task.stop()
       knowledge.stop()
