Hold the group one pass ahead and plan again 50 ms after a switch

Ruled out: more copies for one map, as a copy takes 0.4 s and the copies of a rank run one after the other. A hold that comes too late is rejected and sent again for a later pass, so a short lead risks no mixed pass.

--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -12,8 +12,8 @@
 export const READING_STALE_MS = 900
 /** A group that is held this long without a switch of this process has lost its coordinator. */
 export const HELD_LIMIT_MS = 400
-/** Time after a switch in which its effect shows in the counts. */
-export const SETTLE_MS = 150
+/** Time between two switches; the demand does not depend on the map, so a plan need not wait for its effect. */
+export const SETTLE_MS = 50
 /** Choices that must be known before a plan; fewer show chance more than demand. */
 export const DEMAND_MIN = 1_500
 /** A new map must make passes shorter by this share. */
--- a/src/expertMaps/mapSwitchConstants.ts
+++ b/src/expertMaps/mapSwitchConstants.ts
@@ -4,7 +4,7 @@
 export const ORDER_RETRY_MS = 120
 /** Copies take seconds; a map that is not ready by then is given up. */
 export const PREPARE_LIMIT_MS = 9_000
-/** A hold must arrive before its pass begins: passes that may begin while it is on its way. */
-export const HOLD_LEAD_STEPS = 3
+/** A hold must arrive before its pass begins: passes between the one that is under way by now and the held one. */
+export const HOLD_LEAD_STEPS = 1
 /** A group that cannot be armed within this time is released with its old map. */
 export const ARM_LIMIT_MS = 1_200
