Pass over slow engines, whose pace one entry reads for all

The ready entry with the lowest id reads the engines' reports once a second, its own reports carry the slow ones, and placement passes over them while others serve.

--- a/src/membership/createPeerReports.test.ts
+++ b/src/membership/createPeerReports.test.ts
@@ -17,6 +17,7 @@
   running: { w1: 2 },
   pauses: {},
   crashes: {},
+  paces: {},
   ...overrides
 })
 
--- a/src/membership/peerReportTask.ts
+++ b/src/membership/peerReportTask.ts
@@ -32,9 +32,9 @@
   typeof value === 'object' && value !== null && Object.values(value).every(list =>
     Array.isArray(list) && list.every(text => typeof text === 'string'))
 
-const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, crashes, peerAddresses = [] }: PeerReport) =>
+const isReport = ({ nodeId, zone, frontAddress, isReady, configurationVersion, storeOffsets, crashes, paces, peerAddresses = [] }: PeerReport) =>
   [nodeId, zone, frontAddress, ...peerAddresses].every(text => typeof text === 'string') &&
-  typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && areTextLists(crashes)
+  typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && areTextLists(crashes) && isRecordOfNumbers(paces)
 
 /** Datagrams come from any process that reaches the port; only whole reports are used. */
 const decodeReport = (bytes: Buffer, fromAddress: string): PeerMessage => {
--- a/src/membership/peerTypes.ts
+++ b/src/membership/peerTypes.ts
@@ -25,6 +25,8 @@
   storeOffsets: Record<string, number>
   /** Runs of workers that crashed with a request, by the fingerprint of the request. */
   crashes: Record<string, string[]>
+  /** Slow workers that the sender has read: the time that they need for their work, over that of a sound one. */
+  paces: Record<string, number>
   /** Addresses of other entries that the sender knows; only in some reports. */
   peerAddresses?: string[]
 }
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -11,9 +11,10 @@
 import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
 import { createForwardPorts } from './forwardPorts.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
+import { createPaceWatch } from './paceWatch.js'
 import { createPeerStateClient, startPeerStateServer } from './peerState.js'
 import { createStreamLimits } from './streamLimits.js'
-import type { CallerRequest, CallerSink, WorkerCodec } from './types.js'
+import type { CallerRequest, CallerSink, WorkerCodec, WorkerProbe } from './types.js'
 
 export interface ForwardNodeOptions {
   nodeId: string
@@ -26,6 +27,7 @@
   random: Random
   store: StorePort
   codec: WorkerCodec
+  probe: WorkerProbe
   log: EventLog
   onConfiguration: (node: FleetKnowledge) => void
 }
@@ -112,7 +114,7 @@
   const alivePeers = () => peers.reports.alive()
 
   const placement = createWorkerPlacement({
-    clock, random, ownZone: zone, workers: knowledge.workers, peersRunningAt: workerId => peers.reports.runningAt(workerId)
+    clock, random, ownZone: zone, workers: knowledge.workers, peersRunningAt: workerId => peers.reports.runningAt(workerId), paceOf: workerId => paceWatch.paceOf(workerId)
   })
 
   const streamLimits = createStreamLimits({ workersOf, runningIn: placement.runningIn, log })
@@ -156,7 +158,8 @@
     storeOffsets: knowledge.storeOffsets(),
     running: placement.ownRunning(),
     pauses: streamLimits.ownPauses(),
-    crashes: crashes.newest()
+    crashes: crashes.newest(),
+    paces: paceWatch.slow()
   })
 
   const onPeerNews = (news: PeerNews) => {
@@ -182,6 +185,17 @@
 
   const closePeerState = startPeerStateServer({ address: options.peerAddress, stateOf: knowledge.stateOf, onFault: reason => log(LogEvent.PeerFault, { reason }) })
 
+  const paceWatch = createPaceWatch({
+    clock,
+    nodeId,
+    isReady,
+    workers: () => knowledge.workers.all().filter(({ service }) => knowledge.configuration.findService(service)?.engine !== undefined),
+    reports: alivePeers,
+    probe: options.probe,
+    log,
+    onChanged: noteStateChanged
+  })
+
   const housekeeping = setInterval(() => {
     const nowMs = clock.nowMs()
     const gapMs = nowMs - lastHousekeepingMs
@@ -192,6 +206,7 @@
       knowledge.refresh()
     }
     knowledge.tick()
+    paceWatch.tick()
     if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
       lastAdjustMs = nowMs
       streamLimits.adjust(alivePeers())
--- a/src/nodes/forward/streamLimits.test.ts
+++ b/src/nodes/forward/streamLimits.test.ts
@@ -8,7 +8,7 @@
 const SHORT_MS = 20
 
 const reportOf = (pauses: PeerReport['pauses']): PeerReport => ({
-  nodeId: 'p', incarnation: 'p-1', sequence: 1, zone: 'a', frontAddress: 'p:80', isReady: true, configurationVersion: 1, storeOffsets: {}, running: {}, crashes: {}, pauses
+  nodeId: 'p', incarnation: 'p-1', sequence: 1, zone: 'a', frontAddress: 'p:80', isReady: true, configurationVersion: 1, storeOffsets: {}, running: {}, crashes: {}, paces: {}, pauses
 })
 
 describe('limits of streams by service', () => {
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -26,6 +26,8 @@
   RequestRefused = 'request-refused',
   /** A worker went down after it lost the answers to these requests. */
   WorkerCrashed = 'worker-crashed',
+  PaceChanged = 'pace-changed',
+  PaceUnread = 'pace-unread',
   StreamLimitChanged = 'stream-limit-changed',
   MapPlanned = 'map-planned',
   MapSwitchPhase = 'map-switch-phase',
--- a/src/routing/createWorkerPlacement.test.ts
+++ b/src/routing/createWorkerPlacement.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createManualClock, createRandom, type ManualClock, ResultCode } from '../core/index.js'
 import { createWorkerTable, type WorkerEntry, type WorkerTable } from '../membership/index.js'
-import { createWorkerPlacement, LOST_AVOID_MS, type PlaceRequest, type WorkerPlacement } from './createWorkerPlacement.js'
+import { createWorkerPlacement, LOST_AVOID_MS, SLOW_PACE, type PlaceRequest, type WorkerPlacement } from './createWorkerPlacement.js'
 
 const SERVICE = 's'
 const entry = (workerId: string, zone: string): WorkerEntry =>
@@ -12,14 +12,16 @@
   let workers: WorkerTable
   let placement: WorkerPlacement
   let peers: Record<string, number>
+  let paces: Record<string, number>
 
   beforeEach(() => {
     clock = createManualClock(10_000)
     workers = createWorkerTable({ clock })
     workers.replaceAll([entry('1', 'a'), entry('2', 'a'), entry('3', 'b')])
     peers = {}
+    paces = {}
     placement = createWorkerPlacement({
-      clock, random: createRandom(1), ownZone: 'a', workers, peersRunningAt: workerId => peers[workerId] ?? 0
+      clock, random: createRandom(1), ownZone: 'a', workers, peersRunningAt: workerId => peers[workerId] ?? 0, paceOf: workerId => paces[workerId] ?? 1
     })
   })
 
@@ -66,6 +68,15 @@
     expect(['1', '2']).toContain(placedAt())
   })
 
+  // Guards against a group whose passes all last as long as the slow worker needs for its own requests.
+  it('passes over a slow worker while others serve', () => {
+    paces = { 1: SLOW_PACE, 2: SLOW_PACE }
+    peers = { 3: 3 }
+    expect(placedAt()).toBe('3')
+    paces = { 1: 3, 2: 3, 3: 3 }
+    expect(['1', '2']).toContain(placedAt())
+  })
+
   it('says that no worker serves', () => {
     workers.replaceAll([])
     clock.advance(60_000)
--- a/src/routing/createWorkerPlacement.ts
+++ b/src/routing/createWorkerPlacement.ts
@@ -28,6 +28,8 @@
 
 /** A worker that lost a request is passed over for this time, if others serve. */
 export const LOST_AVOID_MS = 1_500
+/** A worker this slow is passed over if others serve: engines of one group all wait for the slowest in each pass. */
+export const SLOW_PACE = 1.5
 
 export interface WorkerPlacementOptions {
   clock: Clock
@@ -36,6 +38,8 @@
   workers: WorkerTable
   /** Requests under way at a worker from the other entries. */
   peersRunningAt: (workerId: string) => number
+  /** Time that a worker needs for its work, over that of a sound one. */
+  paceOf: (workerId: string) => number
 }
 
 /**
@@ -43,11 +47,11 @@
  * equals, and a random one of the rest, so that entries with the same view do not all choose alike.
  *
  * @example
- * const placement = createWorkerPlacement({ clock, random, ownZone, workers, peersRunningAt })
+ * const placement = createWorkerPlacement({ clock, random, ownZone, workers, peersRunningAt, paceOf })
  * placement.place({ service: 'quotes', triedWorkerIds: [], serviceLimit: 30, slotsFactor: 1 })
  */
 export const createWorkerPlacement = (
-  { clock, random, ownZone, workers, peersRunningAt }: WorkerPlacementOptions
+  { clock, random, ownZone, workers, peersRunningAt, paceOf }: WorkerPlacementOptions
 ): WorkerPlacement => {
   const own = new Map<string, number>()
   const avoidedUntilMs = new Map<string, TimestampMs>()
@@ -57,7 +61,7 @@
   const preferUntroubled = (candidates: readonly Worker[], triedWorkerIds: readonly string[]): readonly Worker[] => {
     const nowMs = clock.nowMs()
     const untried = candidates.filter(({ workerId }) => !triedWorkerIds.includes(workerId))
-    const sound = untried.filter(({ workerId }) => (avoidedUntilMs.get(workerId) ?? 0) <= nowMs)
+    const sound = untried.filter(({ workerId }) => (avoidedUntilMs.get(workerId) ?? 0) <= nowMs && paceOf(workerId) < SLOW_PACE)
     return sound.length > 0 ? sound : untried.length > 0 ? untried : candidates
   }
 
