--- a/src/membership/createPeerReports.test.ts
+++ b/src/membership/createPeerReports.test.ts
@@ -48,6 +48,12 @@
     expect(addressesOf(receive(report('p', 1, { peerAddresses: ['q:1', 'self:1'] })))).toEqual(['p:1', 'q:1'])
   })
 
+  it('hands on what an agent tells about its worker', () => {
+    expect(peers.handle({ kind: PeerMessageKind.PaceReceived, notice: { workerId: 'w', pace: 3 } })).toEqual([
+      { kind: PeerEffectKind.PaceTold, workerId: 'w', pace: 3 }
+    ])
+  })
+
   it('counts the requests of live peers at a worker, and forgets those of a silent one', () => {
     receive(report('p', 1))
     receive(report('q', 1, { running: { w1: 1, w2: 4 } }))
--- a/src/membership/createPeerReports.ts
+++ b/src/membership/createPeerReports.ts
@@ -149,6 +149,7 @@
     [PeerMessageKind.Tick]: onTick,
     [PeerMessageKind.ReportReceived]: ({ report, fromAddress }) => onReport(report, fromAddress),
     [PeerMessageKind.LoadReceived]: ({ load, fromAddress }) => onLoad(load, fromAddress),
+    [PeerMessageKind.PaceReceived]: ({ notice }) => [{ kind: PeerEffectKind.PaceTold, ...notice }],
     [PeerMessageKind.SelfChanged]: ({ change }) => onSelfChanged(change),
     [PeerMessageKind.Woken]: () => {
       // What was known before a freeze is out of date, but silence during it proves nothing.
--- a/src/membership/peerReportTask.ts
+++ b/src/membership/peerReportTask.ts
@@ -2,7 +2,7 @@
 import { createTask, dispatch, type HandlerTable, OverflowPolicy } from '../core/index.js'
 import { type PeerReports, createPeerReports, type PeerReportsOptions } from './createPeerReports.js'
 import { parseAddress } from './parseAddress.js'
-import { type PeerEffect, PeerEffectKind, type PeerMessage, PeerMessageKind, type PeerLoad, PEER_TICK_MS, type PeerReport } from './peerTypes.js'
+import { type PaceNotice, type PeerEffect, PeerEffectKind, type PeerMessage, PeerMessageKind, type PeerLoad, PEER_TICK_MS, type PeerReport } from './peerTypes.js'
 
 /** What other tasks learn; datagrams stay inside the task. */
 export type PeerNews = Exclude<PeerEffect, { kind: PeerEffectKind.SendReport }>
@@ -36,9 +36,13 @@
   [nodeId, zone, frontAddress, ...peerAddresses].every(text => typeof text === 'string') &&
   typeof isReady === 'boolean' && Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && areTextLists(crashes) && isRecordOfNumbers(paces)
 
+const isPaceNotice = (message: PeerReport | PaceNotice): message is PaceNotice =>
+  'workerId' in message && typeof message.workerId === 'string' && Number.isFinite(message.pace)
+
 /** Datagrams come from any process that reaches the port; only whole reports are used. */
 const decodeReport = (bytes: Buffer, fromAddress: string): PeerMessage => {
-  const report = JSON.parse(bytes.toString('utf8')) as PeerReport
+  const report = JSON.parse(bytes.toString('utf8')) as PeerReport | PaceNotice
+  if (isPaceNotice(report)) return { kind: PeerMessageKind.PaceReceived, notice: { workerId: report.workerId, pace: report.pace } }
   if (!isLoad(report)) throw new TypeError('report lacks a field')
   if (report.nodeId === undefined) return { kind: PeerMessageKind.LoadReceived, load: report, fromAddress }
   if (!isReport(report)) throw new TypeError('report lacks a field')
@@ -68,7 +72,8 @@
   const performers: HandlerTable<PeerEffect, void> = {
     [PeerEffectKind.SendReport]: ({ addresses, report }) => sendReport(addresses, report),
     [PeerEffectKind.PeerUpdated]: onNews,
-    [PeerEffectKind.PeerLost]: onNews
+    [PeerEffectKind.PeerLost]: onNews,
+    [PeerEffectKind.PaceTold]: onNews
   }
 
   const task = createTask<PeerMessage, PeerEffect>({
--- a/src/membership/peerTypes.ts
+++ b/src/membership/peerTypes.ts
@@ -31,6 +31,13 @@
   peerAddresses?: string[]
 }
 
+/** What the agent of a worker tells entries about it. */
+export interface PaceNotice {
+  workerId: string
+  /** Time that the worker needs for its work, over that of a sound one. */
+  pace: number
+}
+
 /** The part of the report that the rest of the process states. */
 export type SelfDescription = Omit<PeerReport, 'sequence' | 'peerAddresses'>
 
@@ -47,6 +54,7 @@
   Tick = 'tick',
   ReportReceived = 'report-received',
   LoadReceived = 'load-received',
+  PaceReceived = 'pace-received',
   SelfChanged = 'self-changed',
   Woken = 'woken'
 }
@@ -55,6 +63,7 @@
   | { kind: PeerMessageKind.Tick }
   | { kind: PeerMessageKind.ReportReceived, report: PeerReport, fromAddress: string }
   | { kind: PeerMessageKind.LoadReceived, load: PeerLoad, fromAddress: string }
+  | { kind: PeerMessageKind.PaceReceived, notice: PaceNotice }
   | { kind: PeerMessageKind.SelfChanged, change: SelfChange }
   | { kind: PeerMessageKind.Woken }
 
@@ -62,13 +71,15 @@
   SendReport = 'send-report',
   /** A report changed what is known of a peer. */
   PeerUpdated = 'peer-updated',
-  PeerLost = 'peer-lost'
+  PeerLost = 'peer-lost',
+  PaceTold = 'pace-told'
 }
 
 export type PeerEffect =
   | { kind: PeerEffectKind.SendReport, addresses: readonly string[], report: PeerReport | PeerLoad }
   | { kind: PeerEffectKind.PeerUpdated, report: PeerReport, isNew: boolean }
   | { kind: PeerEffectKind.PeerLost, nodeId: string, address: string }
+  | { kind: PeerEffectKind.PaceTold } & PaceNotice
 
 export const PEER_TICK_MS = 40
 /** Changes within these times go out in one report. */
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,4 +1,4 @@
-import { type Clock, createIncarnation, createRequestIds, type Random, ResultCode } from '../../core/index.js'
+import { type Clock, createIncarnation, createRequestIds, dispatch, type HandlerTable, type Random, ResultCode } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createRepeatBudget, type RepeatBudgetSettings } from '../../limits/index.js'
 import {
   PeerEffectKind, PeerMessageKind, type PeerNews, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask
@@ -14,7 +14,7 @@
 import { createPaceWatch } from './paceWatch.js'
 import { createPeerStateClient, startPeerStateServer } from './peerState.js'
 import { createStreamLimits } from './streamLimits.js'
-import type { CallerRequest, CallerSink, WorkerCodec, WorkerProbe } from './types.js'
+import type { CallerRequest, CallerSink, WorkerCodec } from './types.js'
 
 export interface ForwardNodeOptions {
   nodeId: string
@@ -27,7 +27,6 @@
   random: Random
   store: StorePort
   codec: WorkerCodec
-  probe: WorkerProbe
   log: EventLog
   onConfiguration: (node: FleetKnowledge) => void
 }
@@ -162,15 +161,18 @@
     paces: paceWatch.slow()
   })
 
-  const onPeerNews = (news: PeerNews) => {
-    if (news.kind === PeerEffectKind.PeerLost) {
-      log(LogEvent.PeerLost, { nodeId: news.nodeId, address: news.address })
-    } else {
-      if (news.isNew) log(LogEvent.PeerFound, { nodeId: news.report.nodeId, incarnation: news.report.incarnation })
-      knowledge.noteOffsets(news.report)
-      crashes.notePeer(news.report.crashes)
-    }
-    forward.notePlaceFreed()
+  const peerNewsHandlers: HandlerTable<PeerNews, void> = {
+    [PeerEffectKind.PeerLost]: ({ nodeId: lostId, address }) => {
+      log(LogEvent.PeerLost, { nodeId: lostId, address })
+      forward.notePlaceFreed()
+    },
+    [PeerEffectKind.PeerUpdated]: ({ report, isNew }) => {
+      if (isNew) log(LogEvent.PeerFound, { nodeId: report.nodeId, incarnation: report.incarnation })
+      knowledge.noteOffsets(report)
+      crashes.notePeer(report.crashes)
+      forward.notePlaceFreed()
+    },
+    [PeerEffectKind.PaceTold]: ({ workerId, pace }) => paceWatch.note(workerId, pace)
   }
 
   const peers: PeerReportTask = startPeerReportTask({
@@ -179,22 +181,13 @@
     ownAddress: options.peerAddress,
     seeds: options.seedAddresses,
     describeSelf,
-    onNews: onPeerNews,
+    onNews: news => dispatch(peerNewsHandlers, news),
     onFault: reason => log(LogEvent.PeerFault, { reason })
   })
 
   const closePeerState = startPeerStateServer({ address: options.peerAddress, stateOf: knowledge.stateOf, onFault: reason => log(LogEvent.PeerFault, { reason }) })
 
-  const paceWatch = createPaceWatch({
-    clock,
-    nodeId,
-    isReady,
-    workers: () => knowledge.workers.all().filter(({ service }) => knowledge.configuration.findService(service)?.engine !== undefined),
-    reports: alivePeers,
-    probe: options.probe,
-    log,
-    onChanged: noteStateChanged
-  })
+  const paceWatch = createPaceWatch({ clock, reports: alivePeers, log, onChanged: noteStateChanged })
 
   const housekeeping = setInterval(() => {
     const nowMs = clock.nowMs()
@@ -206,7 +199,6 @@
       knowledge.refresh()
     }
     knowledge.tick()
-    paceWatch.tick()
     if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
       lastAdjustMs = nowMs
       streamLimits.adjust(alivePeers())
--- a/src/nodes/forward/types.ts
+++ b/src/nodes/forward/types.ts
@@ -27,12 +27,6 @@
   onRefuse (code: ResultCode, retryAfterMs: number | undefined): void
 }
 
-/** Questions to workers beside requests. */
-export interface WorkerProbe {
-  /** Reads the time that a worker needs for its work, over that of a sound one. Rejects if it does not answer. */
-  readPace (worker: Worker): Promise<number>
-}
-
 /** Encoding between a request's life and the workers' protocol. */
 export interface WorkerCodec {
   encode (send: { request: ForwardRequest, worker: Worker, remainingMs: number, lastEventId: string | undefined }): OutgoingRequest
--- a/src/nodes/mapAgent/agentSocket.ts
+++ b/src/nodes/mapAgent/agentSocket.ts
@@ -1,9 +1,12 @@
 import { createSocket } from 'node:dgram'
+import { type PaceNotice, parseAddress } from '../../membership/index.js'
 import { AgentMessageKind, type AgentMessage } from './types.js'
 
 export interface AgentSocket {
   /** Sends to the agent at an IP address; a lost datagram is not repeated. */
   send (ip: string, message: AgentMessage): void
+  /** Sends to the report port of an entry. */
+  tellEntry (address: string, notice: PaceNotice): void
   close (): void
 }
 
@@ -41,11 +44,17 @@
   })
   socket.on('error', error => onFault(error.message))
   socket.bind(port, ip)
+  const sendTo = (host: string, targetPort: number, content: AgentMessage | PaceNotice) => {
+    socket.send(JSON.stringify(content), targetPort, host, error => {
+      if (error !== null) onFault(`send to ${host}: ${error.message}`)
+    })
+  }
+
   return {
-    send: (target, message) => {
-      socket.send(JSON.stringify(message), port, target, error => {
-        if (error !== null) onFault(`send to ${target}: ${error.message}`)
-      })
+    send: (target, message) => sendTo(target, port, message),
+    tellEntry: (address, notice) => {
+      const target = parseAddress(address)
+      if (target !== undefined) sendTo(target.host, target.port, notice)
     },
     close: () => { socket.close() }
   }
--- a/src/nodes/mapAgent/createMapAgent.test.ts
+++ b/src/nodes/mapAgent/createMapAgent.test.ts
@@ -81,6 +81,7 @@
       service: SERVICE,
       agentPort,
       ip: ipOf(rank),
+      entryAddresses: [],
       clock,
       random: createRandom(rank),
       store,
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -7,6 +7,7 @@
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createFleetKnowledge, type StorePort } from '../knowledge/index.js'
 import { openAgentSocket } from './agentSocket.js'
+import { createPaceNotices } from './paceNotices.js'
 import { createRemoteRanks } from './remoteRanks.js'
 import { type AgentMessage, AgentMessageKind, type RankPort } from './types.js'
 
@@ -16,6 +17,8 @@
   /** Port of all agents; each listens on the address of its worker. */
   agentPort: number
   ip: string
+  /** `ip:port` of a few entries, which are told of a slow worker; they may be out of date. */
+  entryAddresses: readonly string[]
   clock: Clock
   random: Random
   store: StorePort
@@ -60,7 +63,7 @@
  * const agent = startMapAgent({ service, agentPort: 7340, ip, clock, random, store, rank, log })
  */
 export const startMapAgent = (
-  { service, agentPort, ip, clock, random, store, rank: port, rankAt, log }: MapAgentOptions
+  { service, agentPort, ip, entryAddresses, clock, random, store, rank: port, rankAt, log }: MapAgentOptions
 ): MapAgent => {
   const heardAtMs = new Map<number, TimestampMs>()
   const ipByRank = new Map<number, string>()
@@ -93,6 +96,8 @@
     onFault: ({ workerId }, reason) => log(LogEvent.RankUnreadable, { workerId, reason })
   })
 
+  const paceNotices = createPaceNotices({ clock })
+
   const coordinator = createMapCoordinator({
     clock, ownRank: () => own?.view.rank, limits, expertShare: () => experts()?.expertShare ?? 0
   })
@@ -195,11 +200,18 @@
     task.post({ kind: MapCoordinatorMessageKind.RoleChanged, isCoordinator })
   }
 
+  const tellPace = (pace: number) => {
+    const worker = knowledge.workers.all().find(({ address }) => ipOf(address) === ip)
+    const notice = worker === undefined ? undefined : paceNotices.onReading(worker.workerId, pace)
+    if (notice !== undefined) for (const address of entryAddresses) socket.tellEntry(address, notice)
+  }
+
   const report = (reading: RankReading) => {
     const ownRank = reading.view.rank
     updateRole(ownRank)
     task.post({ kind: MapCoordinatorMessageKind.ReadingReceived, reading })
     const coordinatorIp = coordinatorRank === undefined ? undefined : ipByRank.get(coordinatorRank)
+    tellPace(reading.pace)
     if (!isCoordinator && coordinatorIp !== undefined) socket.send(coordinatorIp, { ...sender(), kind: AgentMessageKind.Reading, reading })
   }
 
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -26,8 +26,8 @@
   RequestRefused = 'request-refused',
   /** A worker went down after it lost the answers to these requests. */
   WorkerCrashed = 'worker-crashed',
+  /** An agent tells that its worker turned slow or sound. */
   PaceChanged = 'pace-changed',
-  PaceUnread = 'pace-unread',
   StreamLimitChanged = 'stream-limit-changed',
   MapPlanned = 'map-planned',
   MapSwitchPhase = 'map-switch-phase',
