--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -29,8 +29,8 @@
 const PLAIN_SLOTS_FACTOR = 2
 const ENGINE_SLOTS_FACTOR = 1
 /** A refused caller comes back after a time drawn from this range, so that they don't come back together. */
-const RETRY_AFTER_MIN_MS = 700
-const RETRY_AFTER_MAX_MS = 1_800
+const RETRY_AFTER_MIN_MS = 1_200
+const RETRY_AFTER_MAX_MS = 3_000
 
 const IS_LOSS: Record<AttemptEnd, boolean> = {
   [AttemptEnd.Answered]: false,
