Give versions of maps by run of the coordinator too

Cause: an agent that starts again sees the same highest version as its run before, so both may give one version to two maps, and an order of the ended run that is carried out late passes for one of the new run. Versions now hold eight random bits of the run.

--- a/src/expertMaps/createMapCoordinator.ts
+++ b/src/expertMaps/createMapCoordinator.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Core, dispatch, type HandlerTable, type TimestampMs } from '../core/index.js'
+import { type Clock, type Core, dispatch, type HandlerTable, type Random, type TimestampMs } from '../core/index.js'
 import { createExpertDemand } from './createExpertDemand.js'
 import { createMapSwitch, type MapSwitch } from './createMapSwitch.js'
 import {
@@ -23,12 +23,17 @@
 export const DEMAND_MIN = 1_500
 /** A new map must make passes shorter by this share. */
 export const PASS_GAIN_MIN = 0.12
-/** Versions are unique by the rank of the coordinator that gives them. */
-const VERSION_STRIDE = 4_096
+/**
+ * Versions are unique by the rank of the coordinator that gives them, and by its run: an order of an earlier run may be
+ * carried out late, and must not pass for one of this run.
+ */
+const RANK_STRIDE = 4_096
+const RUNS = 256
 const PASS_MS_DEFAULT = 60
 
 export interface MapCoordinatorOptions {
   clock: Clock
+  random: Random
   ownRank: () => number | undefined
   limits: () => ReplicaLimits | undefined
   /** Share of the work of a pass that follows the experts' loads. */
@@ -44,13 +49,14 @@
  * Plans the maps of one group and runs their switches, one at a time.
  *
  * @example
- * const coordinator = createMapCoordinator({ clock, ownRank, limits, expertShare })
+ * const coordinator = createMapCoordinator({ clock, random, ownRank, limits, expertShare })
  * coordinator.handle({ kind: MapCoordinatorMessageKind.ReadingReceived, reading })
  */
 export const createMapCoordinator = (
-  { clock, ownRank, limits, expertShare }: MapCoordinatorOptions
+  { clock, random, ownRank, limits, expertShare }: MapCoordinatorOptions
 ): MapCoordinator => {
   const demand = createExpertDemand({ clock })
+  const run = random.int(0, RUNS - 1)
   const readings = new Map<number, RankReading>()
   let isCoordinator = false
   let mapSwitch: MapSwitch | undefined
@@ -100,8 +106,8 @@
   /** Higher than all that is known, and never given by another rank. */
   const nextVersion = (): number => {
     const own = ownRank() ?? 0
-    const round = Math.floor(Math.max(highestVersion(), lastVersion) / VERSION_STRIDE) + 1
-    lastVersion = round * VERSION_STRIDE + own
+    const round = Math.floor(Math.max(highestVersion(), lastVersion) / (RUNS * RANK_STRIDE)) + 1
+    lastVersion = (round * RUNS + run) * RANK_STRIDE + own
     return lastVersion
   }
 
@@ -168,7 +174,7 @@
     const present = new Set(list.map(({ view }) => view.rank))
     const absent = Array.from({ length: list[0]!.ranks }, (_, rank) => rank).filter(rank => !present.has(rank))
     const [only] = absent
-    return absent.length === 1 && version !== undefined && version % VERSION_STRIDE === only ? only : undefined
+    return absent.length === 1 && version !== undefined && version % RANK_STRIDE === only ? only : undefined
   }
 
   /** Releases a group that a lost coordinator left held. */
--- a/src/expertMaps/mapSwitchSchedules.test.ts
+++ b/src/expertMaps/mapSwitchSchedules.test.ts
@@ -52,7 +52,7 @@
     ownRank,
     frozenUntilMs: 0,
     core: createMapCoordinator({
-      clock, ownRank: () => ownRank, limits: () => ({ placementsMax: 4, copiesMax: 2, copiesPerRankMax: 2 }), expertShare: () => 0.85
+      clock, random: createRandom(seed * 2 + ownRank), ownRank: () => ownRank, limits: () => ({ placementsMax: 4, copiesMax: 2, copiesPerRankMax: 2 }), expertShare: () => 0.85
     })
   }))
   type Node = typeof nodes[number]
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -99,7 +99,7 @@
   const paceNotices = createPaceNotices({ clock })
 
   const coordinator = createMapCoordinator({
-    clock, ownRank: () => own?.view.rank, limits, expertShare: () => experts()?.expertShare ?? 0
+    clock, random, ownRank: () => own?.view.rank, limits, expertShare: () => experts()?.expertShare ?? 0
   })
 
   const sender = () => ({ group: own?.group ?? '', rank: own?.view.rank ?? -1 })
