End a gap in the configuration stream by a restart record

After 60 to 90 s in the gap without an answer of a peer, a reader that has a table applies the records after the gap to it and appends the result. It counts only if it directly follows the offset of its document, so no record between can be overlooked; every reader takes it in log order. A reader that had accepted more appends those edits again under their ids, and says so in its log; an edit whose row has moved on loses with a verdict.

Ruled out: a table from before the gap alone, as the edits after the gap would never get a verdict; a restart by a reader without a table, as a fresh host knows nothing.

--- a/bench/control/naiveReplay.ts
+++ b/bench/control/naiveReplay.ts
@@ -33,11 +33,18 @@
  * knows no snapshots, no trimming and no offsets of its own.
  */
 export const replayNaively = (history: ReadonlyArray<FollowedRecord<ConfigurationBody>>): NaiveTables => {
-  const accepted: NaiveEdit[] = []
+  let accepted: NaiveEdit[] = []
   const codeByEditId = new Map<string, ResultCode>()
+  const offsetByEditId = new Map<string, number>()
   for (const { offset, body } of history) {
+    if (body.kind === ConfigurationRecordKind.Restart && body.document.offset + 1 === offset) {
+      accepted = body.document.versions.map(version => ({ ...version, key: `${version.kind}/${version.name}` })).sort((a, b) => a.offset - b.offset)
+      for (const [editId, decidedAt] of offsetByEditId) if (decidedAt > body.readOffset) codeByEditId.delete(editId)
+      for (const { editId, code } of body.document.verdicts) codeByEditId.set(editId, code)
+    }
     if (body.kind !== ConfigurationRecordKind.Edit || codeByEditId.has(body.edit.editId)) continue
     const { editId, kind, name, baseOffset, row } = body.edit
+    offsetByEditId.set(editId, offset)
     const edit = { key: `${kind}/${name}`, editId, offset, row }
     if ((lastOf(accepted, edit.key)?.offset ?? 0) !== baseOffset) codeByEditId.set(editId, ResultCode.EditConflict)
     else if (body.faults.length > 0 || !hasReferences(accepted, edit)) codeByEditId.set(editId, ResultCode.EditInvalid)
--- a/src/cli/configurationSession.ts
+++ b/src/cli/configurationSession.ts
@@ -67,7 +67,9 @@
       for (const version of effect.versions) versions.set(rowKeyOf(version), version)
       versionListeners.forEach(listener => listener(effect.versions))
     },
-    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => verdictListeners.forEach(listener => listener(verdict))
+    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => verdictListeners.forEach(listener => listener(verdict)),
+    // The entries append them again.
+    [ConfigurationEffectKind.EditsLost]: () => {}
   }
 
   const task: Task<ConfigurationMessage> = createFollowerTask({
--- a/src/configuration/configurationState.ts
+++ b/src/configuration/configurationState.ts
@@ -2,7 +2,7 @@
 import { canonicalText } from './canonicalText.js'
 import { EDIT_IDS_REMEMBERED_MAX, TOMBSTONES_MAX } from './constants.js'
 import type { Row } from './rowSchema.js'
-import type { ConfigurationDocument, ConfigurationState, RowIdentity, RowVersion } from './types.js'
+import type { ConfigurationDocument, ConfigurationState, RowIdentity, RowVersion, TableRestart } from './types.js'
 
 /** State of a reader that has read nothing. */
 export const getDefaultConfigurationState = (): ConfigurationState =>
@@ -23,12 +23,14 @@
 }
 
 /** Hash of the content of a document, independent of the order of fields. */
-export const hashConfiguration = ({ offset, versions, verdicts }: Omit<ConfigurationDocument, 'hash'>): string =>
+export const hashConfiguration = ({ offset, versions, verdicts, restart }: Omit<ConfigurationDocument, 'hash'>): string =>
   fingerprint(JSON.stringify([
     offset,
     versions.map(({ kind, name, offset, editId, row }) => [kind, name, offset, editId, row && textOfRow(row)]),
     verdicts.map(({ editId, offset, code, winner, faults = [] }) =>
-      [editId, offset, code, winner?.editId, winner?.offset, faults.map(({ path, text }) => [path, text])])
+      [editId, offset, code, winner?.editId, winner?.offset, faults.map(({ path, text }) => [path, text])]),
+    // Documents of earlier releases have no such field, and keep their hash.
+    ...(restart === undefined ? [] : [restart.offset, restart.readOffset])
   ]))
 
 const byKey = (a: RowVersion, b: RowVersion) => (rowKeyOf(a) < rowKeyOf(b) ? -1 : 1)
@@ -38,25 +40,31 @@
   const content = {
     offset: state.offset,
     versions: [...state.versions.values()].sort(byKey),
-    verdicts: [...state.verdicts.values()]
+    verdicts: [...state.verdicts.values()],
+    ...(state.restart && { restart: state.restart })
   }
   return { ...content, hash: hashConfiguration(content) }
 }
 
 /** Converts a document to a state of its own. */
-export const fromConfigurationDocument = ({ offset, versions, verdicts }: ConfigurationDocument): ConfigurationState => ({
+export const fromConfigurationDocument = ({ offset, versions, verdicts, restart }: ConfigurationDocument): ConfigurationState => ({
   offset,
   versions: new Map(versions.map(version => [rowKeyOf(version), version])),
-  verdicts: new Map(verdicts.map(verdict => [verdict.editId, verdict]))
+  verdicts: new Map(verdicts.map(verdict => [verdict.editId, verdict])),
+  ...(restart && { restart })
 })
 
 /** Whether the content of a document is what its writer hashed. */
 export const isIntactConfiguration = (document: ConfigurationDocument): boolean => hashConfiguration(document) === document.hash
 
-/** Whether a document would replace a row by one of a lower offset. */
+/** Whether a restart has replaced the tables since the state was reached. */
+export const isRestartedAfter = ({ offset }: ConfigurationState, restart: TableRestart | undefined): boolean =>
+  restart !== undefined && restart.offset > offset
+
+/** Whether a document would replace a row by one of a lower offset, other than by a restart that the state has not seen. */
 export const replacesByLowerRow = (state: ConfigurationState, document: ConfigurationDocument): boolean =>
   document.offset < state.offset ||
-  document.versions.some(version => version.offset < (state.versions.get(rowKeyOf(version))?.offset ?? 0))
+  (!isRestartedAfter(state, document.restart) && document.versions.some(version => version.offset < (state.versions.get(rowKeyOf(version))?.offset ?? 0)))
 
 /** Drops the oldest verdicts and tombstones. It depends on the state alone, so all readers agree. */
 export const trimConfiguration = ({ versions, verdicts }: ConfigurationState): void => {
--- a/src/configuration/constants.ts
+++ b/src/configuration/constants.ts
@@ -42,6 +42,8 @@
 export enum ConfigurationRecordKind {
   Edit = 'edit',
   Snapshot = 'snapshot',
+  /** The table of a reader that no other could lead over a gap; every reader takes it. */
+  Restart = 'restart',
   /** A record that fits no schema; every reader passes over it. */
   Unreadable = 'unreadable'
 }
--- a/src/configuration/createConfigurationReader.test.ts
+++ b/src/configuration/createConfigurationReader.test.ts
@@ -223,6 +223,19 @@
   })
 })
 
+/** Appends what a reader in a gap asks for, as its task does. */
+const createRestarter = (append: (body: ConfigurationBody) => void) => {
+  const done = new Set<ConfigurationEffect>()
+  return (effects: readonly ConfigurationEffect[]) => effects.filter(effect => !done.has(effect)).forEach(effect => {
+    done.add(effect)
+    if (effect.kind === FollowerEffectKind.GapPersists && effect.replayed !== undefined) {
+      append({ kind: ConfigurationRecordKind.Restart, document: effect.replayed, readOffset: effect.offset })
+    } else if (effect.kind === ConfigurationEffectKind.EditsLost) {
+      for (const edit of effect.edits) append({ kind: ConfigurationRecordKind.Edit, edit, faults: [] })
+    }
+  })
+}
+
 it('takes edits again after an outage longer than the retention time that swallowed an unread record', () => {
   const { append, log, createReader } = setUp()
   append(editOf('a', yard(1), 0))
@@ -231,9 +244,11 @@
   append(editOf('b', yard(2), 1))
   log.expireBelow(3)
   append(editOf('c', samplePool('quotes'), 0))
+  const appendAsked = createRestarter(append)
   for (let round = 0; round < 100; round++) {
     for (const reader of readers) {
       reader.follow()
+      appendAsked(reader.effects)
       const documents = readers.map(({ state }) => state())
       for (const document of documents) {
         reader.handle({ kind: FollowerMessageKind.PeerStateReceived, document, retainedSinceMs: 1 })
@@ -243,6 +258,55 @@
   expect(readers.map(reader => codes(reader.verdicts()).some(([editId]) => editId === 'c'))).toEqual([true, true, true])
 })
 
+// Guards against an accepted edit that only a paused reader still holds, and that the restart of the others drops.
+it('appends an accepted edit again that a restart has dropped', () => {
+  const { append, log, createReader } = setUp()
+  append(editOf('a', yard(1), 0))
+  const [paused, ...others] = [1, 2, 3].map(seed => createReader(seed))
+  for (const reader of [paused!, ...others]) reader.follow()
+  append(editOf('b', yard(2), 1))
+  paused!.follow()
+  log.expireBelow(3)
+  append(editOf('c', samplePool('quotes'), 0))
+  const appendAsked = createRestarter(append)
+  for (let round = 0; round < 100; round++) {
+    for (const reader of others) {
+      reader.follow()
+      appendAsked(reader.effects)
+    }
+  }
+  expect(others[0]!.state().versions).toMatchObject([{ editId: 'c' }, { editId: 'a' }])
+  for (let round = 0; round < 3; round++) {
+    for (const reader of [paused!, ...others]) {
+      reader.follow()
+      appendAsked(reader.effects)
+    }
+  }
+  for (const reader of [paused!, ...others]) expect(reader.state().versions).toMatchObject([{ editId: 'c' }, { editId: 'b' }])
+})
+
+it('takes no restart that other records have overtaken, nor a damaged one', () => {
+  const { append, createReader } = setUp()
+  append(editOf('a', yard(1), 0))
+  const reader = createReader()
+  reader.follow()
+  const document = reader.state()
+  append(editOf('b', yard(2), 1), { kind: ConfigurationRecordKind.Restart, document, readOffset: 0 })
+  append({ kind: ConfigurationRecordKind.Restart, document: { ...document, offset: 3 }, readOffset: 0 })
+  reader.follow()
+  expect(reader.state()).toMatchObject({ offset: 4, versions: [{ editId: 'b' }] })
+})
+
+it('agrees with a reader that keeps every record, over random schedules with outages longer than retention', () => {
+  let restarts = 0
+  fc.assert(fc.property(fc.integer({ min: 1, max: 1 << 28 }), seed => {
+    const findings = runConfigurationWorld({ seed, hasOutages: true })
+    expect(findings).toMatchObject({ reverts: 0, splitVerdicts: 0, strandedHosts: 0 })
+    restarts += findings.restarts
+  }), { seed: 7, numRuns: 300 })
+  expect(restarts).toBeGreaterThan(30)
+})
+
 it('waits for its next tick when the log answers a read without the records it announces', () => {
   const reader = setUp().createReader()
   const [read] = reader.handle({ kind: FollowerMessageKind.Tick })
--- a/src/configuration/createLogFollower.ts
+++ b/src/configuration/createLogFollower.ts
@@ -48,6 +48,10 @@
   let lastDocument: Document | undefined
   let lastReadId = 0
   let gapReportMs: TimestampMs | undefined
+  /** The state with the records after the gap applied; only a reader that has a state can restart others. */
+  let replay: State | undefined
+  /** Offset of the state that the replay began from; a late page or a peer may have moved the state on since. */
+  let replayedFrom = 0
   const endRequests = createEndRequests()
 
   const hasGap = () => state.offset + 1 < firstOffset
@@ -130,6 +134,24 @@
     ? []
     : endRequests.takeReached(state.offset).map(requestId => ({ kind: FollowerEffectKind.EndReached, requestId }))
 
+  const replayOverGap = (records: Page['records']) => {
+    if (model.replaysOverGap !== true || !hasGap() || state.offset === 0) {
+      replay = undefined
+      return
+    }
+    if (replay === undefined || replayedFrom !== state.offset || replay.offset + 1 < firstOffset) {
+      replayedFrom = state.offset
+      replay = model.fromDocument(model.toDocument(state))
+      replay.offset = firstOffset - 1
+    }
+    for (const record of records) {
+      if (record.offset !== replay.offset + 1) continue
+      model.apply(replay, record)
+      replay.offset = record.offset
+    }
+    scanOffset = replay.offset + 1
+  }
+
   const onPage = ({ readId, records, firstOffset: pageFirst, nextOffset: pageNext }: Page): Effects => {
     if (readId === lastReadId) readSentMs = undefined
     endRequests.notePage(readId, pageNext)
@@ -150,6 +172,7 @@
     }
     effects.push(...applyInOrder(records))
     scanOffset = Math.max(scanOffset, (records.at(-1)?.offset ?? 0) + 1)
+    replayOverGap(records)
     effects.push(...askPeers(), ...endsReached())
     if (!hasGap() && state.offset + 1 >= pageNext) {
       effects.push({ kind: FollowerEffectKind.CaughtUp, offset: state.offset })
@@ -194,7 +217,8 @@
     gapReportMs ??= nowMs + GAP_PERSISTS_MS * (1 + 0.5 * random.next())
     if (nowMs < gapReportMs) return []
     gapReportMs = undefined
-    return [{ kind: FollowerEffectKind.GapPersists, offset: state.offset }]
+    const isReplayed = replay !== undefined && replayedFrom === state.offset && replay.offset + 1 >= nextOffset
+    return [{ kind: FollowerEffectKind.GapPersists, offset: state.offset, replayed: isReplayed ? model.toDocument(replay!) : undefined }]
   }
 
   const onTick = (): Effects => {
--- a/src/configuration/followerTask.ts
+++ b/src/configuration/followerTask.ts
@@ -23,7 +23,7 @@
   /** Called after each page that leaves no record unread. */
   onCaughtUp?: (offset: number) => void
   /** Called while neither the log nor any peer leads over a gap. */
-  onGapPersists?: (offset: number) => void
+  onGapPersists?: (offset: number, replayed: Document | undefined) => void
   /** Called when a call to the log fails. */
   onLogFailure?: () => void
 }
@@ -72,9 +72,9 @@
     [FollowerEffectKind.AskPeers]: ({ aboveOffset }) => askPeers(aboveOffset),
     [FollowerEffectKind.SendState]: ({ peerId, document, retainedSinceMs }) => sendState(peerId, document, retainedSinceMs),
     [FollowerEffectKind.CaughtUp]: ({ offset }) => onCaughtUp?.(offset),
-    [FollowerEffectKind.GapPersists]: ({ offset }) => {
+    [FollowerEffectKind.GapPersists]: ({ offset, replayed }) => {
       log('stream %s has a gap after offset %d that no peer can fill', stream, offset)
-      onGapPersists?.(offset)
+      onGapPersists?.(offset, replayed)
     },
     [FollowerEffectKind.EndReached]: ({ requestId }) => onEnd?.(requestId, true),
     [FollowerEffectKind.EndFailed]: ({ requestId }) => onEnd?.(requestId, false),
--- a/src/configuration/followerTypes.ts
+++ b/src/configuration/followerTypes.ts
@@ -30,6 +30,8 @@
   isIntact (document: Document): boolean
   /** The state that a record sets whatever came before it; such a record ends a gap. */
   resetTo? (record: FollowedRecord<Body>): State | undefined
+  /** A reader that stays in a gap is told what the records after it make of its state. */
+  replaysOverGap?: boolean
   /** Whether the document would replace some item of the state by one of a lower offset. */
   replacesByLower (state: State, document: Document): boolean
   /** Effects that lead a user of the old state to the new one. */
@@ -92,7 +94,12 @@
   /** Every record that the log held when the page was read is applied. */
   | { kind: FollowerEffectKind.CaughtUp, offset: number }
   /** Neither the log nor any peer has led over a gap for long, though the log is readable. */
-  | { kind: FollowerEffectKind.GapPersists, offset: number }
+  | {
+    kind: FollowerEffectKind.GapPersists
+    offset: number
+    /** The state with every readable record after the gap applied; undefined where that is not known. */
+    replayed: Document | undefined
+  }
   | { kind: FollowerEffectKind.EndReached, requestId: string }
   | { kind: FollowerEffectKind.EndFailed, requestId: string }
   | { kind: FollowerEffectKind.AppendSnapshot, snapshot: Snapshot<Document> }
--- a/src/configuration/recordSchema.ts
+++ b/src/configuration/recordSchema.ts
@@ -29,7 +29,11 @@
 })
 
 const documentContentSchema = z.object({
-  offset: offsetSchema, hash: z.string(), versions: z.array(versionSchema), verdicts: z.array(verdictSchema)
+  offset: offsetSchema,
+  hash: z.string(),
+  versions: z.array(versionSchema),
+  verdicts: z.array(verdictSchema),
+  restart: z.object({ offset: offsetSchema, readOffset: offsetSchema }).optional()
 })
 
 const parseDocument = (raw: unknown, context: z.RefinementCtx): ConfigurationDocument => {
@@ -52,7 +56,11 @@
   snapshot: z.object({ document: configurationDocumentSchema, takenMs: z.number() })
 })
 
-const recordSchema = z.discriminatedUnion('type', [editRecordSchema, snapshotRecordSchema])
+const restartRecordSchema = z.object({
+  type: z.literal(ConfigurationRecordKind.Restart), document: configurationDocumentSchema, readOffset: offsetSchema
+})
+
+const recordSchema = z.discriminatedUnion('type', [editRecordSchema, snapshotRecordSchema, restartRecordSchema])
 
 type ParsedRecord = z.infer<typeof recordSchema>
 
@@ -71,7 +79,8 @@
 
 const bodyParsers: { [Type in ParsedRecord['type']]: (record: Extract<ParsedRecord, { type: Type }>) => ConfigurationBody } = {
   [ConfigurationRecordKind.Edit]: parseEdit,
-  [ConfigurationRecordKind.Snapshot]: ({ snapshot }) => ({ kind: ConfigurationRecordKind.Snapshot, snapshot })
+  [ConfigurationRecordKind.Snapshot]: ({ snapshot }) => ({ kind: ConfigurationRecordKind.Snapshot, snapshot }),
+  [ConfigurationRecordKind.Restart]: ({ document, readOffset }) => ({ kind: ConfigurationRecordKind.Restart, document, readOffset })
 }
 
 /** Parses the body of one record; a body that fits no schema becomes `Unreadable`. */
@@ -82,14 +91,18 @@
   return parse(parsed.data)
 }
 
-/** Body of the log record of an edit or a snapshot; the inverse of `parseConfigurationBody`. */
-export const toConfigurationRecord = (
-  body: Exclude<ConfigurationBody, { kind: ConfigurationRecordKind.Unreadable }>
-): unknown => {
-  if (body.kind === ConfigurationRecordKind.Edit) return { type: body.kind, edit: body.edit }
-  return { type: body.kind, snapshot: body.snapshot }
+type WritableBody = Exclude<ConfigurationBody, { kind: ConfigurationRecordKind.Unreadable }>
+
+const bodyEncoders: { [Kind in WritableBody['kind']]: (body: Extract<WritableBody, { kind: Kind }>) => unknown } = {
+  [ConfigurationRecordKind.Edit]: ({ kind, edit }) => ({ type: kind, edit }),
+  [ConfigurationRecordKind.Snapshot]: ({ kind, snapshot }) => ({ type: kind, snapshot }),
+  [ConfigurationRecordKind.Restart]: ({ kind, document, readOffset }) => ({ type: kind, document, readOffset })
 }
 
+/** Body of the log record; the inverse of `parseConfigurationBody`. */
+export const toConfigurationRecord = (body: WritableBody): unknown =>
+  (bodyEncoders[body.kind] as (body: WritableBody) => unknown)(body)
+
 /** Converts one log page to a message; `parseBody` is the boundary at which bodies are validated. */
 export const toPageMessage = <Body, Document extends StateDocument>(
   readId: number,
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -36,6 +36,13 @@
   faults?: SettingsFault[]
 }
 
+/** The last record that replaced the tables of all readers. */
+export interface TableRestart {
+  offset: number
+  /** Offset up to which its writer had read every record; accepted edits after it may be missing in the table. */
+  readOffset: number
+}
+
 /** Everything that a reader knows as of one offset. */
 export interface ConfigurationState {
   offset: number
@@ -43,30 +50,37 @@
   versions: Map<string, RowVersion>
   /** Verdicts on recent edits by edit id, oldest first. */
   verdicts: Map<string, EditVerdict>
+  restart?: TableRestart
 }
 
 /** The state as a snapshot record or a peer carries it. */
 export interface ConfigurationDocument extends StateDocument {
   versions: RowVersion[]
   verdicts: EditVerdict[]
+  restart?: TableRestart
 }
 
 export type ConfigurationBody =
   | { kind: ConfigurationRecordKind.Edit, edit: Edit, faults: SettingsFault[] }
   | { kind: ConfigurationRecordKind.Snapshot, snapshot: Snapshot<ConfigurationDocument> }
+  /** Void unless it directly follows the offset of its document: a reader may know of records in between. */
+  | { kind: ConfigurationRecordKind.Restart, document: ConfigurationDocument, readOffset: number }
   | { kind: ConfigurationRecordKind.Unreadable }
 
 export type ConfigurationMessage = FollowerMessage<ConfigurationBody, ConfigurationDocument>
 
 export enum ConfigurationEffectKind {
   RowsAccepted = 'rows-accepted',
-  VerdictReached = 'verdict-reached'
+  VerdictReached = 'verdict-reached',
+  EditsLost = 'edits-lost'
 }
 
 export type ConfigurationOwnEffect =
   /** Rows that took effect, with the offset up to which the tables now stand. */
   | { kind: ConfigurationEffectKind.RowsAccepted, offset: number, versions: RowVersion[] }
   | { kind: ConfigurationEffectKind.VerdictReached, verdict: EditVerdict }
+  /** Edits that this reader had accepted and that a restart has dropped, to be appended again as they are. */
+  | { kind: ConfigurationEffectKind.EditsLost, edits: Edit[] }
 
 export type ConfigurationEffect = FollowerEffect<ConfigurationDocument> | ConfigurationOwnEffect
 
--- a/src/nodes/entry/configurationFeed.ts
+++ b/src/nodes/entry/configurationFeed.ts
@@ -1,4 +1,4 @@
-import { type Clock, createLog, FrameError, type Random, type Task } from '../../core/index.js'
+import { type Clock, createLog, FrameError, LogUnavailableError, type Random, type Task } from '../../core/index.js'
 import {
   CONFIGURATION_STREAM, type ConfigurationDocument, configurationDocumentSchema, ConfigurationEffectKind,
   type ConfigurationMessage, type ConfigurationOwnEffect, ConfigurationRecordKind, createConfigurationReader,
@@ -44,13 +44,29 @@
 export const createConfigurationFeed = ({
   client, clock, random, retentionMs, table, sendToPeers, sendToPeer, ownAddress, onRowsChanged, onLogFailure
 }: ConfigurationFeedOptions): ConfigurationFeed => {
+  const append = async (body: Parameters<typeof toConfigurationRecord>[0]) => {
+    try {
+      await client.append(CONFIGURATION_STREAM, toConfigurationRecord(body))
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error
+      log('record %s is not appended: %s', body.kind, error.message)
+      onLogFailure()
+    }
+  }
+
   const onOwnEffect: { [Kind in ConfigurationOwnEffect['kind']]: (effect: Extract<ConfigurationOwnEffect, { kind: Kind }>) => void } = {
     [ConfigurationEffectKind.RowsAccepted]: ({ offset, versions }) => {
       table.apply(offset, versions)
       log('rows are in effect at offset %d', offset)
       onRowsChanged(offset)
     },
-    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => log('edit %s got code %d', verdict.editId, verdict.code)
+    [ConfigurationEffectKind.VerdictReached]: ({ verdict }) => log('edit %s got code %d', verdict.editId, verdict.code),
+    [ConfigurationEffectKind.EditsLost]: ({ edits }) => {
+      for (const edit of edits) {
+        log('edit %s was dropped by a restart of the table and is appended again', edit.editId)
+        append({ kind: ConfigurationRecordKind.Edit, edit, faults: [] })
+      }
+    }
   }
 
   const task: Task<ConfigurationMessage> = createFollowerTask({
@@ -63,7 +79,12 @@
     sendState: (peerAddress, document: ConfigurationDocument, retainedSinceMs) =>
       sendToPeer(peerAddress, toPeerState(CONFIGURATION_STREAM, document, retainedSinceMs)),
     onOwnEffect: effect => (onOwnEffect[effect.kind] as (effect: ConfigurationOwnEffect) => void)(effect),
-    onLogFailure
+    onLogFailure,
+    onGapPersists: (readOffset, replayed) => {
+      if (replayed === undefined) return
+      log('no reader knows the records after offset %d: the table of this one is appended for all', readOffset)
+      append({ kind: ConfigurationRecordKind.Restart, document: replayed, readOffset })
+    }
   })
 
   return {
