Ignore answers to a fence version that was raised meanwhile

Cause: found by reading. When a call-off has to raise its fence version, an accepted order of the version before still counted, so the group could be released while another coordinator was able to arm that rank.

--- a/src/expertMaps/createMapSwitch.ts
+++ b/src/expertMaps/createMapSwitch.ts
@@ -123,6 +123,10 @@
     if (view === undefined || view.armed !== undefined || (view.preparedVersion ?? 0) < fenceVersion) return
     fenceVersion = plan.takeFenceVersion()
     fencedRanks.clear()
+    // An answer that is still to come is about the version before.
+    running.clear()
+    sentAtMs.clear()
+    confirmed.clear()
   }
 
   const areAllFenced = () => reachable.every(rank => fencedRanks.has(rank))
