--- a/src/nodes/agent/keyedRunsTask.ts
+++ b/src/nodes/agent/keyedRunsTask.ts
@@ -1,11 +1,11 @@
 import { type Clock, createTask, dispatch, type HandlerTable, type Incarnation, ResultCode, type Task } from '../../core/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import { type HopSpan, SpanName, type Tracing } from '../../observe/index.js'
 import {
   createKeyedRuns, detachFrameSchema, dispatchFrameSchema, type RunsEffect, RunsEffectKind, type RunsMessage,
   RunsMessageKind, voidFrameSchema
 } from '../../once/index.js'
-import { parseFrame, REQUEST_TICK_MS } from '../../requests/index.js'
+import { REQUEST_TICK_MS } from '../../requests/index.js'
 import { decodeRequest, encodeHead, type KeyedRequest } from '../requestCodec.js'
 import type { GuardTask } from './guardTask.js'
 import { toUpstreamCall, type UpstreamTask } from './upstreamTask.js'
--- a/src/nodes/agent/mapsTask.ts
+++ b/src/nodes/agent/mapsTask.ts
@@ -5,10 +5,9 @@
   createSwitchRank, type ExpertMap, type GroupMember, type GroupShape, groupRosterSchema, isRankBound, type RankEffect,
   RankEffectKind, type RankMessage, RankMessageKind, switchFrameSchema, type SwitchMessage, SwitchOutcome, WeightEffectKind
 } from '../../expertMaps/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import { type Metrics, MetricName } from '../../observe/index.js'
 import { fetchWeights, type RankClient, WeightStoreBusyError } from '../../clients/index.js'
-import { parseFrame } from '../../requests/index.js'
 import type { AgentSettings } from '../settings.js'
 import { createMapPlanning, type MapPlanning } from './mapPlanning.js'
 
--- a/src/nodes/agent/ordersTask.ts
+++ b/src/nodes/agent/ordersTask.ts
@@ -1,13 +1,12 @@
 import { randomUUID } from 'node:crypto'
 import { type PoolRow, UpstreamKind } from '../../configuration/index.js'
 import { type Clock, createLog, createTask, dispatch, type HandlerTable, type Task } from '../../core/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import {
   assignmentFrameSchema, createOrderGate, type EngineState, fenceConfirmedFrameSchema, type GateEffect, GateEffectKind,
   type GateMessage, GateMessageKind
 } from '../../orders/index.js'
 import type { OrderClient } from '../../clients/index.js'
-import { parseFrame } from '../../requests/index.js'
 
 const log = createLog('orders')
 
--- a/src/nodes/agent/poolRowHolder.ts
+++ b/src/nodes/agent/poolRowHolder.ts
@@ -1,7 +1,6 @@
 import { z } from 'zod'
 import { type PoolRow, poolSchema } from '../../configuration/index.js'
-import { FrameError } from '../../core/index.js'
-import { type Frame, FrameKind } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 
 const rowsFrameSchema = z.object({
   kind: z.literal(FrameKind.Rows),
@@ -29,11 +28,10 @@
   let offset = 0
   return {
     offer: frame => {
-      const parsed = rowsFrameSchema.safeParse(frame)
-      if (!parsed.success) throw new FrameError('rows frame is malformed')
-      if (parsed.data.offset <= offset) return
-      offset = parsed.data.offset
-      row = parsed.data.row
+      const rows = parseFrame(rowsFrameSchema, frame)
+      if (rows.offset <= offset) return
+      offset = rows.offset
+      row = rows.row
       onChange(row)
     },
     get row () { return row },
--- a/src/nodes/agent/runsTask.ts
+++ b/src/nodes/agent/runsTask.ts
@@ -1,10 +1,7 @@
 import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import { SpanName, type Tracing } from '../../observe/index.js'
-import {
-  type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns,
-  parseFrame, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema
-} from '../../requests/index.js'
+import { type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema } from '../../requests/index.js'
 import type { GuardTask } from './guardTask.js'
 import { toUpstreamCall, type UpstreamTask } from './upstreamTask.js'
 
--- a/src/nodes/entry/admissionGate.ts
+++ b/src/nodes/entry/admissionGate.ts
@@ -5,8 +5,8 @@
   createRetryBudget, CoordinatorMessageKind, type CustomerLimitsEffect, CustomerLimitsEffectKind,
   CustomerLimitsMessageKind, type LimitDemand, limitDemandFrameSchema, type LimitGrant, limitShareFrameSchema, RetryBudgetEffectKind, RetryBudgetMessageKind
 } from '../../limits/index.js'
-import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
-import { parseFrame, type SubmittedRequest } from '../../requests/index.js'
+import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
+import { type SubmittedRequest } from '../../requests/index.js'
 import type { Choice } from '../../routing/index.js'
 
 export interface AdmissionGateOptions {
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -1,4 +1,4 @@
-import { type Clock, createLog, createRandom, createRequestIds, dispatch, hash32, type Incarnation, ResultCode } from '../../core/index.js'
+import { type Clock, createRandom, createRequestIds, dispatch, hash32, type Incarnation, ResultCode } from '../../core/index.js'
 import { RepeatPolicy } from '../../configuration/index.js'
 import { createLinkPool, FrameKind, type Frame, listenForLinks, NodeRole, type PeerIdentity, splitAddress } from '../../links/index.js'
 import { BroadcastTopic } from '../../membership/index.js'
@@ -8,11 +8,12 @@
 import { REQUEST_TICK_MS } from '../../requests/index.js'
 import { createObservability } from '../observability.js'
 import type { EntrySettings } from '../settings.js'
-import { waitForDrain } from '../waitForDrain.js'
 import { createAdmissionGate } from './admissionGate.js'
 import { startCallerFront } from './callerFront.js'
 import { createConfigurationFeed } from './configurationFeed.js'
 import { createEntryLinkHandlers } from './entryLinkHandlers.js'
+import { createEntryDrain } from './entryDrain.js'
+import { createEntryStatus } from './entryStatus.js'
 import { createFleetView } from './fleetView.js'
 import { createKeyedCalls } from './keyedCalls.js'
 import { type MembershipHub, startMembershipHub } from './membershipHub.js'
@@ -25,8 +26,6 @@
 import { createRequestsTask } from './requestsTask.js'
 import { createRowTable } from './rowTable.js'
 
-const log = createLog('entry')
-
 const METRICS_INTERVAL_MS = 5_000
 const SECOND_MS = 1_000
 const QUARANTINE_TICK_MS = 250
@@ -58,14 +57,11 @@
   const [linkHost, linkPort] = splitAddress(settings.linkAddress)
   const [callerHost, callerPort] = splitAddress(settings.callerAddress)
   let { linkAddress, callerAddress } = settings
-  let drainStartedMs: number | undefined
   let reportedDrops = 0
   let hub: MembershipHub | null = null
   const random = createRandom(hash32(incarnation))
   const { metrics, tracing } = createObservability('baobabdrift-entry', settings)
   const table = createRowTable()
-  /** Last decision of the planner by group. */
-  const mapExplanations = new Map<string, string>()
   const logClient = createLogClient(settings.logUrl)
 
   const self = (): PeerIdentity => ({
@@ -189,7 +185,7 @@
     fleet,
     metrics,
     hub: () => hub,
-    onMapExplanation: (group, line) => mapExplanations.set(group, line)
+    onMapExplanation: (group, line) => status.noteMapExplanation(group, line)
   })
   const pool = createLinkPool({ self, keys, clock, emit: event => dispatch(handlers.dialed, event) })
   const server = await listenForLinks({
@@ -197,9 +193,11 @@
   })
   linkAddress = `${linkHost}:${server.port}`
 
-  const isRefusing = () => drainStartedMs !== undefined &&
-    clock.nowMs() > drainStartedMs + settings.drainSettleMs + settings.addressLifetimeMs
   const liveCount = () => requests.liveCount + keyedCalls.liveCount
+  const drain = createEntryDrain({ settings, clock, liveCount })
+  const status = createEntryStatus({
+    settings, incarnation, table, routers, owner, placement, hub: () => hub, isDraining: () => drain.isStarted, liveCount
+  })
 
   const front = await startCallerFront({
     host: callerHost,
@@ -208,25 +206,12 @@
     findRoute: table.findRoute,
     nextRequestId: createRequestIds(incarnation),
     addressesFor: customer => hub?.addressesFor(customer) ?? { addresses: [callerAddress], lifetimeMs: settings.addressLifetimeMs },
-    status: () => ({
-      nodeId: settings.nodeId,
-      incarnation,
-      isDraining: drainStartedMs !== undefined,
-      configurationOffset: table.offset,
-      liveRequests: liveCount(),
-      linkedAgents: routers.agentCount,
-      ownedShards: owner.ownedCount,
-      holdsPlacementLease: placement.isHolder,
-      leaseClaimOffset: placement.claimOffset,
-      entries: hub?.entries() ?? [],
-      agents: hub?.agentStates() ?? [],
-      expertMaps: Object.fromEntries(mapExplanations)
-    }),
+    status: status.describe,
     explain: routers.explain,
-    expertMaps: () => Object.fromEntries([...mapExplanations].map(([group, line]) => [group, [line]])),
+    expertMaps: status.expertMaps,
     gateway: {
       submit: (request, sink) => {
-        if (isRefusing()) sink.onFail(ResultCode.Draining)
+        if (drain.isRefusing) sink.onFail(ResultCode.Draining)
         else if (request.repeat === RepeatPolicy.AtMostOnce) keyedCalls.submit(request, sink)
         else requests.submit(request, sink)
       },
@@ -285,20 +270,13 @@
   /** A second call waits for the first. */
   const stop = () => (stopping ??= shutDown())
 
-  const drain = async () => {
-    log('entry %s drains', settings.nodeId)
-    drainStartedMs = clock.nowMs()
-    membership.startDrain()
-    const { drainLimitMs: workLimitMs, drainSettleMs: settleMs, addressLifetimeMs } = settings
-    await waitForDrain({ role: NodeRole.Entry, clock, settings: { workLimitMs, settleMs, addressLifetimeMs }, countWork: liveCount })
-    log('entry %s has drained', settings.nodeId)
-    await stop()
-  }
-
   return {
     get callerAddress () { return callerAddress },
     get linkAddress () { return linkAddress },
-    drain,
+    drain: async () => {
+      await drain.run(membership)
+      await stop()
+    },
     stop
   }
 }
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -1,10 +1,10 @@
 import { type Clock, describeResult, dispatch, type HandlerTable, type Incarnation, Outcome, ResultCode } from '../../core/index.js'
-import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
 import {
   type AgentRef, type BindReply, type BindRequest, boundFrameSchema, type CallEffect, CallEffectKind, type CallMessage,
   CallMessageKind, createKeyedCall, keyReplyFrameSchema, parseIdempotencyKey
 } from '../../once/index.js'
-import { AttemptResult, type ChosenAgent, HOLD_BACK_MAX_BYTES, parseFrame, type RequestPorts, type SubmittedRequest } from '../../requests/index.js'
+import { AttemptResult, type ChosenAgent, HOLD_BACK_MAX_BYTES, type RequestPorts, type SubmittedRequest } from '../../requests/index.js'
 import { decodeHead, encodeRequest } from '../requestCodec.js'
 import type { ResponseSink } from './types.js'
 
--- a/src/nodes/entry/peerStateFrames.ts
+++ b/src/nodes/entry/peerStateFrames.ts
@@ -1,6 +1,5 @@
 import { z } from 'zod'
-import { FrameError } from '../../core/index.js'
-import { FrameKind, type Frame } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 
 const text = z.string().min(1).max(256)
 
@@ -26,11 +25,5 @@
 export const toPeerState = (stream: string, document: unknown, retainedSinceMs: number | undefined): Frame =>
   ({ kind: FrameKind.PeerState, stream, document, retainedSinceMs: retainedSinceMs ?? null })
 
-const parse = <T>(schema: z.ZodType<T>, frame: Frame): T => {
-  const parsed = schema.safeParse(frame)
-  if (!parsed.success) throw new FrameError(`frame ${frame.kind} is malformed`)
-  return parsed.data
-}
-
-export const parsePeerStateRequest = (frame: Frame) => parse(requestSchema, frame)
-export const parsePeerState = (frame: Frame) => parse(stateSchema, frame)
+export const parsePeerStateRequest = (frame: Frame) => parseFrame(requestSchema, frame)
+export const parsePeerState = (frame: Frame) => parseFrame(stateSchema, frame)
--- a/src/nodes/entry/placementTask.ts
+++ b/src/nodes/entry/placementTask.ts
@@ -3,14 +3,13 @@
   type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type Incarnation, LogUnavailableError,
   type Random, type Task, type TimestampMs
 } from '../../core/index.js'
-import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
+import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
 import {
   createLeaseHolder, createLeaseReader, engineStateFrameSchema, type EngineState, type HolderEffect, HolderEffectKind,
   type HolderMessage, HolderMessageKind, LEASE_STREAM, type LeaseDocument, leaseDocumentSchema, LeaseEffectKind,
   LeaseRecordKind, type LeaseMessage, type LeaseOwnEffect, type Placement, planPlacement, type PoolAssignment, toLeasePage
 } from '../../orders/index.js'
 import type { LogClient } from '../../clients/index.js'
-import { parseFrame } from '../../requests/index.js'
 import { parsePeerState, parsePeerStateRequest, toPeerState, toPeerStateRequest } from './peerStateFrames.js'
 
 const log = createLog('orders')
--- a/src/nodes/entry/requestsTask.ts
+++ b/src/nodes/entry/requestsTask.ts
@@ -1,9 +1,6 @@
 import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
-import { FrameKind, type Frame, type PeerIdentity } from '../../links/index.js'
-import {
-  createRequestCore, endFrameSchema, parseChunkFrame, parseFrame, refusedFrameSchema, REQUEST_TICK_MS, type RequestEffect,
-  RequestEffectKind, type RequestMessage, RequestMessageKind, type RequestPorts, type ResponseFrame, type SubmittedRequest
-} from '../../requests/index.js'
+import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
+import { createRequestCore, endFrameSchema, parseChunkFrame, refusedFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind, type RequestPorts, type ResponseFrame, type SubmittedRequest } from '../../requests/index.js'
 import type { ResponseSink } from './types.js'
 
 const TASK_CAPACITY = 65_536
--- a/src/requests/frames.ts
+++ b/src/requests/frames.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
-import { FrameError, ResultCode } from '../core/index.js'
-import { FrameKind, type Frame } from '../links/index.js'
+import { ResultCode } from '../core/index.js'
+import { FrameKind, type Frame, parseFrame } from '../links/index.js'
 
 const id = z.string().min(1).max(256)
 const counter = z.number().int().nonnegative()
@@ -107,20 +107,6 @@
 export type ResumeFrame = z.infer<typeof resumeFrameSchema>
 export type ResponseFrame = ChunkFrame | EndFrame | RefusedFrame
 
-/**
- * Validates a decoded frame against the schema of its kind.
- *
- * @example
- * const run = parseFrame(runFrameSchema, frame)
- * @throws FrameError with the path of the first fault
- */
-export const parseFrame = <T>(schema: z.ZodType<T>, frame: Frame): T => {
-  const parsed = schema.safeParse(frame)
-  if (parsed.success) return parsed.data
-  const issue = parsed.error.issues[0]
-  throw new FrameError(`frame ${frame.kind}: ${issue?.path.join('.')} ${issue?.message}`)
-}
-
 const amount = z.number().nonnegative()
 
 /**
