Log the limits that workers name in their responses

An operator could not see which limit a worker had named, nor whether an entry had noticed. The notice is decoded once in the worker codec; worker-limit-changed and the gauge baobabdrift_limited_workers tell which entry knew what and when. No request is treated differently yet.

--- a/src/membership/createWorkerTable.ts
+++ b/src/membership/createWorkerTable.ts
@@ -11,11 +11,15 @@
   Missing = 'missing'
 }
 
-/** Registration of a worker in the store, written by the worker. */
-export interface WorkerRegistration {
+/** One run of a worker process, which ends when the worker crashes or restarts. */
+export interface WorkerRun {
   workerId: string
   /** Start of this run, in Unix ms; a worker may restart with the same id. */
   startedAtUnixMs: number
+}
+
+/** Registration of a worker in the store, written by the worker. */
+export interface WorkerRegistration extends WorkerRun {
   service: string
   /** `ip:port` */
   address: string
--- a/src/nodes/forward/crashMonitor.ts
+++ b/src/nodes/forward/crashMonitor.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../../core/index.js'
+import type { WorkerRun } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import {
-  type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits, requestTrait, type Trait, traitsOf,
-  type WorkerRun
+  type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits, requestTrait, type Trait, traitsOf
 } from '../../quarantine/index.js'
 
 export interface CrashMonitorOptions {
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -6,6 +6,7 @@
 } from '../../peers/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
 import { chooseReader, type FeedServer, type RecordSource, startFeedServer } from '../../storeFeed/index.js'
+import { createRateLimitTable } from '../../workerLimits/index.js'
 import { createStoreView, type StorePort, type StoreView } from '../storeView/index.js'
 import { admitCaller } from './admitCaller.js'
 import { createCrashMonitor } from './crashMonitor.js'
@@ -57,6 +58,8 @@
   readonly livePeers: number
   /** Number of traits, or groups of them, that requests are refused for. */
   readonly blockedTraits: number
+  /** Number of workers that name a limit of requests per second. */
+  readonly limitedWorkers: number
   streamLimits (): Record<string, number>
   stop (): void
 }
@@ -86,6 +89,8 @@
 
   const crashes = createCrashMonitor({ clock, log, onChanged: reportStateChange })
 
+  const rateLimits = createRateLimitTable({ clock })
+
   const chooseSource = (): RecordSource => chooseReader({
     zone,
     zones: peers.reports.countZones(),
@@ -144,6 +149,7 @@
       streamLimitOf: streamLimits.of,
       countUsableWorkers,
       crashes,
+      rateLimits,
       counters,
       log,
       now: clock.nowMs,
@@ -232,6 +238,7 @@
       storeView.refresh()
     }
     storeView.tick()
+    rateLimits.expire(workerId => storeView.workers.get(workerId) !== undefined)
     if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
       lastAdjustMs = nowMs
       streamLimits.adjust(peers.reports.reports())
@@ -279,6 +286,7 @@
     storeView,
     get openedConnections () { return forward.openedConnections },
     get livePeers () { return otherEntries().length },
+    get limitedWorkers () { return rateLimits.limitedCount },
     get blockedTraits () { return crashes.blockedCount },
     streamLimits: streamLimits.inForce,
     stop: () => {
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -7,6 +7,7 @@
 import { AttemptEnd, type AttemptOutcome, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
 import type { WorkerPlacement } from '../../routing/index.js'
 import { UpstreamCheck } from '../../upstreams/index.js'
+import type { RateLimitTable } from '../../workerLimits/index.js'
 import type { CrashMonitor } from './crashMonitor.js'
 import type { ForwardCounters } from './forwardCounters.js'
 
@@ -19,6 +20,7 @@
   /** Usable workers of a service. */
   countUsableWorkers: (service: string) => number
   crashes: CrashMonitor
+  rateLimits: RateLimitTable
   counters: ForwardCounters
   log: EventLog
   now: () => number
@@ -48,7 +50,7 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, configuration, placement, budget, streamLimitOf, countUsableWorkers, crashes, counters, log, now, onRunningChanged
+  random, configuration, placement, budget, streamLimitOf, countUsableWorkers, crashes, rateLimits, counters, log, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
 
@@ -99,6 +101,11 @@
       onRunningChanged(SelfChange.LoadRose)
       log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
     },
+    onWorkerNotice: (worker, notice, sentAtMs) => {
+      const before = rateLimits.limitOf(worker)
+      if (!rateLimits.record(worker, notice, sentAtMs)) return
+      log(LogEvent.WorkerLimitChanged, { workerId: worker.workerId, before, limitPerS: notice.limitPerS })
+    },
     onWorkerChecked: (worker, check) => {
       log(LogEvent.WorkerChecked, { workerId: worker.workerId, check })
       if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -30,6 +30,8 @@
   RequestRefused = 'request-refused',
   /** Whether a worker is up after it lost a response that had not begun. */
   WorkerChecked = 'worker-checked',
+  /** A response of a worker names another limit of requests per second than the last one, or none any more. */
+  WorkerLimitChanged = 'worker-limit-changed',
   /** A worker went down, and requests with these traits had been sent to it and waited for their answers. */
   WorkerCrashed = 'worker-crashed',
   /** A worker answered a request with traits that an earlier crash had put under suspicion. */
--- a/src/quarantine/createCrashRecord.ts
+++ b/src/quarantine/createCrashRecord.ts
@@ -1,13 +1,8 @@
 import type { Clock, TimestampMs } from '../core/index.js'
+import type { WorkerRun } from '../membership/index.js'
 import { attributeCrashes, type BlockedTraits, type TraitCrash } from './attributeCrashes.js'
 import type { Trait } from './requestTraits.js'
 
-/** One run of a worker process, which ends when the worker crashes or restarts. */
-export interface WorkerRun {
-  workerId: string
-  startedAtUnixMs: number
-}
-
 /** A crash in a report; times are relative to the report, as entries share no clock. */
 export type ReportedCrash = readonly [runId: string, sentAgoMs: number, lostAgoMs: number, hasHead: boolean]
 
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -34,7 +34,7 @@
 const streamRoute = { ...idempotentRoute, repeat: RepeatPolicy.AtMostOnce, isEventStream: true, isResumable: true }
 
 const createResponse = (verdict: ResponseVerdict, status: number, isEventStream = false): WorkerResponse =>
-  ({ verdict, status, headers: [['server-seal', `seal-${status}`]], isEventStream, isUnframed: false })
+  ({ verdict, status, headers: [['server-seal', `seal-${status}`]], isEventStream, isUnframed: false, notice: undefined })
 
 describe('createForwardCore', () => {
   let clock: ManualClock
@@ -55,6 +55,7 @@
         hasFreeWorker ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait, code: waitCode },
       takeRetry: () => hasRetryBudget,
       onSent: () => {},
+      onWorkerNotice: () => {},
       onWorkerChecked: ({ workerId }, check) => { checkedWorkers.push([workerId, check]) },
       onAttemptEnded: () => {},
       onEventGap: () => {},
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -155,6 +155,7 @@
     [{ kind: ForwardEffectKind.CancelExchange, exchangeId: attempt.exchangeId }, ...handleLostAttempt(inFlight, attempt, detail)]
 
   const onResponseStarted = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
+    if (response.notice !== undefined) ports.onWorkerNotice(attempt.worker, response.notice, attempt.sentAtMs)
     const isNoStream = response.verdict === ResponseVerdict.Success && !response.isEventStream
     if (response.verdict === ResponseVerdict.Foreign || (inFlight.isHeadSent && isNoStream)) {
       return abandonAttempt(inFlight, attempt, `status ${response.status} is not a valid response to this request`)
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -2,6 +2,7 @@
 import type { RouteConfiguration } from '../configuration/index.js'
 import type { Worker } from '../membership/index.js'
 import type { HeaderField, UpstreamCheck } from '../upstreams/index.js'
+import type { WorkerNotice } from '../workerLimits/index.js'
 
 /** A caller's request after a front end has parsed it and matched it to a route. */
 export interface ForwardRequest {
@@ -50,6 +51,8 @@
   isEventStream: boolean
   /** Whether the response has neither a length nor chunks and ends with its connection. */
   isUnframed: boolean
+  /** What the worker says about itself; undefined if the response need not come from the worker that was addressed. */
+  notice: WorkerNotice | undefined
 }
 
 /** How the caller of a response learns where its body ends. */
@@ -106,6 +109,8 @@
   /** Takes one retry from the budget of the service. */
   takeRetry (service: string): boolean
   onSent (request: ForwardRequest, worker: Worker, attempt: number): void
+  /** Called with what a worker says about itself in the head of its response to a request that was sent at `sentAtMs`. */
+  onWorkerNotice (worker: Worker, notice: WorkerNotice, sentAtMs: TimestampMs): void
   /** Called with the result of a check that followed an attempt which was lost before its answer began. */
   onWorkerChecked (worker: Worker, check: UpstreamCheck): void
   onAttemptEnded (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome): void
