Share the limit that a worker names by permits from one entry

Callers saw nothing.

Cause: a limit that a worker names holds for all entries together, and no part of the system owned it; entries sent the worker what its load suggested. Class of fault: a limit of the whole fleet that every member would apply alone.

Change: one entry of the worker's zone, found by rendezvous hashing, issues single permits at the rate of the limit, and an entry sends the worker nothing without one: new work, retries and resumed streams go through the same placement. Permits expire after a second. Entries ask when the worker would be the best choice, and place the request elsewhere meanwhile; if all workers of a service are limited, a request waits up to 60 ms for an answer and is otherwise refused at once with the time of the next permit. Reports carry the limits with their ages, so an entry obeys a limit before its own first response.

Ruled out: shares of the limit by entry. With 0.12 requests a second each, they need the same view of the members and the same demand everywhere, and most of the limit stays unused.

--- a/bench/scale/feedWorld.ts
+++ b/bench/scale/feedWorld.ts
@@ -177,7 +177,8 @@
         running: node.running,
         pauses: {},
         crashes: EMPTY_CRASH_REPORT,
-        paces: {}
+        paces: {},
+        workerLimits: []
       })
     })
     node.follower = createTopicFollower({
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,12 +1,9 @@
-import { type Clock, createIncarnation, createRequestIds, dispatch, type HandlerTable, type Random, ResultCode } from '../../core/index.js'
+import { type Clock, createIncarnation, createRequestIds, dispatch, type Random, ResultCode } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget, type FleetRetryBudgetSettings } from '../../limits/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
-import {
-  type FleetReport, PeerEffectKind, PeerMessageKind, type PeerEvent, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask
-} from '../../peers/index.js'
+import { PeerMessageKind, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask } from '../../peers/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
 import { chooseReader, type FeedServer, type RecordSource, startFeedServer } from '../../storeFeed/index.js'
-import { createRateLimitTable } from '../../workerLimits/index.js'
 import { createStoreView, type StorePort, type StoreView } from '../storeView/index.js'
 import { admitCaller } from './admitCaller.js'
 import { createCrashMonitor } from './crashMonitor.js'
@@ -14,9 +11,11 @@
 import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
 import { createForwardPorts } from './forwardPorts.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
+import { createPeerEventHandlers } from './peerEventHandlers.js'
 import { createSlowdownTracker } from './slowdownTracker.js'
 import { createStreamLimits } from './streamLimits.js'
 import type { CallerRequest, CallerSink, WorkerCodec } from './types.js'
+import { startWorkerLimitsTask, type WorkerLimitsTask } from './workerLimitsTask.js'
 
 export interface ForwardNodeOptions {
   nodeId: string
@@ -89,8 +88,6 @@
 
   const crashes = createCrashMonitor({ clock, log, onChanged: reportStateChange })
 
-  const rateLimits = createRateLimitTable({ clock })
-
   const chooseSource = (): RecordSource => chooseReader({
     zone,
     zones: peers.reports.countZones(),
@@ -120,12 +117,31 @@
     }
   })
 
-  const countUsableWorkers = (service: string) => storeView.workers.usable(service).length
+  const usableWorkers = (service: string) => storeView.workers.usable(service)
+  const countUsableWorkers = (service: string) => usableWorkers(service).length
 
   const otherEntries = () => peers.reports.entries()
 
+  const workerLimits: WorkerLimitsTask = startWorkerLimitsTask({
+    clock,
+    random,
+    ownNodeId: nodeId,
+    entries: () => [{ nodeId, zone, address: options.peerAddress, isReady: isReady() }, ...otherEntries()].filter(entry => entry.isReady),
+    isWorkerKnown: workerId => storeView.workers.get(workerId) !== undefined,
+    log,
+    send: (address, datagram) => peers.post({ kind: PeerMessageKind.SendRequested, address, datagram }),
+    onLimitHeard: reportStateChange,
+    onPermitsChanged: () => forward.retryWaitingRequests()
+  })
+
   const placement = createWorkerPlacement({
-    clock, random, ownZone: zone, workers: storeView.workers, peersRunningAt: workerId => peers.reports.runningAt(workerId), slowdownOf: workerId => slowdowns.slowdownOf(workerId)
+    clock,
+    random,
+    ownZone: zone,
+    workers: storeView.workers,
+    peersRunningAt: workerId => peers.reports.runningAt(workerId),
+    slowdownOf: workerId => slowdowns.slowdownOf(workerId),
+    permissionOf: workerLimits.limits.permissionOf
   })
 
   const streamLimits = createStreamLimits({ countUsableWorkers, runningIn: placement.runningIn, log })
@@ -147,9 +163,10 @@
       placement,
       budget,
       streamLimitOf: streamLimits.of,
-      countUsableWorkers,
+      usableWorkers,
       crashes,
-      rateLimits,
+      workerLimits: workerLimits.limits,
+      postWorkerLimits: workerLimits.post,
       counters,
       log,
       now: clock.nowMs,
@@ -171,35 +188,18 @@
     running: placement.ownRunning(),
     pauses: streamLimits.ownEventGaps(),
     crashes: crashes.createReport(),
-    paces: slowdowns.slowWorkers()
+    paces: slowdowns.slowWorkers(),
+    workerLimits: workerLimits.limits.report()
   })
 
-  /** The times in a crash report hold only when it arrives, so it is not adopted again with later reports of load. */
-  const adoptReport = ({ storeOffsets, crashes: peerCrashes }: FleetReport, isComplete: boolean) => {
-    storeView.observePeerOffsets(storeOffsets)
-    if (isComplete) crashes.adoptPeerReport(peerCrashes)
-    forward.retryWaitingRequests()
-  }
-
-  const peerEventHandlers: HandlerTable<PeerEvent, void> = {
-    [PeerEffectKind.PeerLost]: ({ nodeId: lostId, address }) => {
-      log(LogEvent.PeerLost, { nodeId: lostId, address })
-      forward.retryWaitingRequests()
-    },
-    [PeerEffectKind.PeerUpdated]: ({ report, isNew, isComplete }) => {
-      if (isNew) log(LogEvent.PeerFound, { nodeId: report.nodeId, incarnation: report.incarnation })
-      adoptReport(report, isComplete)
-    },
-    [PeerEffectKind.ZoneUpdated]: ({ summary, isNew, isComplete }) => {
-      if (isNew) log(LogEvent.ZoneFound, { zone: summary.zone, entries: summary.entries.length, relay: summary.relayAddress })
-      adoptReport(summary, isComplete)
-    },
-    [PeerEffectKind.ZoneLost]: ({ zone: lostZone }) => {
-      log(LogEvent.ZoneLost, { zone: lostZone })
-      forward.retryWaitingRequests()
-    },
-    [PeerEffectKind.SlowdownReported]: ({ workerId, pace }) => slowdowns.record(workerId, pace)
-  }
+  const peerEventHandlers = createPeerEventHandlers({
+    log,
+    observeOffsets: storeView.observePeerOffsets,
+    adoptCrashes: crashes.adoptPeerReport,
+    postWorkerLimits: workerLimits.post,
+    recordSlowdown: (workerId, pace) => slowdowns.record(workerId, pace),
+    retryWaitingRequests: forward.retryWaitingRequests
+  })
 
   const peers: PeerReportTask = startPeerReportTask({
     clock,
@@ -238,7 +238,6 @@
       storeView.refresh()
     }
     storeView.tick()
-    rateLimits.expire(workerId => storeView.workers.get(workerId) !== undefined)
     if (nowMs - lastAdjustMs >= ADJUST_INTERVAL_MS) {
       lastAdjustMs = nowMs
       streamLimits.adjust(peers.reports.reports())
@@ -286,12 +285,13 @@
     storeView,
     get openedConnections () { return forward.openedConnections },
     get livePeers () { return otherEntries().length },
-    get limitedWorkers () { return rateLimits.limitedCount },
+    get limitedWorkers () { return workerLimits.limits.limitedCount },
     get blockedTraits () { return crashes.blockedCount },
     streamLimits: streamLimits.inForce,
     stop: () => {
       clearInterval(housekeeping)
       forward.stop()
+      workerLimits.stop()
       storeView.stop()
       peers.stop()
       feedServer.close()
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -7,7 +7,7 @@
 import { AttemptEnd, type AttemptOutcome, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
 import type { WorkerPlacement } from '../../routing/index.js'
 import { UpstreamCheck } from '../../upstreams/index.js'
-import type { RateLimitTable } from '../../workerLimits/index.js'
+import { type WorkerLimits, type WorkerLimitsMessage, WorkerLimitsMessageKind, WorkerPermission } from '../../workerLimits/index.js'
 import type { CrashMonitor } from './crashMonitor.js'
 import type { ForwardCounters } from './forwardCounters.js'
 
@@ -17,10 +17,10 @@
   placement: WorkerPlacement
   budget: FleetRetryBudget
   streamLimitOf: (service: string) => StreamLimit
-  /** Usable workers of a service. */
-  countUsableWorkers: (service: string) => number
+  usableWorkers: (service: string) => readonly Worker[]
   crashes: CrashMonitor
-  rateLimits: RateLimitTable
+  workerLimits: WorkerLimits
+  postWorkerLimits: (message: WorkerLimitsMessage) => void
   counters: ForwardCounters
   log: EventLog
   now: () => number
@@ -50,10 +50,15 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, configuration, placement, budget, streamLimitOf, countUsableWorkers, crashes, rateLimits, counters, log, now, onRunningChanged
+  random, configuration, placement, budget, streamLimitOf, usableWorkers, crashes, workerLimits, postWorkerLimits, counters, log, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
 
+  const isAsked = (service: string) => usableWorkers(service).some(worker => workerLimits.permissionOf(worker) === WorkerPermission.Asked)
+
+  /** Time until the first of the limited workers of a service may have a permit again. */
+  const permitWaitMs = (service: string) => Math.min(...usableWorkers(service).map(worker => workerLimits.waitMsOf(worker)))
+
   const place = (request: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
     const { service, requestId } = request
     const blocked = crashes.findBlocked(request)
@@ -63,11 +68,14 @@
     }
     const hasLimit = isEngine(service)
     // A request that was sent before has already passed the limit.
-    const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streamsFor(countUsableWorkers(service)) : undefined
+    const serviceLimit = hasLimit && triedWorkerIds.length === 0 ? streamLimitOf(service).streamsFor(usableWorkers(service).length) : undefined
     const slotsFactor = hasLimit ? ENGINE_SLOTS_FACTOR : PLAIN_SLOTS_FACTOR
     const decision = placement.place({ service, triedWorkerIds, serviceLimit, slotsFactor })
+    if (decision.wanted !== undefined) postWorkerLimits({ kind: WorkerLimitsMessageKind.PermitWanted, worker: decision.wanted })
     if (decision.worker !== undefined) return { kind: PlacementKind.Placed, worker: decision.worker }
     const { code } = decision
+    const isPermitExpected = decision.wanted !== undefined || isAsked(service)
+    if (decision.isLimited === true && !isPermitExpected) return { kind: PlacementKind.Refused, code, retryAfterMs: permitWaitMs(service) }
     log(LogEvent.RequestWaits, { requestId, service, code, running: placement.runningIn(service), serviceLimit })
     return { kind: PlacementKind.Wait, code }
   }
@@ -96,16 +104,15 @@
       counters.retries[isTaken ? 'taken' : 'denied'] += 1
       return isTaken
     },
-    onSent: ({ requestId, deadlineAtMs }, { workerId }, attempt) => {
+    onSent: ({ requestId, deadlineAtMs }, worker, attempt) => {
+      const { workerId } = worker
+      workerLimits.usePermit(worker)
       placement.recordSent(workerId)
       onRunningChanged(SelfChange.LoadRose)
       log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
     },
-    onWorkerNotice: (worker, notice, sentAtMs) => {
-      const before = rateLimits.limitOf(worker)
-      if (!rateLimits.record(worker, notice, sentAtMs)) return
-      log(LogEvent.WorkerLimitChanged, { workerId: worker.workerId, before, limitPerS: notice.limitPerS })
-    },
+    onWorkerNotice: (worker, notice, sentAtMs) =>
+      postWorkerLimits({ kind: WorkerLimitsMessageKind.NoticeHeard, run: worker, notice, sentAtMs }),
     onWorkerChecked: (worker, check) => {
       log(LogEvent.WorkerChecked, { workerId: worker.workerId, check })
       if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
--- a/src/peers/createPeerReports.test.ts
+++ b/src/peers/createPeerReports.test.ts
@@ -19,6 +19,7 @@
   pauses: {},
   crashes: EMPTY_CRASH_REPORT,
   paces: {},
+  workerLimits: [],
   ...overrides
 })
 
@@ -33,6 +34,7 @@
   pauses: {},
   crashes: EMPTY_CRASH_REPORT,
   paces: {},
+  workerLimits: [],
   entries: [{ nodeId: `relay-${zone}`, address: `relay-${zone}:1`, frontAddress: `relay-${zone}:80`, isReady: true }],
   otherRelays: [],
   ...overrides
--- a/src/peers/createPeerReports.ts
+++ b/src/peers/createPeerReports.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, rankByRendezvous, type TimestampMs } from '../core/index.js'
 import { isSameCrashReport } from '../quarantine/index.js'
+import { haveSameLimits } from '../workerLimits/index.js'
 import {
   PEER_CHANGE_DELAY_MS, PEER_HEARTBEAT_MS, PEER_LIST_INTERVAL_MS, RELAYS_PER_ZONE, SelfChange
 } from './constants.js'
@@ -175,7 +176,7 @@
   }
 
   const isSameState = (one: PeerReport | undefined, other: PeerReport) => one !== undefined && one.isReady === other.isReady &&
-    isSameCrashReport(one.crashes, other.crashes) && (['storeOffsets', 'paces'] as const).every(field => JSON.stringify(one[field]) === JSON.stringify(other[field]))
+    isSameCrashReport(one.crashes, other.crashes) && haveSameLimits(one.workerLimits, other.workerLimits) && (['storeOffsets', 'paces'] as const).every(field => JSON.stringify(one[field]) === JSON.stringify(other[field]))
 
   const onReport = (report: PeerReport, fromAddress: string, isComplete: boolean): PeerEffect[] => {
     const peer = peers.add(fromAddress, report.zone)
@@ -222,7 +223,9 @@
       runningSums = undefined
       return [{ kind: PeerEffectKind.ZoneUpdated, summary, isNew: false, isComplete: false }, ...passOn(datagram, load.relayAddress, fromAddress)]
     },
-    [DatagramContent.Slowdown]: ({ notice }) => [{ kind: PeerEffectKind.SlowdownReported, ...notice }]
+    [DatagramContent.Slowdown]: ({ notice }) => [{ kind: PeerEffectKind.SlowdownReported, ...notice }],
+    [DatagramContent.PermitRequest]: ({ request }, fromAddress) => [{ kind: PeerEffectKind.PermitsRequested, request, fromAddress }],
+    [DatagramContent.PermitAnswer]: ({ answer }) => [{ kind: PeerEffectKind.PermitsAnswered, answer }]
   }
 
   const onDatagram = (datagram: PeerDatagram, fromAddress: string): PeerEffect[] => {
@@ -234,6 +237,7 @@
     [PeerMessageKind.Tick]: onTick,
     [PeerMessageKind.DatagramReceived]: ({ datagram, fromAddress }) => onDatagram(datagram, fromAddress),
     [PeerMessageKind.SelfChanged]: ({ change }) => onSelfChanged(change),
+    [PeerMessageKind.SendRequested]: ({ address, datagram }) => send([address], datagram),
     [PeerMessageKind.ProcessResumed]: () => {
       // Reports from before a process pause are outdated, but missing reports during it prove no failure.
       peers.recordPause()
--- a/src/peers/datagramCodec.test.ts
+++ b/src/peers/datagramCodec.test.ts
@@ -2,13 +2,15 @@
 import { expect, it } from 'vitest'
 import { createManualClock, createRandom } from '../core/index.js'
 import { EMPTY_CRASH_REPORT } from '../quarantine/index.js'
+import type { ReportedLimit } from '../workerLimits/index.js'
 import { createPeerReports } from './createPeerReports.js'
 import { decodeDatagram, encodeDatagram } from './datagramCodec.js'
 import { DatagramContent, type PeerDatagram, PeerMessageKind, type PeerReport } from './types.js'
 
 const RUNS = 2_000
+const limit: ReportedLimit = { workerId: 'w1', startedAtUnixMs: 5, limitPerS: 1.6, ageMs: 20 }
 const report: PeerReport = {
-  nodeId: 'p', incarnation: 'p-1', sequence: 1, zone: 'a', frontAddress: 'p:80', isReady: true, isStoreConnected: true, configurationVersion: 1, storeOffsets: { workers: 3 }, running: { w1: 2 }, pauses: { s: { pauseCount: 1, pauseSumMs: 20 } }, crashes: { crashes: { 'request/f': [['w1/1', 20, 10, true]] }, answeredAgoMs: { 'part/m/a': 5 } }, paces: {}
+  nodeId: 'p', incarnation: 'p-1', sequence: 1, zone: 'a', frontAddress: 'p:80', isReady: true, isStoreConnected: true, configurationVersion: 1, storeOffsets: { workers: 3 }, running: { w1: 2 }, pauses: { s: { pauseCount: 1, pauseSumMs: 20 } }, crashes: { crashes: { 'request/f': [['w1/1', 20, 10, true]] }, answeredAgoMs: { 'part/m/a': 5 } }, paces: {}, workerLimits: [limit]
 }
 const zoneLoad = { zone: 'b', relayAddress: 'r:1', relayIncarnation: 'r-1', sequence: 1, running: {}, pauses: {} }
 const VALID: PeerDatagram[] = [
@@ -18,10 +20,12 @@
   {
     content: DatagramContent.ZoneSummary,
     summary: {
-      ...zoneLoad, configurationVersion: 1, storeOffsets: {}, crashes: EMPTY_CRASH_REPORT, paces: {}, otherRelays: [{ address: 'q:1', zone: 'c' }], entries: [{ nodeId: 'r', address: 'r:1', frontAddress: 'r:80', isReady: true }]
+      ...zoneLoad, configurationVersion: 1, storeOffsets: {}, crashes: EMPTY_CRASH_REPORT, paces: {}, workerLimits: [], otherRelays: [{ address: 'q:1', zone: 'c' }], entries: [{ nodeId: 'r', address: 'r:1', frontAddress: 'r:80', isReady: true }]
     }
   },
-  { content: DatagramContent.Slowdown, notice: { workerId: 'w1', pace: 2 } }
+  { content: DatagramContent.Slowdown, notice: { workerId: 'w1', pace: 2 } },
+  { content: DatagramContent.PermitRequest, request: { requestId: 1, zone: 'a', limit } },
+  { content: DatagramContent.PermitAnswer, answer: { requestId: 1, limit, count: 1, retryAfterMs: 0 } }
 ]
 
 const tryDecode = (bytes: Buffer): PeerDatagram | undefined => {
--- a/src/peers/datagramCodec.ts
+++ b/src/peers/datagramCodec.ts
@@ -1,3 +1,4 @@
+import { isReportedLimit, PERMITS_MAX, type PermitAnswer, type PermitRequest } from '../workerLimits/index.js'
 import { DatagramContent, type LoadSummary, type PeerDatagram, type PeerLoad, type PeerReport, type SharedState, type SlowdownNotice, type ZoneLoad, type ZoneSummary } from './types.js'
 
 const isObject = (value: unknown): value is Record<string, unknown> => typeof value === 'object' && value !== null
@@ -18,8 +19,9 @@
 const isLoadSummary = ({ running, pauses }: LoadSummary) =>
   isRecordOfNumbers(running) && isObject(pauses) && Object.values(pauses).every(isRecordOfNumbers)
 
-const isSharedState = ({ configurationVersion, storeOffsets, crashes, paces }: SharedState) =>
-  Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && isCrashReport(crashes) && isRecordOfNumbers(paces)
+const isSharedState = ({ configurationVersion, storeOffsets, crashes, paces, workerLimits }: SharedState) =>
+  Number.isFinite(configurationVersion) && isRecordOfNumbers(storeOffsets) && isCrashReport(crashes) && isRecordOfNumbers(paces) &&
+  Array.isArray(workerLimits) && workerLimits.every(isReportedLimit)
 
 const isLoad = (load: PeerLoad) => isObject(load) && areTexts(load.incarnation) && Number.isFinite(load.sequence) && isLoadSummary(load)
 
@@ -40,12 +42,21 @@
 
 const isSlowdownNotice = (notice: SlowdownNotice) => isObject(notice) && areTexts(notice.workerId) && Number.isFinite(notice.pace)
 
+const isPermitRequest = (request: PermitRequest) =>
+  isObject(request) && Number.isFinite(request.requestId) && areTexts(request.zone) && isReportedLimit(request.limit)
+
+const isPermitAnswer = (answer: PermitAnswer) =>
+  isObject(answer) && Number.isFinite(answer.requestId) && Number.isFinite(answer.retryAfterMs) && answer.retryAfterMs >= 0 &&
+  Number.isInteger(answer.count) && answer.count >= 0 && answer.count <= PERMITS_MAX && isReportedLimit(answer.limit)
+
 const VALIDATORS: { [Content in DatagramContent]: (datagram: Extract<PeerDatagram, { content: Content }>) => boolean } = {
   [DatagramContent.Report]: ({ report }) => isReport(report),
   [DatagramContent.Load]: ({ load }) => isLoad(load),
   [DatagramContent.ZoneSummary]: ({ summary }) => isZoneSummary(summary),
   [DatagramContent.ZoneLoad]: ({ load }) => isZoneLoad(load),
-  [DatagramContent.Slowdown]: ({ notice }) => isSlowdownNotice(notice)
+  [DatagramContent.Slowdown]: ({ notice }) => isSlowdownNotice(notice),
+  [DatagramContent.PermitRequest]: ({ request }) => isPermitRequest(request),
+  [DatagramContent.PermitAnswer]: ({ answer }) => isPermitAnswer(answer)
 }
 
 /**
--- a/src/peers/peerReportTask.ts
+++ b/src/peers/peerReportTask.ts
@@ -52,7 +52,9 @@
     [PeerEffectKind.PeerLost]: onEvent,
     [PeerEffectKind.ZoneUpdated]: onEvent,
     [PeerEffectKind.ZoneLost]: onEvent,
-    [PeerEffectKind.SlowdownReported]: onEvent
+    [PeerEffectKind.SlowdownReported]: onEvent,
+    [PeerEffectKind.PermitsRequested]: onEvent,
+    [PeerEffectKind.PermitsAnswered]: onEvent
   }
 
   const task = createTask<PeerMessage, PeerEffect>({
--- a/src/peers/summarizeZone.ts
+++ b/src/peers/summarizeZone.ts
@@ -39,7 +39,8 @@
 
 /**
  * Merges the report of an entry with those of its peers: loads are summed, and of all other values the newest or highest
- * holds. An entry has added the crashes that its peers report to its own, with the time at which it learned of them.
+ * holds. An entry has added the crashes and the workers' limits that its peers report to its own, with the time at which
+ * it learned of them.
  *
  * @example
  * mergeReports(self, peers).storeOffsets
@@ -51,6 +52,7 @@
     configurationVersion: Math.max(...reports.map(({ configurationVersion }) => configurationVersion)),
     storeOffsets: highest(reports.map(({ storeOffsets }) => storeOffsets)),
     crashes: self.crashes,
-    paces: highest(reports.map(({ paces }) => paces))
+    paces: highest(reports.map(({ paces }) => paces)),
+    workerLimits: self.workerLimits
   }
 }
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -1,5 +1,6 @@
 import type { EventGapWindow } from '../limits/index.js'
 import type { CrashReport } from '../quarantine/index.js'
+import type { PermitAnswer, PermitRequest, ReportedLimit } from '../workerLimits/index.js'
 import type { SelfChange } from './constants.js'
 
 /** Load that one entry, or all entries of a zone, put on the workers. */
@@ -22,6 +23,8 @@
    * healthy worker.
    */
   paces: Record<string, number>
+  /** Limits that workers name in their responses, as far as the sender knows. */
+  workerLimits: readonly ReportedLimit[]
 }
 
 /** Short report of the load of one entry. */
@@ -97,7 +100,10 @@
   Load = 'load',
   ZoneSummary = 'zone-summary',
   ZoneLoad = 'zone-load',
-  Slowdown = 'slowdown'
+  Slowdown = 'slowdown',
+  /** Between two entries: permits for requests to a worker that names a limit. */
+  PermitRequest = 'permit-request',
+  PermitAnswer = 'permit-answer'
 }
 
 export type PeerDatagram =
@@ -106,11 +112,15 @@
   | { content: DatagramContent.ZoneSummary, summary: ZoneSummary }
   | { content: DatagramContent.ZoneLoad, load: ZoneLoad }
   | { content: DatagramContent.Slowdown, notice: SlowdownNotice }
+  | { content: DatagramContent.PermitRequest, request: PermitRequest }
+  | { content: DatagramContent.PermitAnswer, answer: PermitAnswer }
 
 export enum PeerMessageKind {
   Tick = 'tick',
   DatagramReceived = 'datagram-received',
   SelfChanged = 'self-changed',
+  /** Another slice of this process has a datagram for one entry. */
+  SendRequested = 'send-requested',
   /** The process continues after a pause. */
   ProcessResumed = 'process-resumed'
 }
@@ -119,6 +129,7 @@
   | { kind: PeerMessageKind.Tick }
   | { kind: PeerMessageKind.DatagramReceived, datagram: PeerDatagram, fromAddress: string }
   | { kind: PeerMessageKind.SelfChanged, change: SelfChange }
+  | { kind: PeerMessageKind.SendRequested, address: string, datagram: PeerDatagram }
   | { kind: PeerMessageKind.ProcessResumed }
 
 export enum PeerEffectKind {
@@ -129,7 +140,9 @@
   /** A summary updated the state of another zone. */
   ZoneUpdated = 'zone-updated',
   ZoneLost = 'zone-lost',
-  SlowdownReported = 'slowdown-reported'
+  SlowdownReported = 'slowdown-reported',
+  PermitsRequested = 'permits-requested',
+  PermitsAnswered = 'permits-answered'
 }
 
 export type PeerEffect =
@@ -140,3 +153,5 @@
   | { kind: PeerEffectKind.ZoneUpdated, summary: ZoneSummary, isNew: boolean, isComplete: boolean }
   | { kind: PeerEffectKind.ZoneLost, zone: string }
   | { kind: PeerEffectKind.SlowdownReported } & SlowdownNotice
+  | { kind: PeerEffectKind.PermitsRequested, request: PermitRequest, fromAddress: string }
+  | { kind: PeerEffectKind.PermitsAnswered, answer: PermitAnswer }
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -59,14 +59,14 @@
   }
 
   /** Ends a request for which no worker response can be delivered. */
-  const failRequest = (inFlight: InFlightRequest, code: ResultCode, detail: string): ForwardEffect[] => {
+  const failRequest = (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs = 0): ForwardEffect[] => {
     const { request: { requestId }, isHeadSent, mayHaveRun } = inFlight
     const claimsNotRun = describeResult(code).outcome === Outcome.NotRun
     const finalCode = claimsNotRun && mayHaveRun ? ResultCode.UpstreamDied : code
     removeRequest(inFlight, finalCode, detail)
     if (isHeadSent) return [{ kind: ForwardEffectKind.AbortConnection, requestId }]
     const isRetryable = describeResult(finalCode).outcome === Outcome.NotRun && describeResult(finalCode).retryable
-    const retryAfterMs = isRetryable ? ports.retryAfterMs(inFlight.request) : undefined
+    const retryAfterMs = isRetryable ? Math.max(retryAfterMinMs, ports.retryAfterMs(inFlight.request)) : undefined
     return [{ kind: ForwardEffectKind.Refuse, requestId, code: finalCode, retryAfterMs }]
   }
 
@@ -95,7 +95,7 @@
   const placeOrQueue = (inFlight: InFlightRequest): ForwardEffect[] => {
     const placement = ports.place(inFlight.request, inFlight.triedWorkerIds)
     if (placement.kind === PlacementKind.Placed) return sendToWorker(inFlight, placement.worker)
-    if (placement.kind === PlacementKind.Refused) return failRequest(inFlight, placement.code, 'request must not be sent to any worker')
+    if (placement.kind === PlacementKind.Refused) return failRequest(inFlight, placement.code, 'no worker may take the request', placement.retryAfterMs)
     inFlight.waitCode = placement.code
     inFlight.queueDeadlineMs ??= Math.min(clock.nowMs() + QUEUE_WAIT_MAX_MS, inFlight.request.deadlineAtMs)
     waiting.add(inFlight)
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -72,7 +72,7 @@
   Placed = 'placed',
   /** No worker has free capacity now; one may become available soon. */
   Wait = 'wait',
-  /** The request must not be sent to any worker. */
+  /** The request must not be sent to any worker, or no worker can take it soon. */
   Refused = 'refused'
 }
 
@@ -80,7 +80,8 @@
   | { kind: PlacementKind.Placed, worker: Worker }
   /** Why no worker is available; also the result if the request times out in the queue. */
   | { kind: PlacementKind.Wait, code: ResultCode }
-  | { kind: PlacementKind.Refused, code: ResultCode }
+  /** `retryAfterMs` is the time until a worker can take the request, if it is known. */
+  | { kind: PlacementKind.Refused, code: ResultCode, retryAfterMs?: number }
 
 /** How one attempt at a worker ended. */
 export enum AttemptEnd {
--- a/src/routing/createWorkerPlacement.test.ts
+++ b/src/routing/createWorkerPlacement.test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createManualClock, createRandom, type ManualClock, ResultCode } from '../core/index.js'
 import { createWorkerTable, type WorkerRegistration, type WorkerTable } from '../membership/index.js'
+import { WorkerPermission } from '../workerLimits/index.js'
 import { createWorkerPlacement, LOST_AVOID_MS, OTHER_ZONE_GAIN_MIN_REQUESTS, SLOW_WORKER_FACTOR, type PlacementRequest, type WorkerPlacement } from './createWorkerPlacement.js'
 
 const SERVICE = 's'
@@ -13,6 +14,7 @@
   let placement: WorkerPlacement
   let peers: Record<string, number>
   let slowdownFactors: Record<string, number>
+  let permissions: Record<string, WorkerPermission>
 
   beforeEach(() => {
     clock = createManualClock(10_000)
@@ -20,8 +22,15 @@
     workers.replaceAll([entry('1', 'a'), entry('2', 'a'), entry('3', 'b')])
     peers = {}
     slowdownFactors = {}
+    permissions = {}
     placement = createWorkerPlacement({
-      clock, random: createRandom(1), ownZone: 'a', workers, peersRunningAt: workerId => peers[workerId] ?? 0, slowdownOf: workerId => slowdownFactors[workerId] ?? 1
+      clock,
+      random: createRandom(1),
+      ownZone: 'a',
+      workers,
+      peersRunningAt: workerId => peers[workerId] ?? 0,
+      slowdownOf: workerId => slowdownFactors[workerId] ?? 1,
+      permissionOf: ({ workerId }) => permissions[workerId] ?? WorkerPermission.Unlimited
     })
   })
 
@@ -101,4 +110,29 @@
     placement.recordSent('1')
     expect(placement.ownRunning()).toEqual({ 1: 1 })
   })
+
+  it('sends nothing to a limited worker without a permit, and names it if it would have been the best choice', () => {
+    peers = { 1: 0, 2: 1, 3: 1 }
+    permissions = { 1: WorkerPermission.Askable }
+    expect(place()).toMatchObject({ worker: { workerId: '2' }, wanted: { workerId: '1' } })
+    permissions = { 1: WorkerPermission.Denied }
+    expect(place()).toMatchObject({ worker: { workerId: '2' } })
+    expect(place().wanted).toBeUndefined()
+    permissions = { 1: WorkerPermission.Permitted }
+    expect(placedWorkerOrCode()).toBe('1')
+  })
+
+  // Guards against a retry that goes to a limited worker because all others have been tried.
+  it('sends a retry to a worker that was tried before rather than to a limited one', () => {
+    permissions = { 1: WorkerPermission.Denied, 3: WorkerPermission.Asked }
+    expect(placedWorkerOrCode({ triedWorkerIds: ['2'] })).toBe('2')
+  })
+
+  it('tells a service without a permitted worker from one without a place', () => {
+    permissions = { 1: WorkerPermission.Denied, 2: WorkerPermission.Askable, 3: WorkerPermission.Denied }
+    expect(place()).toMatchObject({ worker: undefined, code: ResultCode.Overloaded, isLimited: true, wanted: { workerId: '2' } })
+    permissions = { 1: WorkerPermission.Denied }
+    peers = { 2: 4, 3: 4 }
+    expect(place()).toMatchObject({ worker: undefined, code: ResultCode.Overloaded, isLimited: false })
+  })
 })
--- a/src/routing/createWorkerPlacement.ts
+++ b/src/routing/createWorkerPlacement.ts
@@ -1,8 +1,14 @@
 import { type Clock, type Random, ResultCode, type TimestampMs } from '../core/index.js'
 import type { Worker, WorkerTable } from '../membership/index.js'
+import { WorkerPermission } from '../workerLimits/index.js'
 
 /** The chosen worker, or the result code if none can take the request. */
-export type PlacementResult = { worker: Worker } | { worker: undefined, code: ResultCode }
+export type PlacementResult = ({ worker: Worker } | { worker: undefined, code: ResultCode }) & {
+  /** A worker that would have been a better choice, if this entry had a permit to send to it. */
+  wanted?: Worker
+  /** Set if all usable workers are limited and this entry has no permit for any. */
+  isLimited?: boolean
+}
 
 export interface PlacementRequest {
   service: string
@@ -48,19 +54,30 @@
   peersRunningAt: (workerId: string) => number
   /** Slowdown factor of a worker: the time it needs for its work, divided by that of a healthy worker. */
   slowdownOf: (workerId: string) => number
+  /** Whether this entry may send a request to a worker, as far as the worker's own limit goes. */
+  permissionOf: (worker: Worker) => WorkerPermission
+}
+
+/** Whether a request may be sent to a worker now. */
+const MAY_SEND: Record<WorkerPermission, boolean> = {
+  [WorkerPermission.Unlimited]: true,
+  [WorkerPermission.Permitted]: true,
+  [WorkerPermission.Askable]: false,
+  [WorkerPermission.Asked]: false,
+  [WorkerPermission.Denied]: false
 }
 
 /**
  * Creates the placement of one entry. It chooses the worker with the lowest load per slot, and leaves the
  * own zone only for a clear gain; ties go to a random worker, so that entries with the same view do not all choose the
- * same one.
+ * same one. A worker that names a limit is chosen only with a permit.
  *
  * @example
- * const placement = createWorkerPlacement({ clock, random, ownZone, workers, peersRunningAt, slowdownOf })
+ * const placement = createWorkerPlacement({ clock, random, ownZone, workers, peersRunningAt, slowdownOf, permissionOf })
  * placement.place({ service: 'quotes', triedWorkerIds: [], serviceLimit: 30, slotsFactor: 1 })
  */
 export const createWorkerPlacement = (
-  { clock, random, ownZone, workers, peersRunningAt, slowdownOf }: WorkerPlacementOptions
+  { clock, random, ownZone, workers, peersRunningAt, slowdownOf, permissionOf }: WorkerPlacementOptions
 ): WorkerPlacement => {
   const runningByWorker = new Map<string, number>()
   const avoidedUntilMs = new Map<string, TimestampMs>()
@@ -74,24 +91,39 @@
     return healthy.length > 0 ? healthy : untried.length > 0 ? untried : candidates
   }
 
-  const place = ({ service, triedWorkerIds, serviceLimit, slotsFactor }: PlacementRequest): PlacementResult => {
-    const usable = workers.usable(service)
-    if (usable.length === 0) return { worker: undefined, code: ResultCode.NoUpstream }
-    const loads = new Map(usable.map(({ workerId }) => [workerId, runningAt(workerId)]))
-    const total = [...loads.values()].reduce((sum, load) => sum + load, 0)
-    if (serviceLimit !== undefined && total >= serviceLimit) return { worker: undefined, code: ResultCode.Overloaded }
-    const candidates = preferHealthy(usable, triedWorkerIds).map(worker => ({
-      worker,
-      load: loads.get(worker.workerId)!,
-      share: loads.get(worker.workerId)! / Math.max(1, worker.slots),
-      tieBreaker: random.next()
-    }))
+  /** Chooses the best of the workers that have a place, whether or not this entry has a permit for it. */
+  const chooseByLoad = (eligible: readonly Worker[], { triedWorkerIds, slotsFactor }: PlacementRequest): Worker | undefined => {
+    const candidates = preferHealthy(eligible, triedWorkerIds).map(worker => {
+      const load = runningAt(worker.workerId)
+      return { worker, load, share: load / Math.max(1, worker.slots), tieBreaker: random.next() }
+    })
     candidates.sort((a, b) => a.share - b.share || a.tieBreaker - b.tieBreaker)
-    const lowest = candidates[0]!
+    const lowest = candidates[0]
+    if (lowest === undefined) return undefined
     const inZone = candidates.find(({ worker }) => worker.zone === ownZone)
     const staysInZone = inZone !== undefined && inZone.share < slotsFactor && inZone.load - lowest.load < OTHER_ZONE_GAIN_MIN_REQUESTS
     const best = staysInZone ? inZone : lowest
-    return best.share >= slotsFactor ? { worker: undefined, code: ResultCode.Overloaded } : { worker: best.worker }
+    return best.share >= slotsFactor ? undefined : best.worker
+  }
+
+  /** Returns a worker that this entry should ask a permit for, because it is a better choice than the permitted ones. */
+  const findWanted = (usable: readonly Worker[], request: PlacementRequest): { wanted?: Worker } => {
+    if (usable.every(worker => MAY_SEND[permissionOf(worker)])) return {}
+    const best = chooseByLoad(usable.filter(worker => MAY_SEND[permissionOf(worker)] || permissionOf(worker) === WorkerPermission.Askable), request)
+    return best === undefined || MAY_SEND[permissionOf(best)] ? {} : { wanted: best }
+  }
+
+  const place = (request: PlacementRequest): PlacementResult => {
+    const { service, serviceLimit } = request
+    const usable = workers.usable(service)
+    if (usable.length === 0) return { worker: undefined, code: ResultCode.NoUpstream }
+    const total = usable.reduce((sum, { workerId }) => sum + runningAt(workerId), 0)
+    if (serviceLimit !== undefined && total >= serviceLimit) return { worker: undefined, code: ResultCode.Overloaded }
+    const permitted = usable.filter(worker => MAY_SEND[permissionOf(worker)])
+    const wanted = findWanted(usable, request)
+    const worker = chooseByLoad(permitted, request)
+    if (worker !== undefined) return { worker, ...wanted }
+    return { worker: undefined, code: ResultCode.Overloaded, ...wanted, isLimited: permitted.length === 0 }
   }
 
   return {
--- a/src/workerLimits/index.ts
+++ b/src/workerLimits/index.ts
@@ -1,4 +1,7 @@
 /** Limits that workers name in their responses, and how the entries share them. */
 export * from './constants.js'
+export * from './createPermitIssuer.js'
 export * from './createRateLimitTable.js'
+export * from './createWorkerLimits.js'
+export * from './reportedLimits.js'
 export * from './types.js'
--- /dev/null
+++ b/src/workerLimits/reportedLimits.ts
@@ -0,0 +1,27 @@
+import type { ReportedLimit } from './types.js'
+
+const isObject = (value: unknown): value is Record<string, unknown> => typeof value === 'object' && value !== null
+
+const isAtLeastZero = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value) && value >= 0
+
+/**
+ * Whether a value that another process has sent is a reported limit.
+ *
+ * @example
+ * isReportedLimit({ workerId: 'w1', startedAtUnixMs: 5, limitPerS: 1.6, ageMs: 20 }) // true
+ */
+export const isReportedLimit = (value: unknown): value is ReportedLimit =>
+  isObject(value) && typeof value.workerId === 'string' && Number.isFinite(value.startedAtUnixMs) &&
+  (value.limitPerS === null || isAtLeastZero(value.limitPerS)) && isAtLeastZero(value.ageMs)
+
+/**
+ * Whether two reports name the same limits, whatever their ages.
+ *
+ * @example
+ * haveSameLimits(before.workerLimits, after.workerLimits)
+ */
+export const haveSameLimits = (one: readonly ReportedLimit[], other: readonly ReportedLimit[]): boolean => {
+  const textOf = (limits: readonly ReportedLimit[]) =>
+    limits.map(({ workerId, startedAtUnixMs, limitPerS }) => `${workerId}/${startedAtUnixMs}/${limitPerS}`).sort().join()
+  return textOf(one) === textOf(other)
+}
