Keep to the limit of an upstream on the path through agents, too

Same cause as on the direct path: nobody owned the limit. Here the agent of the upstream is its only caller, so it owns the limit, refuses what is above it as not run, and tells the entries with its load report for how long the upstream takes nothing, so that they choose another one and waste no retry. The response headers are decoded into the same notice as the platform's. If all upstreams of a pool are closed, the result is 2003 (overloaded) and not 2006.

--- a/bench/control/gossip.ts
+++ b/bench/control/gossip.ts
@@ -115,7 +115,8 @@
   finishedPerS: 5.25,
   cacheEventSequence: 123_456,
   cacheBlocksMax: 2_048,
-  isUp: true
+  isUp: true,
+  closedForMs: 0
 }
 
 /** Control bytes per second of one link in both directions, with headers and acknowledgements. */
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,6 +1,8 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
+import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
+import { readUpstreamNotice } from './upstreamNotice.js'
 
 /** A request from the agent to its upstream. */
 export interface UpstreamCall {
@@ -15,6 +17,8 @@
 
 /** Receives the parts of a response in order; `onEnd` is called exactly once. */
 export interface UpstreamListener {
+  /** Called before `onHead` with what the upstream says about itself. */
+  onNotice? (notice: WorkerNotice): void
   onHead (status: number, contentType: string): void
   onBytes (bytes: Uint8Array): void
   /** `hasStarted` is false only if the upstream provably received nothing. */
@@ -97,6 +101,7 @@
         headersTimeout: call.timeoutMs,
         bodyTimeout: call.timeoutMs
       })
+      listener.onNotice?.(readUpstreamNotice(headers))
       listener.onHead(statusCode, String(headers['content-type'] ?? 'application/octet-stream'))
       let tail = ''
       let totalBytes = 0
--- a/src/nodes/agent/runsTask.ts
+++ b/src/nodes/agent/runsTask.ts
@@ -52,7 +52,7 @@
         guard.recordEnd(runId, code === ResultCode.Ok)
         task.post(hasStarted
           ? { kind: AgentRunMessageKind.UpstreamEnded, runId, code }
-          : { kind: AgentRunMessageKind.UpstreamRefused, runId, code: ResultCode.NoUpstream })
+          : { kind: AgentRunMessageKind.UpstreamRefused, runId, code: code === ResultCode.Overloaded ? code : ResultCode.NoUpstream })
       }
     })
   }
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -1,6 +1,7 @@
 import { type Clock, createLog, ResultCode } from '../../core/index.js'
 import { FrameKind, type Frame } from '../../links/index.js'
 import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../clients/index.js'
+import { createUpstreamGate } from '../../workerLimits/index.js'
 import { LOAD_REPORT_INTERVAL_MS, toReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
 
 const log = createLog('upstream')
@@ -10,6 +11,8 @@
 /** Consecutive failed load requests after which the upstream is considered down. */
 const LOAD_FAILURES_MAX = 3
 const FINISHED_SMOOTHING = 0.3
+/** Reports that the upstream takes no request for now are at least this far apart. */
+const CLOSED_REPORT_INTERVAL_MS = 100
 const NO_LOAD: UpstreamLoad = { sequence: 0, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0 }
 /** Connection errors that only an exited process causes; requests to a slow process time out instead. */
 const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
@@ -26,6 +29,7 @@
 
 /** Runs calls on the agent's upstream and reports its load and cache events. */
 export interface UpstreamTask {
+  /** Starts a call, or ends it at once as not started with code Overloaded if the upstream takes none now. */
   start (runId: string, call: UpstreamCall, estimatedTokens: number, listener: UpstreamListener): void
   cancel (runId: string): void
   /** Makes the next poll send a report, for an entry that has just linked. */
@@ -82,6 +86,9 @@
   let wasReportedUp = false
   let isPolling = false
   let crashCheck: Promise<void> | undefined
+  let lastLoad = NO_LOAD
+  let closedReportedMs = 0
+  const gate = createUpstreamGate({ clock })
 
   const updateFinishedRate = (nowMs: number) => {
     const seconds = Math.max(nowMs - finishedSinceMs, 1) / 1_000
@@ -91,6 +98,7 @@
   }
 
   const sendReport = (load: UpstreamLoad, ageMs: number, isUp: boolean) => {
+    lastLoad = load
     broadcast(toReportFrame({
       sequence: ++reportSequence,
       ageMs,
@@ -103,15 +111,25 @@
       finishedPerS,
       cacheEventSequence: load.cacheEventSequence,
       cacheBlocksMax: load.cacheBlocksMax,
+      closedForMs: gate.closedForMs(),
       isUp
     }))
     reportedMs = clock.nowMs()
     wasReportedUp = isUp
   }
 
+  /** Tells the entries that the upstream takes no request for a while, so that they choose others. */
+  const reportIfClosed = () => {
+    const nowMs = clock.nowMs()
+    if (gate.closedForMs() === 0 || nowMs - closedReportedMs < CLOSED_REPORT_INTERVAL_MS) return
+    closedReportedMs = nowMs
+    sendReport(lastLoad, Math.max(0, nowMs - lastLoad.madeAtMs), true)
+  }
+
   const recordDeath = () => {
     if (isDead) return
     isDead = true
+    gate.reset()
     lastLoadSequence = 0
     lastCacheSequence = 0
     log('upstream process died')
@@ -185,6 +203,10 @@
 
   return {
     start: (runId, call, estimatedTokens, listener) => {
+      const isAdmitted = gate.admit()
+      reportIfClosed()
+      if (!isAdmitted) return listener.onEnd(ResultCode.Overloaded, false)
+      const sentAtMs = clock.nowMs()
       acceptedTokens += Math.max(1, estimatedTokens)
       const end = (code: ResultCode, hasStarted: boolean) => {
         finishedCount += 1
@@ -192,6 +214,7 @@
       }
       const cancel = client.run(call, {
         ...listener,
+        onNotice: notice => gate.recordNotice(notice, sentAtMs),
         onEnd: (code, hasStarted) => {
           const isCancelled = !cancelByRunId.delete(runId)
           if (code === ResultCode.UpstreamDied && !isCancelled) checkForCrash().then(() => end(code, hasStarted))
@@ -199,6 +222,7 @@
         }
       })
       cancelByRunId.set(runId, cancel)
+      return undefined
     },
     cancel: runId => {
       const cancel = cancelByRunId.get(runId)
--- a/src/nodes/entry/poolRouters.ts
+++ b/src/nodes/entry/poolRouters.ts
@@ -65,6 +65,7 @@
   tokensPerS: frame.tokensPerS,
   acceptedTokens: frame.acceptedTokens,
   finishedPerS: frame.finishedPerS,
+  closedUntilMs: nowMs + frame.closedForMs,
   ...(frame.cacheEventSequence === undefined || frame.cacheBlocksMax === undefined
     ? {}
     : { prefixCache: { eventSequence: frame.cacheEventSequence, blocksMax: frame.cacheBlocksMax } })
--- a/src/requests/frames.ts
+++ b/src/requests/frames.ts
@@ -114,7 +114,7 @@
  * and field names would double their size.
  */
 const reportValuesSchema = z.tuple([
-  counter, amount, amount, amount, amount, amount, amount, amount, amount, counter.nullable(), counter.nullable(), z.boolean()
+  counter, amount, amount, amount, amount, amount, amount, amount, amount, counter.nullable(), counter.nullable(), z.boolean(), amount
 ])
 
 /** Load of an upstream. Carries an age instead of a timestamp, because the clocks of two hosts differ. */
@@ -132,6 +132,8 @@
   cacheEventSequence: number | undefined
   cacheBlocksMax: number | undefined
   isUp: boolean
+  /** Time for which the upstream takes no further request; 0 if it takes one now. */
+  closedForMs: number
 }
 
 const reportFrameSchema = z.object({ kind: z.literal(FrameKind.Report), values: reportValuesSchema })
@@ -144,7 +146,7 @@
   values: [
     load.sequence, Math.round(load.ageMs), Math.round(load.queuedTokens), load.runningRequests, load.waitingRequests,
     load.runningMax, Math.round(load.tokensPerS), Math.round(load.acceptedTokens), roundToHundredths(load.finishedPerS),
-    load.cacheEventSequence ?? null, load.cacheBlocksMax ?? null, load.isUp
+    load.cacheEventSequence ?? null, load.cacheBlocksMax ?? null, load.isUp, Math.ceil(load.closedForMs)
   ]
 })
 
@@ -156,7 +158,7 @@
 export const parseReportFrame = (frame: Frame): AgentLoadReport => {
   const [
     sequence, ageMs, queuedTokens, runningRequests, waitingRequests, runningMax, tokensPerS, acceptedTokens, finishedPerS,
-    cacheEventSequence, cacheBlocksMax, isUp
+    cacheEventSequence, cacheBlocksMax, isUp, closedForMs
   ] = parseFrame(reportFrameSchema, frame).values
   return {
     sequence,
@@ -170,7 +172,8 @@
     finishedPerS,
     cacheEventSequence: cacheEventSequence ?? undefined,
     cacheBlocksMax: cacheBlocksMax ?? undefined,
-    isUp
+    isUp,
+    closedForMs
   }
 }
 
--- a/src/routing/chooseUpstream.ts
+++ b/src/routing/chooseUpstream.ts
@@ -21,12 +21,15 @@
 /** Length of the prefix used as rendezvous hash key, in blocks; long enough to distinguish system prompts. */
 const RENDEZVOUS_BLOCKS = 4
 
+/** Whether an upstream has told its agent that it takes no request for now. */
+export const isClosed = ({ report }: Upstream, nowMs: TimestampMs): boolean => (report?.closedUntilMs ?? 0) > nowMs
+
 /** Returns the upstreams that may get a request. Ejected upstreams are used only if no other is available. */
-export const findAvailable = (upstreams: Iterable<Upstream>, excludedIds: readonly string[]): Upstream[] => {
+export const findAvailable = (upstreams: Iterable<Upstream>, excludedIds: readonly string[], nowMs: TimestampMs): Upstream[] => {
   const serving: Upstream[] = []
   const ejected: Upstream[] = []
   for (const upstream of upstreams) {
-    if (excludedIds.includes(upstream.upstreamId)) continue
+    if (excludedIds.includes(upstream.upstreamId) || isClosed(upstream, nowMs)) continue
     if (upstream.state === UpstreamState.Serving) serving.push(upstream)
     if (upstream.state === UpstreamState.Ejected) ejected.push(upstream)
   }
--- a/src/routing/createRouter.test.ts
+++ b/src/routing/createRouter.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createManualClock, createRandom } from '../core/index.js'
+import { createManualClock, createRandom, ResultCode } from '../core/index.js'
 import { EJECTION_BASE_MS, FailureCause, RAMP_UP_MS, RouterEffectKind, RouterMessageKind } from './constants.js'
 import { createRouter } from './createRouter.js'
 import type { LoadReport, RouterMessage } from './types.js'
@@ -78,6 +78,16 @@
     else expect(waitMs).toBeLessThan(200)
   })
 
+  it('sends nothing to an upstream that takes no request for now, and reports that it is overloaded if none does', () => {
+    const { choose, clock, post, report, countChoices } = createTestRouter(2)
+    report('u0', { sequence: 2, closedUntilMs: clock.nowMs() + 300 })
+    expect(countChoices(50)).toEqual({ u1: 50 })
+    const [effect] = post({ kind: RouterMessageKind.ChooseRequested, requestId: 'r', blocks: [], tokens: 1, deadlineMs: clock.nowMs() + 10_000, excludedIds: ['u1'] })
+    expect(effect).toMatchObject({ kind: RouterEffectKind.NoneAvailable, code: ResultCode.Overloaded })
+    clock.advance(300)
+    expect(choose({ excludedIds: ['u1'] })?.upstreamId).toBe('u0')
+  })
+
   it('subtracts the work that an upstream processed since its report', () => {
     const { choose, clock, report } = createTestRouter(1)
     report('u0', { sequence: 2, queuedTokens: 6_000 })
--- a/src/routing/createRouter.ts
+++ b/src/routing/createRouter.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, ResultCode } from '../core/index.js'
-import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable } from './chooseUpstream.js'
+import { type ChoiceCounts, compareUpstreams, DEFAULT_CHOICE_COUNTS, explainChoice, findAvailable, isClosed } from './chooseUpstream.js'
 import {
   BLOCK_TOKENS, FailureCause, GAP_SMOOTHING, IN_FLIGHT_MAX, OVERHEAD_MAX_MS, RouterEffectKind, RouterMessageKind, SMOOTHING, SNAPSHOT_INTERVAL_MS,
   RECENT_DISPATCHES_MAX, UpstreamState, WORK_PER_S_DEFAULT
@@ -114,10 +114,12 @@
   const onChoose = (message: MessageOf<RouterMessageKind.ChooseRequested>): RouterEffect[] => {
     const { requestId, deadlineMs, excludedIds } = message
     const nowMs = clock.nowMs()
-    const available = findAvailable(upstreams.values(), excludedIds)
+    const available = findAvailable(upstreams.values(), excludedIds, nowMs)
     if (available.length === 0) {
-      const explanation = `no upstream: ${upstreams.size} known, ${excludedIds.length} excluded`
-      return [{ kind: RouterEffectKind.NoneAvailable, requestId, code: ResultCode.NoUpstream, explanation }]
+      const closedCount = [...upstreams.values()].filter(upstream => isClosed(upstream, nowMs)).length
+      const code = closedCount > 0 ? ResultCode.Overloaded : ResultCode.NoUpstream
+      const explanation = `no upstream: ${upstreams.size} known, ${excludedIds.length} excluded, ${closedCount} take no request for now`
+      return [{ kind: RouterEffectKind.NoneAvailable, requestId, code, explanation }]
     }
     const predictions = compareUpstreams(available, message, { counts, random, nowMs })
     const { upstream, firstTokenMs, uncachedTokens, tokensPerS } = predictions[0]!
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -22,6 +22,8 @@
   acceptedTokens: number
   /** Requests finished per second, as a moving average. */
   finishedPerS: number
+  /** The upstream takes no request before this time. */
+  closedUntilMs?: TimestampMs
   prefixCache?: PrefixCacheState
 }
 
--- a/src/standIns/serviceStandIn.ts
+++ b/src/standIns/serviceStandIn.ts
@@ -1,11 +1,16 @@
 import fastify, { type FastifyReply, type FastifyRequest } from 'fastify'
+import { UpstreamResponseHeader } from '../clients/index.js'
 import { listenOnLoopback, type StandInServer } from './listenOnLoopback.js'
 
 export interface ServiceStandIn extends StandInServer {
   /** Number of bookings of each order id; more than one means that a request ran twice. */
   readonly runsByOrder: ReadonlyMap<string, number>
   readonly lookupCount: number
+  /** When each lookup arrived. */
+  readonly lookupTimesMs: number[]
   faults: {
+    /** Requests per second that the service names in its responses; it does not enforce them. */
+    limitPerS: number | undefined
     /** Orders take effect, but the connection closes before the response. */
     dropsResponses: boolean
     delayMs: number
@@ -22,8 +27,8 @@
  */
 export const startServiceStandIn = async ({ port = 0 }: { port?: number } = {}): Promise<ServiceStandIn> => {
   const runsByOrder = new Map<string, number>()
-  const faults = { dropsResponses: false, delayMs: 0 }
-  let lookupCount = 0
+  const faults: ServiceStandIn['faults'] = { limitPerS: undefined, dropsResponses: false, delayMs: 0 }
+  const lookupTimesMs: number[] = []
   let running = 0
   let sequence = 0
   const app = fastify({ forceCloseConnections: true })
@@ -50,11 +55,14 @@
   }
 
   const lookUp = async ({ params: { item } }: FastifyRequest<{ Params: { item: string } }>) => {
-    lookupCount += 1
+    lookupTimesMs.push(performance.now())
     await delay()
     return { item, available: 12 }
   }
 
+  app.addHook('onSend', async (request, reply) => {
+    if (faults.limitPerS !== undefined && request.url !== '/load') reply.header(UpstreamResponseHeader.RateLimit, String(faults.limitPerS))
+  })
   app.post('/orders', book)
   app.post('/bookings', book)
   app.get('/stock/:item', lookUp)
@@ -65,5 +73,5 @@
   }))
 
   const server = await listenOnLoopback(app, port)
-  return { ...server, runsByOrder, get lookupCount () { return lookupCount }, faults }
+  return { ...server, runsByOrder, get lookupCount () { return lookupTimesMs.length }, lookupTimesMs, faults }
 }
--- a/src/workerLimits/index.ts
+++ b/src/workerLimits/index.ts
@@ -2,6 +2,7 @@
 export * from './constants.js'
 export * from './createPermitIssuer.js'
 export * from './createRateLimitTable.js'
+export * from './createUpstreamGate.js'
 export * from './createWorkerLimits.js'
 export * from './reportedLimits.js'
 export * from './types.js'
