Log when the store comes back from an older copy

An operator could not see that the store gives offsets out anew, nor from where a process reads. store-restored tells the era before and after, the offset that the process reads next and the end of the store. Nothing follows from it yet.

--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -116,6 +116,7 @@
         listeners.onEntryFailed?.(address)
       },
       onUnavailable: reason => log(LogEvent.StoreUnavailable, { topic, reason }),
+      onRestored: change => log(LogEvent.StoreRestored, { topic, ...change }),
       onRecovered: outageMs => {
         log(LogEvent.StoreRecovered, { topic, outageMs: Math.round(outageMs) })
         if (topic === Topic.Workers) workers.recordStoreRecovered()
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -14,6 +14,8 @@
   WorkerChanged = 'worker-changed',
   StoreUnavailable = 'store-lost',
   StoreRecovered = 'store-regained',
+  /** The store came back from an older copy and gives offsets out anew. */
+  StoreRestored = 'store-restored',
   PeerFound = 'peer-found',
   PeerLost = 'peer-lost',
   PeerFault = 'peer-fault',
--- a/src/storeFeed/topicTask.ts
+++ b/src/storeFeed/topicTask.ts
@@ -22,6 +22,8 @@
   onEntryFailed: (address: string, reason: string) => void
   onUnavailable: (reason: string) => void
   onRecovered: (outageMs: number) => void
+  /** Called when the store gives offsets out anew; `position` is the offset that this process would read next. */
+  onRestored: (change: { before: number, era: number, position: number | undefined, end: number }) => void
 }
 
 export interface TopicTask {
@@ -52,10 +54,21 @@
     return storePort
   }
 
+  let knownEra: number | undefined
+
+  const observeEra = ({ era, end }: RecordPage) => {
+    if (era === undefined || era === knownEra) return
+    if (knownEra !== undefined) listeners.onRestored({ before: knownEra, era, position: follower.position, end })
+    knownEra = era
+  }
+
   const startCall = (callId: number, port: TopicPort, call: RecordCall, toMessage: (page: RecordPage) => FeedMessage) => {
     calls.set(callId, call)
     call.result
-      .then(page => task.post(toMessage(page)))
+      .then(page => {
+        observeEra(page)
+        task.post(toMessage(page))
+      })
       .catch(error => task.post(port.isRecordsExpired(error)
         ? { kind: FeedMessageKind.RecordsExpired, callId }
         : { kind: FeedMessageKind.CallFailed, callId, reason: error instanceof Error ? error.message : String(error) }))
--- a/src/storeFeed/types.ts
+++ b/src/storeFeed/types.ts
@@ -17,6 +17,8 @@
   records: KeyedRecord[]
   /** Offset from which to continue. */
   end: number
+  /** Era of the store's offsets: it rises when the store comes back from an older copy. Undefined from an entry. */
+  era?: number
   /** Time since the source has regained the store, in ms; undefined from the store itself, or if it was never lost. */
   sinceRecoveryMs?: number | undefined
 }
--- a/src/upstreams/httpCall.ts
+++ b/src/upstreams/httpCall.ts
@@ -4,6 +4,7 @@
 
 export interface HttpResponse {
   status: number
+  headers: readonly HeaderField[]
   body: Buffer
 }
 
@@ -44,12 +45,15 @@
     const answer = new Promise<HttpResponse>((resolve, reject) => {
       const chunks: Uint8Array[] = []
       let status = 0
+      let responseHeaders: readonly HeaderField[] = []
       const cancel = pool.send({ method, path, headers: [['host', address], ...headers, ...length], body }, ConnectionUse.Reuse, event => {
-        if (event.kind === ExchangeEventKind.Head) status = event.head.status
-        else if (event.kind === ExchangeEventKind.Body) chunks.push(event.bytes)
+        if (event.kind === ExchangeEventKind.Head) {
+          status = event.head.status
+          responseHeaders = event.head.headers
+        } else if (event.kind === ExchangeEventKind.Body) chunks.push(event.bytes)
         else {
           clearTimeout(timer)
-          if (event.kind === ExchangeEventKind.Finished) resolve({ status, body: Buffer.concat(chunks) })
+          if (event.kind === ExchangeEventKind.Finished) resolve({ status, headers: responseHeaders, body: Buffer.concat(chunks) })
           else reject(new Error(event.fault))
         }
       })
