Refuse requests that come late in a planned stop and may not end before the exit

Report of another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated. It happens here: a connection whose response begins before the stop and ends late in the grace carries one more request, which is sent to a worker and cut at the exit (plannedStop.test.ts: 'socket hang up' and a request at the worker on the code before).

Once callers no longer know this entry from the directory, it takes a request only if its deadline is before the exit; another one is refused at once with 503, not run, and a Retry-After for another entry.

--- a/src/nodes/forward/admitCaller.ts
+++ b/src/nodes/forward/admitCaller.ts
@@ -1,6 +1,7 @@
 import type { Backend, ConfigurationHolder } from '../../configuration/index.js'
 import { type Clock, type Random, ResultCode } from '../../core/index.js'
 import type { ForwardRequest } from '../../requests/index.js'
+import type { PlannedStop } from './plannedStop.js'
 import type { CallerRequest } from './types.js'
 
 const pickBackend = (backends: readonly Backend[], random: Random): string => {
@@ -20,11 +21,11 @@
  * Matches a request head to its route and tenant; returns the result code if the request is refused.
  *
  * @example
- * admitCaller(caller, { configuration, clock, random })
+ * admitCaller(caller, { configuration, plannedStop, clock, random })
  */
 export const admitCaller = (
   caller: CallerRequest,
-  { configuration, clock, random }: { configuration: ConfigurationHolder, clock: Clock, random: Random }
+  { configuration, plannedStop, clock, random }: { configuration: ConfigurationHolder, plannedStop: PlannedStop, clock: Clock, random: Random }
 ): AdmittedRequest | ResultCode => {
   if (configuration.current === undefined) return ResultCode.NotReady
   const pathname = caller.path.split('?', 1)[0] ?? '/'
@@ -33,6 +34,8 @@
   const tenant = caller.apiKey === undefined ? undefined : configuration.findTenant(caller.apiKey)
   if (tenant === undefined && configuration.hasTenants && !route.isPublic) return ResultCode.UnknownApiKey
   const arrivedAtMs = clock.nowMs()
+  const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, caller.remainingMs ?? route.timeoutMs)
+  if (!plannedStop.mayTake(deadlineAtMs)) return ResultCode.Draining
   return {
     requestId: caller.requestId,
     callerAttemptId: caller.callerAttemptId,
@@ -41,7 +44,7 @@
     tenant: tenant?.name,
     priority: tenant?.priority ?? route.priority,
     arrivedAtMs,
-    deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, caller.remainingMs ?? route.timeoutMs),
+    deadlineAtMs,
     method: caller.method,
     path: caller.path,
     headers: caller.headers,
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,4 +1,4 @@
-import { type Clock, createIncarnation, createRequestIds, dispatch, type Random, ResultCode } from '../../core/index.js'
+import { type Clock, createIncarnation, createRequestIds, describeResult, dispatch, type Random } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget, type FleetRetryBudgetSettings } from '../../limits/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { PeerMessageKind, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask } from '../../peers/index.js'
@@ -12,6 +12,7 @@
 import { createForwardPorts } from './forwardPorts.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
 import { createPeerEventHandlers } from './peerEventHandlers.js'
+import { createPlannedStop, type StopSchedule } from './plannedStop.js'
 import { createRecordSources } from './recordSources.js'
 import { createSlowdownTracker } from './slowdownTracker.js'
 import { createStreamLimits } from './streamLimits.js'
@@ -49,8 +50,8 @@
   addressesFor (zone: string): string[]
   readonly isReady: boolean
   readonly isStopping: boolean
-  /** Removes this entry from the addresses given to callers; it still serves requests. */
-  startStopping (): void
+  /** Removes this entry from the addresses given to callers; it still serves requests that can end in time. */
+  startStopping (schedule: StopSchedule): void
   readonly inFlightCount: number
   readonly counters: ForwardCounters
   readonly storeView: StoreView
@@ -68,6 +69,8 @@
 const PROCESS_PAUSE_MS = 1_200
 const HOUSEKEEPING_MS = 200
 const FEED_TICK_MS = 100
+/** A caller that this entry cannot serve may try another one at once. */
+const REFUSED_RETRY_MS = 200
 
 /**
  * Starts an entry. It reads the configuration and the workers from the store, and learns about the
@@ -81,7 +84,7 @@
   const { nodeId, zone, frontAddress, clock, random, store, codec, log } = options
   const incarnation = createIncarnation(random)
   const counters = createForwardCounters()
-  let isStopping = false
+  const plannedStop = createPlannedStop({ clock })
   let lastHousekeepingMs = clock.nowMs()
   let lastAdjustMs = clock.nowMs()
 
@@ -171,7 +174,7 @@
     })
   })
 
-  const isReady = () => storeView.isComplete && !isStopping
+  const isReady = () => storeView.isComplete && !plannedStop.isStarted
 
   const describeSelf = (): SelfDescription => ({
     nodeId,
@@ -242,7 +245,7 @@
   }, HOUSEKEEPING_MS)
 
   const open = (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined => {
-    const admitted = admitCaller(caller, { configuration: storeView.configuration, clock, random })
+    const admitted = admitCaller(caller, { configuration: storeView.configuration, plannedStop, clock, random })
     if (typeof admitted === 'number') {
       log(LogEvent.RequestRefused, {
         requestId: caller.requestId,
@@ -251,7 +254,7 @@
         path: caller.path,
         configurationVersion: storeView.configuration.version
       })
-      sink.onRefuse(admitted, admitted === ResultCode.NotReady ? HOUSEKEEPING_MS : undefined)
+      sink.onRefuse(admitted, describeResult(admitted).retryable ? REFUSED_RETRY_MS : undefined)
       return undefined
     }
     const { requestId, callerAttemptId, route, service, tenant } = admitted
@@ -272,9 +275,9 @@
     cancel: forward.cancel,
     addressesFor: directory.callerAddresses,
     get isReady () { return isReady() },
-    get isStopping () { return isStopping },
-    startStopping: () => {
-      isStopping = true
+    get isStopping () { return plannedStop.isStarted },
+    startStopping: schedule => {
+      plannedStop.start(schedule)
       peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
     },
     get inFlightCount () { return forward.core.liveCount },
