Send nothing to a worker that says in a response that it is leaving

Workers say so in all responses, some of them never to the store.

The notice makes the run of the worker draining in the worker table, which owns that state: at once, until the run ends, also if the store or an older copy of it still lists the worker as ready, and if its registration was removed and is back. The agent of an upstream closes it in the same way and tells the entries with its load report.

--- a/src/membership/createWorkerTable.ts
+++ b/src/membership/createWorkerTable.ts
@@ -41,6 +41,8 @@
 
 /** A worker without a registration remains usable as a last resort for this time. */
 export const MISSING_WORKER_GRACE_MS = 1_200
+/** A run that has said it is leaving is remembered for this time; it ends long before. */
+const LEAVING_KEEP_MS = 600_000
 /** After an outage of the store, live workers register again within this time. */
 export const STORE_RECOVERY_GRACE_MS = 2_200
 
@@ -63,6 +65,8 @@
   restore (registrations: readonly WorkerRegistration[]): WorkerChange[]
   put (registration: WorkerRegistration): WorkerChange[]
   remove (workerId: string): WorkerChange[]
+  /** Records that a worker has said in a response that it is leaving; it counts as draining, whatever the store says. */
+  recordLeaving (run: WorkerRun): WorkerChange[]
   /** Starts the grace period for workers whose registrations expired during the outage to register again. */
   recordStoreRecovered (): void
   /** Removes workers that have been missing for too long; expected every few hundred ms. */
@@ -85,9 +89,17 @@
   const workers = new Map<string, Worker>()
   let recoveredAtMs = -STORE_RECOVERY_GRACE_MS
 
+  const leavingRuns = new Map<string, { startedAtUnixMs: number, saidAtMs: TimestampMs }>()
+
+  const isLeaving = ({ workerId, startedAtUnixMs }: WorkerRun) => leavingRuns.get(workerId)?.startedAtUnixMs === startedAtUnixMs
+
+  const forgetLeaving = () => {
+    for (const [workerId, { saidAtMs }] of leavingRuns) if (clock.nowMs() - saidAtMs > LEAVING_KEEP_MS) leavingRuns.delete(workerId)
+  }
+
   const put = (registration: WorkerRegistration): WorkerChange[] => {
     const known = workers.get(registration.workerId)
-    const state = registration.isDraining ? WorkerState.Draining : WorkerState.Serving
+    const state = registration.isDraining || isLeaving(registration) ? WorkerState.Draining : WorkerState.Serving
     workers.set(registration.workerId, { ...registration, state, missingSinceMs: undefined })
     const isRestart = known !== undefined && known.startedAtUnixMs !== registration.startedAtUnixMs
     const startedAtUnixMs = known?.startedAtUnixMs ?? registration.startedAtUnixMs
@@ -147,10 +159,12 @@
     .filter(({ awaitedUntilMs }) => awaitedUntilMs !== undefined && awaitedUntilMs <= clock.nowMs())
     .flatMap(({ workerId }) => remove(workerId))
 
-  const removeExpired = (): WorkerChange[] => [...workers.values()].filter(isExpired).map(({ workerId, state, startedAtUnixMs }) => {
+  const removeNow = ({ workerId, state, startedAtUnixMs }: Worker): WorkerChange[] => {
     workers.delete(workerId)
-    return { workerId, before: state, after: undefined, startedAtUnixMs, isRunOver: true }
-  })
+    return [{ workerId, before: state, after: undefined, startedAtUnixMs, isRunOver: true }]
+  }
+
+  const removeExpired = (): WorkerChange[] => [...workers.values()].filter(isExpired).flatMap(removeNow)
 
   return {
     replaceAll: registrations => {
@@ -163,6 +177,14 @@
     },
     put,
     remove,
+    recordLeaving: run => {
+      forgetLeaving()
+      leavingRuns.set(run.workerId, { startedAtUnixMs: run.startedAtUnixMs, saidAtMs: clock.nowMs() })
+      const known = workers.get(run.workerId)
+      if (known === undefined || !isLeaving(known)) return []
+      // A registration that has been removed meanwhile must not make the worker a last resort.
+      return known.state === WorkerState.Missing ? removeNow(known) : put(known)
+    },
     recordStoreRecovered: () => { recoveredAtMs = clock.nowMs() },
     tick: () => [...removeAwaited(), ...removeExpired()],
     get: workerId => workers.get(workerId),
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -118,7 +118,6 @@
   })
 
   const usableWorkers = (service: string) => storeView.workers.usable(service)
-  const countUsableWorkers = (service: string) => usableWorkers(service).length
 
   const otherEntries = () => peers.reports.entries()
 
@@ -144,7 +143,7 @@
     permissionOf: workerLimits.limits.permissionOf
   })
 
-  const streamLimits = createStreamLimits({ countUsableWorkers, runningIn: placement.runningIn, log })
+  const streamLimits = createStreamLimits({ countUsableWorkers: service => usableWorkers(service).length, runningIn: placement.runningIn, log })
 
   const budget = createFleetRetryBudget({ clock, settings: options.retryBudget, countEntries: () => otherEntries().length + 1 })
 
@@ -167,6 +166,7 @@
       crashes,
       workerLimits: workerLimits.limits,
       postWorkerLimits: workerLimits.post,
+      onWorkerLeaving: storeView.recordLeaving,
       counters,
       log,
       now: clock.nowMs,
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -21,6 +21,8 @@
   crashes: CrashMonitor
   workerLimits: WorkerLimits
   postWorkerLimits: (message: WorkerLimitsMessage) => void
+  /** Called for each response in which a worker says that it is leaving. */
+  onWorkerLeaving: (worker: Worker) => void
   counters: ForwardCounters
   log: EventLog
   now: () => number
@@ -50,7 +52,7 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, configuration, placement, budget, streamLimitOf, usableWorkers, crashes, workerLimits, postWorkerLimits, counters, log, now, onRunningChanged
+  random, configuration, placement, budget, streamLimitOf, usableWorkers, crashes, workerLimits, postWorkerLimits, onWorkerLeaving, counters, log, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isEngine = (service: string) => configuration.findService(service)?.engine !== undefined
 
@@ -111,8 +113,10 @@
       onRunningChanged(SelfChange.LoadRose)
       log(LogEvent.RequestSent, { requestId, workerId, attempt, remainingMs: Math.round(deadlineAtMs - now()) })
     },
-    onWorkerNotice: (worker, notice, sentAtMs) =>
-      postWorkerLimits({ kind: WorkerLimitsMessageKind.NoticeHeard, run: worker, notice, sentAtMs }),
+    onWorkerNotice: (worker, notice, sentAtMs) => {
+      if (notice.isLeaving) onWorkerLeaving(worker)
+      postWorkerLimits({ kind: WorkerLimitsMessageKind.NoticeHeard, run: worker, notice, sentAtMs })
+    },
     onWorkerChecked: (worker, check) => {
       log(LogEvent.WorkerChecked, { workerId: worker.workerId, check })
       if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -1,6 +1,6 @@
 import { type ConfigurationHolder, createConfigurationHolder, type FleetConfiguration } from '../../configuration/index.js'
 import { type Clock, type Random, comparePositions, type LogPosition } from '../../core/index.js'
-import { createWorkerTable, type WorkerChange, type WorkerRegistration, type WorkerTable } from '../../membership/index.js'
+import { createWorkerTable, type WorkerChange, type WorkerRegistration, type WorkerRun, type WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createFeedClient, type FeedClient, FeedMessageKind, type KeyedRecord, type RecordSource, startTopicTask, type StoreCallListener, type StoreTopics, Topic, type TopicTask, type TopicTaskOptions, type WriterOrder } from '../../storeFeed/index.js'
 
@@ -42,6 +42,8 @@
   storePositions (): Record<string, LogPosition>
   /** Reads the records that a peer has already read and this process has not. */
   observePeerPositions (positions: Record<string, LogPosition>): void
+  /** Records that a worker has said in a response that it is leaving. */
+  recordLeaving (run: WorkerRun): void
   /** Brings all topics up to date after a process pause. */
   refresh (): void
   tick (): void
@@ -171,6 +173,7 @@
         if (isAhead) post({ kind: FeedMessageKind.PeerAhead, position })
       }
     },
+    recordLeaving: run => publishChanges(workers.recordLeaving(run)),
     refresh: () => topicTasks.forEach(([, task]) => task.post({ kind: FeedMessageKind.ProcessResumed })),
     tick: () => publishChanges(workers.tick()),
     stop: () => topicTasks.forEach(([, task]) => task.stop())
--- a/src/standIns/serviceStandIn.ts
+++ b/src/standIns/serviceStandIn.ts
@@ -11,6 +11,8 @@
   faults: {
     /** Requests per second that the service names in its responses; it does not enforce them. */
     limitPerS: number | undefined
+    /** The service says in its responses that it is about to stop; it goes on serving. */
+    isLeaving: boolean
     /** Orders take effect, but the connection closes before the response. */
     dropsResponses: boolean
     delayMs: number
@@ -27,7 +29,7 @@
  */
 export const startServiceStandIn = async ({ port = 0 }: { port?: number } = {}): Promise<ServiceStandIn> => {
   const runsByOrder = new Map<string, number>()
-  const faults: ServiceStandIn['faults'] = { limitPerS: undefined, dropsResponses: false, delayMs: 0 }
+  const faults: ServiceStandIn['faults'] = { limitPerS: undefined, isLeaving: false, dropsResponses: false, delayMs: 0 }
   const lookupTimesMs: number[] = []
   let running = 0
   let sequence = 0
@@ -61,7 +63,9 @@
   }
 
   app.addHook('onSend', async (request, reply) => {
-    if (faults.limitPerS !== undefined && request.url !== '/load') reply.header(UpstreamResponseHeader.RateLimit, String(faults.limitPerS))
+    if (request.url === '/load') return
+    if (faults.limitPerS !== undefined) reply.header(UpstreamResponseHeader.RateLimit, String(faults.limitPerS))
+    if (faults.isLeaving) reply.header(UpstreamResponseHeader.Leaving, '1')
   })
   app.post('/orders', book)
   app.post('/bookings', book)
--- a/src/workerLimits/constants.ts
+++ b/src/workerLimits/constants.ts
@@ -60,5 +60,7 @@
 export const ISSUER_SETTLE_MS = 1_000
 /** Upper bound of the random delay before an entry asks again after a denial, so that not always the same one is first. */
 export const ASK_JITTER_MAX_MS = 400
+/** An upstream that is leaving is reported as closed for this time, longer than the interval of reports. */
+export const LEAVING_CLOSED_MS = 60_000
 /** An issuer forgets a worker that nobody has asked about for this time. */
 export const ISSUER_FORGET_MS = 60_000
--- a/src/workerLimits/createUpstreamGate.ts
+++ b/src/workerLimits/createUpstreamGate.ts
@@ -1,4 +1,5 @@
 import type { Clock, TimestampMs } from '../core/index.js'
+import { LEAVING_CLOSED_MS } from './constants.js'
 import { createPermitIssuer } from './createPermitIssuer.js'
 import { createRateLimitTable } from './createRateLimitTable.js'
 import type { WorkerNotice } from './types.js'
@@ -28,6 +29,7 @@
   let run = { workerId: 'upstream', startedAtUnixMs: 0 }
   let permits = 0
   let nextPermitMs = 0
+  let isLeaving = false
 
   /** Takes new permits from the issuer if none is left. */
   const refill = (limitPerS: number) => {
@@ -38,24 +40,29 @@
   }
 
   const closedForMs = () => {
+    if (isLeaving) return LEAVING_CLOSED_MS
     const limitPerS = limits.limitOf(run)
     if (limitPerS === undefined) return 0
     refill(limitPerS)
-    return permits > 0 ? 0 : Math.max(0, nextPermitMs - clock.nowMs())
+    return permits > 0 ? 0 : Math.max(1, nextPermitMs - clock.nowMs())
   }
 
   return {
-    recordNotice: (notice, sentAtMs) => { limits.record(run, notice, sentAtMs) },
+    recordNotice: (notice, sentAtMs) => {
+      isLeaving ||= notice.isLeaving
+      limits.record(run, notice, sentAtMs)
+    },
     closedForMs,
     admit: () => {
+      if (closedForMs() > 0) return false
       if (limits.limitOf(run) === undefined) return true
-      if (closedForMs() > 0 || permits === 0) return false
       permits -= 1
       return true
     },
     reset: () => {
       run = { ...run, startedAtUnixMs: run.startedAtUnixMs + 1 }
       permits = 0
+      isLeaving = false
     }
   }
 }
--- a/src/workerLimits/types.ts
+++ b/src/workerLimits/types.ts
@@ -6,6 +6,8 @@
 export interface WorkerNotice {
   /** Requests per second that the worker takes from all entries together; undefined while it names no limit. */
   limitPerS: number | undefined
+  /** The worker is about to stop and takes no new requests. */
+  isLeaving: boolean
 }
 
 /** The limit of a worker's run as one entry tells another; the age is relative, as entries share no clock. */
