Leave a worker alone for the time that it names when it turns a request away

A worker that answers 503 may add a Retry-After: it wants nothing from that machine for so long.

The time is part of the worker's notice. Placement skips the worker until then, for new requests, retries and resumed streams; if no other worker is left, the request is refused at once with a Retry-After that is not before the first worker wants requests again. A later response does not shorten the time, the next run of the worker ends it. The agent of an upstream closes it in the same way.

--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -101,7 +101,7 @@
         headersTimeout: call.timeoutMs,
         bodyTimeout: call.timeoutMs
       })
-      listener.onNotice?.(readUpstreamNotice(headers))
+      listener.onNotice?.(readUpstreamNotice(statusCode, headers))
       listener.onHead(statusCode, String(headers['content-type'] ?? 'application/octet-stream'))
       let tail = ''
       let totalBytes = 0
--- a/src/clients/upstreamNotice.ts
+++ b/src/clients/upstreamNotice.ts
@@ -6,10 +6,14 @@
   /** Requests per second that the upstream takes, a decimal number; absent while it names no limit. */
   RateLimit = 'x-rate-limit-per-s',
   /** `1` in all responses of an upstream that is about to stop. */
-  Leaving = 'x-leaving'
+  Leaving = 'x-leaving',
+  /** On a response with status 503: seconds for which the upstream wants no request. */
+  RetryAfter = 'retry-after'
 }
 
 const LEAVING = '1'
+const UNAVAILABLE = 503
+const MS_PER_S = 1_000
 
 type ResponseHeaders = Record<string, string | string[] | undefined>
 
@@ -19,12 +23,16 @@
 }
 
 /**
- * Decodes what an upstream says about itself in the headers of a response.
+ * Decodes what an upstream says about itself in a response.
  *
  * @example
- * readUpstreamNotice({ 'x-rate-limit-per-s': '1.6' }) // { limitPerS: 1.6, isLeaving: false }
+ * readUpstreamNotice(200, { 'x-rate-limit-per-s': '1.6' }).limitPerS // 1.6
  */
-export const readUpstreamNotice = (headers: ResponseHeaders): WorkerNotice => ({
-  limitPerS: parseDecimal(textOf(headers, UpstreamResponseHeader.RateLimit)),
-  isLeaving: textOf(headers, UpstreamResponseHeader.Leaving) === LEAVING
-})
+export const readUpstreamNotice = (status: number, headers: ResponseHeaders): WorkerNotice => {
+  const retryAfterS = status === UNAVAILABLE ? parseDecimal(textOf(headers, UpstreamResponseHeader.RetryAfter)) : undefined
+  return {
+    limitPerS: parseDecimal(textOf(headers, UpstreamResponseHeader.RateLimit)),
+    isLeaving: textOf(headers, UpstreamResponseHeader.Leaving) === LEAVING,
+    pauseMs: retryAfterS === undefined ? undefined : retryAfterS * MS_PER_S
+  }
+}
--- a/src/nodes/upstreamNotices.test.ts
+++ b/src/nodes/upstreamNotices.test.ts
@@ -10,6 +10,8 @@
 const REQUESTS = 80
 const REQUEST_INTERVAL_MS = 50
 const WINDOW_MS = 4_000
+/** Longer than the requests of a test take. */
+const PAUSE_S = 30
 /** Time in which a response reaches the agent. */
 const SETTLE_MS = 200
 const WINDOW_REQUESTS_MAX = 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5
@@ -73,4 +75,18 @@
     expect(services[0]!.lookupCount).toBe(before)
     expect(statuses.filter(status => status === 200)).toHaveLength(REQUESTS)
   })
+
+  it('stops the requests to an upstream that turns them away, for the time that it names', async () => {
+    services[0]!.faults.retryAfterS = PAUSE_S
+    await fleet.until(async () => {
+      const before = services[0]!.lookupCount
+      await Promise.all([statusAt(0), statusAt(1)])
+      return services[0]!.lookupCount > before
+    })
+    await wait(SETTLE_MS)
+    const before = services[0]!.lookupCount
+    const statuses = await sendAll()
+    expect(services[0]!.lookupCount).toBe(before)
+    expect(statuses.filter(status => status === 200)).toHaveLength(REQUESTS)
+  })
 })
--- a/src/routing/createWorkerPlacement.ts
+++ b/src/routing/createWorkerPlacement.ts
@@ -6,7 +6,7 @@
 export type PlacementResult = ({ worker: Worker } | { worker: undefined, code: ResultCode }) & {
   /** A worker that would have been a better choice, if this entry had a permit to send to it. */
   wanted?: Worker
-  /** Set if all usable workers are limited and this entry has no permit for any. */
+  /** Set if no usable worker may be sent a request now: they are paused, or limited without a permit for this entry. */
   isLimited?: boolean
 }
 
@@ -64,7 +64,8 @@
   [WorkerPermission.Permitted]: true,
   [WorkerPermission.Askable]: false,
   [WorkerPermission.Asked]: false,
-  [WorkerPermission.Denied]: false
+  [WorkerPermission.Denied]: false,
+  [WorkerPermission.Paused]: false
 }
 
 /**
--- a/src/standIns/serviceStandIn.ts
+++ b/src/standIns/serviceStandIn.ts
@@ -13,6 +13,8 @@
     limitPerS: number | undefined
     /** The service says in its responses that it is about to stop; it goes on serving. */
     isLeaving: boolean
+    /** Lookups are turned away with 503 and this `Retry-After`. */
+    retryAfterS: number | undefined
     /** Orders take effect, but the connection closes before the response. */
     dropsResponses: boolean
     delayMs: number
@@ -29,7 +31,7 @@
  */
 export const startServiceStandIn = async ({ port = 0 }: { port?: number } = {}): Promise<ServiceStandIn> => {
   const runsByOrder = new Map<string, number>()
-  const faults: ServiceStandIn['faults'] = { limitPerS: undefined, isLeaving: false, dropsResponses: false, delayMs: 0 }
+  const faults: ServiceStandIn['faults'] = { limitPerS: undefined, isLeaving: false, retryAfterS: undefined, dropsResponses: false, delayMs: 0 }
   const lookupTimesMs: number[] = []
   let running = 0
   let sequence = 0
@@ -56,9 +58,10 @@
     }
   }
 
-  const lookUp = async ({ params: { item } }: FastifyRequest<{ Params: { item: string } }>) => {
+  const lookUp = async ({ params: { item } }: FastifyRequest<{ Params: { item: string } }>, reply: FastifyReply) => {
     lookupTimesMs.push(performance.now())
     await delay()
+    if (faults.retryAfterS !== undefined) return reply.code(503).header(UpstreamResponseHeader.RetryAfter, String(faults.retryAfterS)).send({})
     return { item, available: 12 }
   }
 
--- a/src/workerLimits/constants.ts
+++ b/src/workerLimits/constants.ts
@@ -33,7 +33,9 @@
   /** The entry has asked for permits, and the answer is outstanding. */
   Asked = 'asked',
   /** The issuer has no permit for now. */
-  Denied = 'denied'
+  Denied = 'denied',
+  /** The worker has turned a request of this entry away and wants none for now. */
+  Paused = 'paused'
 }
 
 export const LIMITS_TICK_MS = 50
--- a/src/workerLimits/createRateLimitTable.test.ts
+++ b/src/workerLimits/createRateLimitTable.test.ts
@@ -4,8 +4,8 @@
 import { createRateLimitTable, type RateLimitTable } from './createRateLimitTable.js'
 
 const RUN = { workerId: 'w1', startedAtUnixMs: 5 }
-const LIMITED = { limitPerS: 1.6, isLeaving: false }
-const UNLIMITED = { limitPerS: undefined, isLeaving: false }
+const LIMITED = { limitPerS: 1.6, isLeaving: false, pauseMs: undefined }
+const UNLIMITED = { limitPerS: undefined, isLeaving: false, pauseMs: undefined }
 
 describe('limits that workers name', () => {
   let clock: ManualClock
@@ -22,7 +22,7 @@
     expect(limits.limitOf(RUN)).toBe(1.6)
     clock.advance(60_000)
     expect(limits.limitOf(RUN)).toBe(1.6)
-    expect(limits.record(RUN, { limitPerS: 0.8, isLeaving: false }, clock.nowMs())).toBe(true)
+    expect(limits.record(RUN, { limitPerS: 0.8, isLeaving: false, pauseMs: undefined }, clock.nowMs())).toBe(true)
     expect(limits.record(RUN, UNLIMITED, clock.nowMs())).toBe(true)
     expect(limits.limitOf(RUN)).toBeUndefined()
   })
@@ -38,7 +38,7 @@
   it('belong to one run of a worker', () => {
     limits.record(RUN, LIMITED, 900)
     expect(limits.limitOf({ ...RUN, startedAtUnixMs: 6 })).toBeUndefined()
-    limits.record({ ...RUN, startedAtUnixMs: 6 }, { limitPerS: 3, isLeaving: false }, 950)
+    limits.record({ ...RUN, startedAtUnixMs: 6 }, { limitPerS: 3, isLeaving: false, pauseMs: undefined }, 950)
     expect(limits.record(RUN, LIMITED, 950)).toBe(false)
     expect(limits.limitOf({ ...RUN, startedAtUnixMs: 6 })).toBe(3)
   })
--- a/src/workerLimits/createUpstreamGate.test.ts
+++ b/src/workerLimits/createUpstreamGate.test.ts
@@ -24,14 +24,14 @@
 
   it('is open until the upstream names a limit, and after it names none', () => {
     expect(admittedIn(1_000)).toBe(100)
-    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false }, 500)
+    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false, pauseMs: undefined }, 500)
     expect(gate.admit()).toBe(false)
-    gate.recordNotice({ limitPerS: undefined, isLeaving: false }, clock.nowMs())
+    gate.recordNotice({ limitPerS: undefined, isLeaving: false, pauseMs: undefined }, clock.nowMs())
     expect(gate.admit()).toBe(true)
   })
 
   it('admits requests at the rate of the limit, and knows when it admits the next one', () => {
-    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false }, 0)
+    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false, pauseMs: undefined }, 0)
     const count = admittedIn(10_000)
     expect(count).toBeGreaterThanOrEqual(10 * LIMIT_PER_S - 1)
     expect(count).toBeLessThanOrEqual(10 * LIMIT_PER_S)
@@ -44,12 +44,12 @@
   })
 
   it('admits many requests a second if the limit is high', () => {
-    gate.recordNotice({ limitPerS: 80, isLeaving: false }, 0)
+    gate.recordNotice({ limitPerS: 80, isLeaving: false, pauseMs: undefined }, 0)
     expect(admittedIn(10_000)).toBeGreaterThan(10 * 80 * 0.9)
   })
 
   it('forgets the limit when the upstream restarts', () => {
-    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false }, 0)
+    gate.recordNotice({ limitPerS: LIMIT_PER_S, isLeaving: false, pauseMs: undefined }, 0)
     gate.reset()
     expect(gate.admit()).toBe(true)
   })
--- a/src/workerLimits/createUpstreamGate.ts
+++ b/src/workerLimits/createUpstreamGate.ts
@@ -1,5 +1,6 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 import { LEAVING_CLOSED_MS } from './constants.js'
+import { createPauseTable } from './createPauseTable.js'
 import { createPermitIssuer } from './createPermitIssuer.js'
 import { createRateLimitTable } from './createRateLimitTable.js'
 import type { WorkerNotice } from './types.js'
@@ -26,6 +27,7 @@
 export const createUpstreamGate = ({ clock }: { clock: Clock }): UpstreamGate => {
   const limits = createRateLimitTable({ clock })
   const issuer = createPermitIssuer({ clock })
+  const pauses = createPauseTable({ clock })
   let run = { workerId: 'upstream', startedAtUnixMs: 0 }
   let permits = 0
   let nextPermitMs = 0
@@ -41,6 +43,8 @@
 
   const closedForMs = () => {
     if (isLeaving) return LEAVING_CLOSED_MS
+    const pausedMs = pauses.remainingMs(run)
+    if (pausedMs > 0) return pausedMs
     const limitPerS = limits.limitOf(run)
     if (limitPerS === undefined) return 0
     refill(limitPerS)
@@ -50,6 +54,7 @@
   return {
     recordNotice: (notice, sentAtMs) => {
       isLeaving ||= notice.isLeaving
+      if (notice.pauseMs !== undefined) pauses.record(run, notice.pauseMs)
       limits.record(run, notice, sentAtMs)
     },
     closedForMs,
--- a/src/workerLimits/createWorkerLimits.test.ts
+++ b/src/workerLimits/createWorkerLimits.test.ts
@@ -31,7 +31,7 @@
   })
 
   const hear = (limitPerS: number | undefined, run = worker) =>
-    limits.handle({ kind: WorkerLimitsMessageKind.NoticeHeard, run, notice: { limitPerS, isLeaving: false }, sentAtMs: clock.nowMs() })
+    limits.handle({ kind: WorkerLimitsMessageKind.NoticeHeard, run, notice: { limitPerS, isLeaving: false, pauseMs: undefined }, sentAtMs: clock.nowMs() })
   const want = () => limits.handle({ kind: WorkerLimitsMessageKind.PermitWanted, worker })
   const ask = (): PermitRequest => requestsOf(want())[0]!.request
   const answer = (request: PermitRequest, overrides: Partial<PermitAnswer> = {}) => limits.handle({
--- a/src/workerLimits/createWorkerLimits.ts
+++ b/src/workerLimits/createWorkerLimits.ts
@@ -4,6 +4,7 @@
   ASK_JITTER_MAX_MS, ISSUER_FAILURES_MAX, ISSUER_RETRY_MS, ISSUER_SETTLE_MS, PERMIT_TIMEOUT_MS, WorkerLimitsEffectKind,
   WorkerLimitsMessageKind, WorkerPermission
 } from './constants.js'
+import { createPauseTable } from './createPauseTable.js'
 import { createPermitIssuer, type PermitGrant } from './createPermitIssuer.js'
 import { createPermitStore } from './permitStore.js'
 import { createRateLimitTable } from './createRateLimitTable.js'
@@ -36,7 +37,7 @@
   permissionOf (run: WorkerRun): WorkerPermission
   /** Uses the permit for a request that is sent to a worker; no effect if the worker is not limited. */
   usePermit (run: WorkerRun): void
-  /** Time until it makes sense to ask for a permit again; 0 if it does now. */
+  /** Time until the worker wants a request again, or a permit may be had; 0 if that is now. */
   waitMsOf (run: WorkerRun): number
   /** Limits known to this entry, for its reports to the others. */
   report (): ReportedLimit[]
@@ -65,6 +66,7 @@
   const limits = createRateLimitTable({ clock })
   const issuer = createPermitIssuer({ clock })
   const permits = createPermitStore({ clock })
+  const pauses = createPauseTable({ clock })
   const asks = new Map<string, Ask>()
   const deniedUntilMs = new Map<string, TimestampMs>()
   const failures = new Map<string, IssuerFailures>()
@@ -74,6 +76,7 @@
   const isDenied = (workerId: string) => (deniedUntilMs.get(workerId) ?? 0) > clock.nowMs()
 
   const permissionOf = (run: WorkerRun): WorkerPermission => {
+    if (pauses.remainingMs(run) > 0) return WorkerPermission.Paused
     if (limits.limitOf(run) === undefined) return WorkerPermission.Unlimited
     if (permits.has(run)) return WorkerPermission.Permitted
     if (asks.has(run.workerId)) return WorkerPermission.Asked
@@ -165,6 +168,7 @@
     for (const [workerId, untilMs] of deniedUntilMs) if (untilMs <= nowMs) deniedUntilMs.delete(workerId)
     for (const [nodeId, { retryAtMs }] of failures) if (retryAtMs <= nowMs) failures.delete(nodeId)
     permits.expire()
+    pauses.expire()
     issuer.expire()
     limits.expire(isWorkerKnown)
     return failed.length > 0 ? [{ kind: WorkerLimitsEffectKind.PermitsChanged }] : []
@@ -172,6 +176,7 @@
 
   const handlers: HandlerTable<WorkerLimitsMessage, WorkerLimitsEffect[]> = {
     [WorkerLimitsMessageKind.NoticeHeard]: ({ run, notice, sentAtMs }) => {
+      if (notice.pauseMs !== undefined) pauses.record(run, notice.pauseMs)
       const before = limits.limitOf(run)
       return limits.record(run, notice, sentAtMs) ? changed(run, before, notice.limitPerS, true) : []
     },
@@ -186,7 +191,7 @@
     handle: message => dispatch(handlers, message),
     permissionOf,
     usePermit: run => permits.use(run),
-    waitMsOf: ({ workerId }) => Math.max(0, (deniedUntilMs.get(workerId) ?? 0) - clock.nowMs()),
+    waitMsOf: run => Math.max(pauses.remainingMs(run), (deniedUntilMs.get(run.workerId) ?? 0) - clock.nowMs()),
     report: limits.report,
     get limitedCount () { return limits.limitedCount }
   }
--- a/src/workerLimits/limitSchedules.test.ts
+++ b/src/workerLimits/limitSchedules.test.ts
@@ -105,7 +105,7 @@
     entry.limits.usePermit(WORKER)
     const sentAtMs = clock.nowMs()
     arrivalsMs.push(sentAtMs)
-    handle(entry, { kind: WorkerLimitsMessageKind.NoticeHeard, run: WORKER, notice: { limitPerS, isLeaving: false }, sentAtMs })
+    handle(entry, { kind: WorkerLimitsMessageKind.NoticeHeard, run: WORKER, notice: { limitPerS, isLeaving: false, pauseMs: undefined }, sentAtMs })
   }
 
   /** Places the waiting requests of an entry: sends them, or asks for permits while they wait a short time. */
--- a/src/workerLimits/types.ts
+++ b/src/workerLimits/types.ts
@@ -8,6 +8,8 @@
   limitPerS: number | undefined
   /** The worker is about to stop and takes no new requests. */
   isLeaving: boolean
+  /** Time for which the worker wants no request from the receiver of the response; undefined if it names none. */
+  pauseMs: number | undefined
 }
 
 /** The limit of a worker's run as one entry tells another; the age is relative, as entries share no clock. */
