--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -42,6 +42,8 @@
   let hasFreeWorker: boolean
   let hasRetryBudget: boolean
   let waitCode: ResultCode
+  /** Set while no worker may be sent a request for this time. */
+  let refusedForMs: number | undefined
   let checkedWorkers: [workerId: string, check: UpstreamCheck][]
 
   beforeEach(() => {
@@ -49,10 +51,13 @@
     hasFreeWorker = true
     hasRetryBudget = true
     waitCode = ResultCode.Overloaded
+    refusedForMs = undefined
     checkedWorkers = []
     const ports: ForwardPorts = {
-      place: (_request, tried): Placement =>
-        hasFreeWorker ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait, code: waitCode },
+      place: (_request, tried): Placement => {
+        if (refusedForMs !== undefined) return { kind: PlacementKind.Refused, code: ResultCode.Overloaded, retryAfterMs: refusedForMs }
+        return hasFreeWorker ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait, code: waitCode }
+      },
       takeRetry: () => hasRetryBudget,
       onSent: () => {},
       onWorkerNotice: () => {},
@@ -352,4 +357,21 @@
     expect(core.handle({ kind: ForwardMessageKind.CapacityFreed })).toEqual([])
     expect(core.liveCount).toBe(0)
   })
+
+  // Guards against callers that are told to come back before any worker wants a request.
+  it('refuses a request that no worker wants at once, with the time until one does', () => {
+    refusedForMs = 3_000
+    expect(refusal(submit(atMostOnceRoute))).toMatchObject({ code: ResultCode.Overloaded, retryAfterMs: 3_000 })
+    refusedForMs = 100
+    expect(refusal(submit(atMostOnceRoute, { requestId: 'q2' }))).toMatchObject({ retryAfterMs: 700 })
+    expect(core.liveCount).toBe(0)
+  })
+
+  it('ends a broken stream at once if no worker wants its resumption', () => {
+    submit(streamRoute)
+    startResponse(1, createResponse(ResponseVerdict.Success, 200, true))
+    bytes(1, 'id: 1\ndata: a\n\n')
+    refusedForMs = 3_000
+    expect(kinds(failExchange(1, true))).toContain(ForwardEffectKind.AbortConnection)
+  })
 })
