Read from the store when an entry that passes its records on is cut off from it

Callers got 404 for an added route until 1.6 s after the other entries had it.

Cause: six entries were cut off from the store. Two readers of a zone had noticed and got their records from a third one that had not: its long poll hung. A process that has lost the store itself did not ask it when a peer was ahead, as calls to a lost store are repeated anyway; but with an entry as its source no call was under way, for up to 10 s. Class of fault: a state (the store is lost) that outlives what it was concluded from.

Now such a process asks the store 0.3 to 0.6 s after a peer was first seen ahead, and again at that interval until it has caught up. The test fails before and passes now. Ruled out: the order by eras (all positions were of one era).

--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -140,6 +140,22 @@
       ])
     })
 
+    // Guards against a process that has lost the store once and then relies on an entry that is cut off from it.
+    it('reads from the store when a peer has been ahead for too long although it has lost the store before, again and again', () => {
+      source = STORE
+      const { callId } = callOf(listed())
+      source = entryAt('reader:1')
+      follower.handle({ kind: FeedMessageKind.CallFailed, callId, reason: 'reset' })
+      expect(callOf(tickAfter(RETRY_DELAY_MAX_MS * 2))).toMatchObject({ kind: FeedEffectKind.Read, source })
+      follower.handle({ kind: FeedMessageKind.PeerAhead, position: at(7) })
+      for (let tries = 0; tries < 3; tries++) {
+        const { callId: storeCallId, ...call } = callOf(tickAfter(PEER_AHEAD_LIMIT_MS + PEER_AHEAD_JITTER_MS + 10))
+        expect(call).toMatchObject({ kind: FeedEffectKind.Read, source: STORE, reason: StoreCallReason.Behind })
+        follower.handle({ kind: FeedMessageKind.CallFailed, callId: storeCallId, reason: 'no response' })
+        expect(callOf(tickAfter(RETRY_DELAY_MAX_MS * 2))).toMatchObject({ source })
+      }
+    })
+
     it('changes to another entry as soon as that one is to be used', () => {
       const { callId } = callOf(listed())
       source = entryAt('other:1')
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -43,6 +43,8 @@
   let confirmUntilMs: TimestampMs | undefined
   let nextConfirmMs: TimestampMs = 0
 
+  const isPeerAhead = () => position !== undefined && peerPosition !== undefined && comparePositions(peerPosition, position) > 0
+
   const nextSource = (): RecordSource | undefined =>
     isBehind || entryFailures >= ENTRY_FAILURES_MAX ? { kind: SourceKind.Store } : source()
 
@@ -98,7 +100,7 @@
 
   const recordPosition = (end: LogPosition) => {
     position = end
-    if (peerPosition === undefined || comparePositions(peerPosition, end) <= 0) peerAheadSinceMs = undefined
+    if (!isPeerAhead()) peerAheadSinceMs = undefined
   }
 
   /** Whether a response of an entry shows that it has read less than this process. */
@@ -153,6 +155,7 @@
     entryFailures = 0
     isBehind = false
     storeFailedMs = clock.nowMs()
+    if (isPeerAhead()) peerAheadSinceMs ??= clock.nowMs()
     if (outageStartMs !== undefined) return []
     outageStartMs = clock.nowMs()
     return [{ kind: FeedEffectKind.StoreUnavailable, reason }]
@@ -198,7 +201,8 @@
     const nowMs = clock.nowMs()
     const confirmation = confirmIfDue(nowMs)
     if (confirmation.length > 0) return confirmation
-    if (isOvertaken(nowMs) && outageStartMs === undefined) {
+    // While the store is lost, a call to it is repeated anyway, unless an entry is the source.
+    if (isOvertaken(nowMs) && (outageStartMs === undefined || running?.source.kind === SourceKind.Entry)) {
       peerAheadSinceMs = undefined
       isBehind = true
       return restartCall()
