--- a/bench/scale/feedWorld.ts
+++ b/bench/scale/feedWorld.ts
@@ -1,4 +1,4 @@
-import { createRandom, dispatch, type HandlerTable, type Random, comparePositions, type LogPosition } from '../../src/core/index.js'
+import { comparePositions, createRandom, dispatch, type HandlerTable, type LogPosition, type Random } from '../../src/core/index.js'
 import {
   createPeerReports, encodeDatagram, type PeerDatagram, type PeerEffect, PeerEffectKind, PeerMessageKind, PEER_TICK_MS, SelfChange
 } from '../../src/peers/index.js'
--- a/src/membership/createWorkerTable.ts
+++ b/src/membership/createWorkerTable.ts
@@ -1,4 +1,4 @@
-import { type Clock, type TimestampMs, comparePositions, laterPosition, type LogPosition } from '../core/index.js'
+import { type Clock, comparePositions, laterPosition, type LogPosition, type TimestampMs } from '../core/index.js'
 
 export enum WorkerState {
   Serving = 'serving',
--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -1,5 +1,5 @@
 import { type ConfigurationHolder, createConfigurationHolder, type FleetConfiguration } from '../../configuration/index.js'
-import { type Clock, type Random, comparePositions, type LogPosition } from '../../core/index.js'
+import { type Clock, comparePositions, type LogPosition, type Random } from '../../core/index.js'
 import { createWorkerTable, type WorkerChange, type WorkerRegistration, type WorkerRun, type WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { createFeedClient, type FeedClient, FeedMessageKind, type KeyedRecord, type RecordSource, startTopicTask, type StoreCallListener, type StoreTopics, Topic, type TopicTask, type TopicTaskOptions, type WriterOrder } from '../../storeFeed/index.js'
--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from 'vitest'
-import { createManualClock, createRandom, type ManualClock, type LogPosition } from '../core/index.js'
+import { createManualClock, createRandom, type LogPosition, type ManualClock } from '../core/index.js'
 import {
   ENTRY_FAILURES_MAX, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_WAIT_MAX_MS, RETRY_DELAY_MAX_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
 } from './constants.js'
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -1,4 +1,4 @@
-import { dispatch, type HandlerTable, type TimestampMs, comparePositions, laterPosition, type LogPosition } from '../core/index.js'
+import { comparePositions, dispatch, type HandlerTable, laterPosition, type LogPosition, type TimestampMs } from '../core/index.js'
 import {
   CONFIRM_INTERVAL_MS, CONFIRM_TIME_MS, ENTRY_FAILURES_MAX, FIRST_ERA, LIST_TIMEOUT_MS, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_TIMEOUT_MARGIN_MS, READ_WAIT_MAX_MS,
   READ_WAIT_MIN_MS, RETRY_DELAY_MAX_MS, RETRY_DELAY_MIN_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
--- a/src/storeFeed/feedCodec.ts
+++ b/src/storeFeed/feedCodec.ts
@@ -1,4 +1,4 @@
-import { packText, unpackText, isLogPosition, type LogPosition } from '../core/index.js'
+import { isLogPosition, type LogPosition, packText, unpackText } from '../core/index.js'
 import type { EntryAddress } from '../peers/index.js'
 import type { KeyedRecord, RecordPage } from './types.js'
 
--- a/src/storeFeed/followerTypes.ts
+++ b/src/storeFeed/followerTypes.ts
@@ -1,4 +1,4 @@
-import type { Clock, Core, Random, TimestampMs, LogPosition } from '../core/index.js'
+import type { Clock, Core, LogPosition, Random, TimestampMs } from '../core/index.js'
 import type { StoreCallReason } from './constants.js'
 import type { KeyedRecord, RecordSource } from './types.js'
 
--- a/src/storeFeed/topicTask.ts
+++ b/src/storeFeed/topicTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createTask, dispatch, type HandlerTable, type Random, type LogPosition } from '../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, type LogPosition, type Random } from '../core/index.js'
 import { SourceKind, type StoreCallReason } from './constants.js'
 import { createRecordLog, type RecordLog } from './createRecordLog.js'
 import { createRestoreMerge, type RestoreMergeOptions } from './createRestoreMerge.js'
