List from the source that says that records have expired

The list, and that after a restored store, come from the source that responded now. The test fails before and passes now.

--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -156,6 +156,14 @@
       }
     })
 
+    // Guards against a process that learns from the store that records have expired, and then lists from the entry that is behind.
+    it('lists from the store when that says that the records have expired', () => {
+      listed()
+      follower.handle({ kind: FeedMessageKind.PeerAhead, position: at(7) })
+      const { callId } = callOf(tickAfter(PEER_AHEAD_LIMIT_MS + PEER_AHEAD_JITTER_MS + 10))
+      expect(follower.handle({ kind: FeedMessageKind.RecordsExpired, callId })).toMatchObject([{ kind: FeedEffectKind.List, source: STORE }])
+    })
+
     it('changes to another entry as soon as that one is to be used', () => {
       const { callId } = callOf(listed())
       source = entryAt('other:1')
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -113,6 +113,13 @@
     return [...effects, ...startCall()]
   }
 
+  /** Another source may be behind the one that has just responded. */
+  const listFromSameSource = (response: { sinceRecoveryMs?: number | undefined }): FeedEffect[] => {
+    const responded = running?.source
+    mustList = true
+    return [...onCallSucceeded(response), ...startCall(responded)]
+  }
+
   const isFromEarlierEra = ({ end }: FeedPage) => position !== undefined && end.era < position.era
 
   const onListed = (page: FeedPage): FeedEffect[] => {
@@ -136,12 +143,9 @@
   const onRecordsRead = (page: FeedPage): FeedEffect[] => {
     if (isEntryBehind(page)) return skipEntry(page)
     if (isFromEarlierEra(page)) return onCallFailed('the store responded with an era that has ended')
+    if (areOffsetsNew(page)) return listFromSameSource(page)
     const isFromStore = running?.source.kind === SourceKind.Store
     const effects = onCallSucceeded(page)
-    if (areOffsetsNew(page)) {
-      mustList = true
-      return [...effects, ...startCall()]
-    }
     recordPosition(page.end)
     if (page.records.length === 0) return [...effects, ...startCall()]
     const applied: FeedEffect = { kind: FeedEffectKind.Apply, records: page.records, end: page.end }
@@ -227,10 +231,7 @@
     [FeedMessageKind.Started]: () => startCall(),
     [FeedMessageKind.Listed]: ifCurrentCall<FeedPage>(onListed),
     [FeedMessageKind.RecordsRead]: ifCurrentCall<FeedPage>(onRecordsRead),
-    [FeedMessageKind.RecordsExpired]: ifCurrentCall(() => {
-      mustList = true
-      return [...onCallSucceeded({}), ...startCall()]
-    }),
+    [FeedMessageKind.RecordsExpired]: ifCurrentCall(() => listFromSameSource({})),
     [FeedMessageKind.CallFailed]: ifCurrentCall<{ callId: number, reason: string }>(({ reason }) => onCallFailed(reason)),
     [FeedMessageKind.PeerAhead]: ({ position: ahead }) => onPeerAhead(ahead),
     [FeedMessageKind.ProcessResumed]: () => {
