Review: case 2, a tenant's name that reaches workers as another one

A script adds a tenant whose name has a letter beyond Latin-1. Its callers' bookings run for a name that no configuration holds.

A script now ends its processes when it is interrupted, too.

--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -1,67 +1,70 @@
-// A worker answers a stream with neither a length nor chunks; the entry that passes it on is killed in the middle of it.
+/* eslint camelcase: "off" -- the fields have the names of the platform */
+
+// The operator adds a tenant whose name has a letter beyond Latin-1; its callers' requests run for another name.
 import { setTimeout as wait } from 'node:timers/promises'
 import { startStoreStandIn } from '../../target/review/storeStandIn.mjs'
-import { startWorkerStandIn } from '../../target/review/workerStandIn.mjs'
-import { eventIds, ResponseEnd, sendRequest } from '../client.mjs'
+import { respondWithBody, startWorkerStandIn } from '../../target/review/workerStandIn.mjs'
+import { sendRequest } from '../client.mjs'
 import { createConfiguration, createRegistration, OPERATOR_TOPIC, WORKERS_TOPIC } from '../configuration.mjs'
 import { createFleet, HAS_TROUBLE } from '../fleet.mjs'
 import { runCase, Verdict } from '../runCase.mjs'
 
-const EVENTS = 24
-const STREAMS = 10
-const STREAM_INTERVAL_MS = 100
-/** The case is a kill; with SIGNAL=SIGTERM, the entry is stopped as planned and the streams outlast its grace period. */
-const PLAYS = {
-  SIGKILL: { eventIntervalMs: 60, signalAtMs: 1_200 },
-  SIGTERM: { eventIntervalMs: 400, signalAtMs: 200 }
-}
-const SIGNAL = process.env.SIGNAL === 'SIGTERM' ? 'SIGTERM' : 'SIGKILL'
-const { eventIntervalMs, signalAtMs } = PLAYS[SIGNAL]
-const DEADLINE_MS = 8_000
-const CLIENT_TIMEOUT_MS = 12_000
+const APPLY_MS = 2_000
+const REQUESTS = 60
+const CLIENT_TIMEOUT_MS = 4_000
+/** The municipality's name in Northern Sámi; its Norwegian name, without such a letter, is added with TROUBLE=0. */
+const ADDED_TENANT = HAS_TROUBLE ? 'Porsáŋgu' : 'Porsanger'
+const TENANT_BY_KEY = { 'key-a': 'tenant-a', 'key-c': ADDED_TENANT }
 
-/** Writes a whole stream, event by event; its end is that of its connection. */
-const respondWithUnframedStream = note => async (socket, { headers }) => {
-  const attemptId = headers['attempt-id']
-  note(`worker runs ${attemptId}`)
-  socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nServer-Seal: seal-${attemptId}\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n`)
-  for (let id = 1; id <= EVENTS && !socket.destroyed; id++) {
-    await wait(eventIntervalMs)
-    socket.write(`id: ${id}\ndata: event ${id}\n\n`)
+const decodePercent = text => {
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    return text
   }
-  socket.end()
 }
 
+/** What a header's bytes may stand for, whichever usual way the name was written. */
+const readingsOf = bytes => [bytes.toString('latin1'), bytes.toString('utf8'), decodePercent(bytes.toString('latin1'))]
+
+const configurationWith = (version, keys) => createConfiguration(version, {
+  tenants: keys.map(key => ({ name: TENANT_BY_KEY[key], api_keys: [key] }))
+})
+
 await runCase(import.meta.url, async ({ note, onStop }) => {
   const store = await startStoreStandIn()
   onStop(() => store.close())
-  const worker = await startWorkerStandIn(respondWithUnframedStream(note))
+  const tenantByAttempt = new Map()
+  const worker = await startWorkerStandIn((socket, received) => {
+    const { 'attempt-id': attemptId, tenant = '' } = received.headers
+    tenantByAttempt.set(attemptId, Buffer.from(tenant, 'latin1'))
+    note(`worker runs ${attemptId} for tenant ${JSON.stringify(tenant)}, bytes ${Buffer.from(tenant, 'latin1').toString('hex')}`)
+    respondWithBody('answer')(socket, received)
+  })
   onStop(() => worker.close())
-  store.put(OPERATOR_TOPIC, 'config', createConfiguration(7))
   store.put(WORKERS_TOPIC, 'w-1', createRegistration(worker.address))
+  store.put(OPERATOR_TOPIC, 'config', configurationWith(7, ['key-a']))
   const fleet = createFleet({ note, storeAddress: store.address })
   onStop(fleet.stop)
   const entry = await fleet.startEntry({ name: 'front-a-1' })
   await fleet.waitReady([entry])
 
-  if (HAS_TROUBLE) setTimeout(() => entry.signal(SIGNAL), signalAtMs)
-  const send = async index => {
-    await wait(index * STREAM_INTERVAL_MS)
+  store.put(OPERATOR_TOPIC, 'config', configurationWith(8, ['key-a', 'key-c']))
+  note(`store acknowledges version 8: tenant ${ADDED_TENANT} with key-c`)
+  await wait(APPLY_MS)
+  let wrong = 0
+  let served = 0
+  for (let index = 0; index < REQUESTS; index++) {
+    const key = index % 2 === 0 ? 'key-a' : 'key-c'
     const attemptId = `attempt-${index}`
-    note(`client sends ${attemptId}`)
-    const { status, headers, body, end, isReset } = await sendRequest({
-      address: entry.front, method: 'POST', path: '/ask/1', attemptId, body: 'prompt', deadlineMs: DEADLINE_MS, timeoutMs: CLIENT_TIMEOUT_MS
-    })
-    const ids = eventIds(body)
-    const endsBetweenEvents = body.length > 0 && body.subarray(-2).toString() === '\n\n'
-    const looksComplete = status === 200 && (end === ResponseEnd.Complete || (end === ResponseEnd.Closed && endsBetweenEvents))
-    note(`client got ${attemptId}: status ${status}, seal ${headers['server-seal']}, ${ids.length} of ${EVENTS} events, ${end}${isReset ? ' by a reset' : ''}`)
-    return { status, looksComplete, isWhole: ids.length === EVENTS }
+    const { status } = await sendRequest({ address: entry.front, method: 'POST', path: '/book/1', attemptId, key, body: 'order', timeoutMs: CLIENT_TIMEOUT_MS })
+    const tenant = tenantByAttempt.get(attemptId)
+    const isWrong = tenant !== undefined && !readingsOf(tenant).includes(TENANT_BY_KEY[key])
+    served += status === 200 ? 1 : 0
+    wrong += isWrong ? 1 : 0
+    note(`client of ${TENANT_BY_KEY[key]} got ${attemptId}: status ${status}${isWrong ? ', run for another tenant' : ''}`)
   }
-  const results = await Promise.all(Array.from({ length: STREAMS }, (_, index) => send(index)))
-  const cutShort = results.filter(({ looksComplete, isWhole }) => looksComplete && !isWhole).length
-  const whole = results.filter(({ looksComplete, isWhole }) => looksComplete && isWhole).length
-  note(`${whole} streams whole; ${cutShort} ended early and look complete`)
-  if (!HAS_TROUBLE && SIGNAL === 'SIGKILL' && whole < STREAMS) return Verdict.NotRun
-  return cutShort > 0 ? Verdict.Broken : Verdict.Held
+  note(`${REQUESTS} bookings, ${served} answered with success; run for a tenant that doesn't hold the key: ${wrong}`)
+  if (!HAS_TROUBLE && served < REQUESTS) return Verdict.NotRun
+  return wrong > 0 ? Verdict.Broken : Verdict.Held
 })
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -1,59 +1,67 @@
-// A worker fails part of the bookings that it runs, with a 503 that doesn't say that the request has not run.
+// A worker answers a stream with neither a length nor chunks; the entry that passes it on is killed in the middle of it.
 import { setTimeout as wait } from 'node:timers/promises'
 import { startStoreStandIn } from '../../target/review/storeStandIn.mjs'
 import { startWorkerStandIn } from '../../target/review/workerStandIn.mjs'
-import { sendRequest } from '../client.mjs'
+import { eventIds, ResponseEnd, sendRequest } from '../client.mjs'
 import { createConfiguration, createRegistration, OPERATOR_TOPIC, WORKERS_TOPIC } from '../configuration.mjs'
 import { createFleet, HAS_TROUBLE } from '../fleet.mjs'
 import { runCase, Verdict } from '../runCase.mjs'
 
-/** One worker in seven fails 45 in 100 of its requests, as `srv_grey` does. */
-const WORKERS = 7
-const FAILED_SHARE = 0.45
-const REQUESTS = 280
-const REQUEST_INTERVAL_MS = 30
-const WORK_MS = 20
-const CLIENT_TIMEOUT_MS = 4_000
-/** Statuses that promise that the request has not run and never will. */
-const PROMISES = [408, 421, 429, 503]
+const EVENTS = 24
+const STREAMS = 10
+const STREAM_INTERVAL_MS = 100
+/** The case is a kill; with SIGNAL=SIGTERM, the entry is stopped as planned and the streams outlast its grace period. */
+const PLAYS = {
+  SIGKILL: { eventIntervalMs: 60, signalAtMs: 1_200 },
+  SIGTERM: { eventIntervalMs: 400, signalAtMs: 200 }
+}
+const SIGNAL = process.env.SIGNAL === 'SIGTERM' ? 'SIGTERM' : 'SIGKILL'
+const { eventIntervalMs, signalAtMs } = PLAYS[SIGNAL]
+const DEADLINE_MS = 8_000
+const CLIENT_TIMEOUT_MS = 12_000
+
+/** Writes a whole stream, event by event; its end is that of its connection. */
+const respondWithUnframedStream = note => async (socket, { headers }) => {
+  const attemptId = headers['attempt-id']
+  note(`worker runs ${attemptId}`)
+  socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nServer-Seal: seal-${attemptId}\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n`)
+  for (let id = 1; id <= EVENTS && !socket.destroyed; id++) {
+    await wait(eventIntervalMs)
+    socket.write(`id: ${id}\ndata: event ${id}\n\n`)
+  }
+  socket.end()
+}
 
 await runCase(import.meta.url, async ({ note, onStop }) => {
   const store = await startStoreStandIn()
   onStop(() => store.close())
+  const worker = await startWorkerStandIn(respondWithUnframedStream(note))
+  onStop(() => worker.close())
   store.put(OPERATOR_TOPIC, 'config', createConfiguration(7))
-  const runs = new Map()
-  const startWorker = async (name, isGrey) => {
-    let requests = 0
-    const worker = await startWorkerStandIn(async (socket, { headers }) => {
-      const attemptId = headers['attempt-id']
-      requests += 1
-      const fails = isGrey && Math.floor(requests * FAILED_SHARE) > Math.floor((requests - 1) * FAILED_SHARE)
-      runs.set(attemptId, [...runs.get(attemptId) ?? [], name])
-      note(`${name} runs ${attemptId}${fails ? ' and fails' : ''}`)
-      await wait(WORK_MS)
-      const [status, body] = fails ? ['503 Service Unavailable', 'failed'] : ['200 OK', 'booked']
-      socket.write(`HTTP/1.1 ${status}\r\nAttempt-Id: ${attemptId}\r\nServer-Seal: seal\r\nContent-Length: 6\r\n\r\n${body}`)
-    })
-    onStop(() => worker.close())
-    store.put(WORKERS_TOPIC, name, createRegistration(worker.address))
-  }
-  for (let index = 1; index <= WORKERS; index++) await startWorker(`w-${index}`, HAS_TROUBLE && index === 1)
-
+  store.put(WORKERS_TOPIC, 'w-1', createRegistration(worker.address))
   const fleet = createFleet({ note, storeAddress: store.address })
   onStop(fleet.stop)
   const entry = await fleet.startEntry({ name: 'front-a-1' })
   await fleet.waitReady([entry])
 
-  const results = await Promise.all(Array.from({ length: REQUESTS }, async (_, index) => {
-    await wait(index * REQUEST_INTERVAL_MS)
+  if (HAS_TROUBLE) setTimeout(() => entry.signal(SIGNAL), signalAtMs)
+  const send = async index => {
+    await wait(index * STREAM_INTERVAL_MS)
     const attemptId = `attempt-${index}`
-    const { status, headers, body } = await sendRequest({ address: entry.front, method: 'POST', path: '/book/1', attemptId, body: 'order', timeoutMs: CLIENT_TIMEOUT_MS })
-    const ran = runs.get(attemptId) ?? []
-    const isFalse = PROMISES.includes(status) && ran.length > 0
-    if (status !== 200) note(`client got ${attemptId}: status ${status}, seal ${headers['server-seal'] ?? 'none'}, body ${body}, ran at ${ran.join(' ') || 'no worker'}`)
-    return isFalse
-  }))
-  const falsePromises = results.filter(isFalse => isFalse).length
-  note(`${REQUESTS} bookings; answered as not run although they had run: ${falsePromises}`)
-  return falsePromises > 0 ? Verdict.Broken : Verdict.Held
+    note(`client sends ${attemptId}`)
+    const { status, headers, body, end, isReset } = await sendRequest({
+      address: entry.front, method: 'POST', path: '/ask/1', attemptId, body: 'prompt', deadlineMs: DEADLINE_MS, timeoutMs: CLIENT_TIMEOUT_MS
+    })
+    const ids = eventIds(body)
+    const endsBetweenEvents = body.length > 0 && body.subarray(-2).toString() === '\n\n'
+    const looksComplete = status === 200 && (end === ResponseEnd.Complete || (end === ResponseEnd.Closed && endsBetweenEvents))
+    note(`client got ${attemptId}: status ${status}, seal ${headers['server-seal']}, ${ids.length} of ${EVENTS} events, ${end}${isReset ? ' by a reset' : ''}`)
+    return { status, looksComplete, isWhole: ids.length === EVENTS }
+  }
+  const results = await Promise.all(Array.from({ length: STREAMS }, (_, index) => send(index)))
+  const cutShort = results.filter(({ looksComplete, isWhole }) => looksComplete && !isWhole).length
+  const whole = results.filter(({ looksComplete, isWhole }) => looksComplete && isWhole).length
+  note(`${whole} streams whole; ${cutShort} ended early and look complete`)
+  if (!HAS_TROUBLE && SIGNAL === 'SIGKILL' && whole < STREAMS) return Verdict.NotRun
+  return cutShort > 0 ? Verdict.Broken : Verdict.Held
 })
--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -1,91 +1,95 @@
-// All entries start with stale seeds. A worker in need names how many requests a second it takes from all machines together.
+/* eslint camelcase: "off" -- the fields have the names of the platform */
+
+// The open connections to the store go silent for good, while new ones work; then the operator moves a route to another service.
 import { setTimeout as wait } from 'node:timers/promises'
 import { startStoreStandIn } from '../../target/review/storeStandIn.mjs'
-import { startWorkerStandIn } from '../../target/review/workerStandIn.mjs'
+import { respondWithBody, startWorkerStandIn } from '../../target/review/workerStandIn.mjs'
 import { sendRequest } from '../client.mjs'
-import { createConfiguration, createRegistration, OPERATOR_TOPIC, WORKERS_TOPIC } from '../configuration.mjs'
-import { createFleet, freeAddress, HAS_TROUBLE } from '../fleet.mjs'
+import { createConfiguration, createRegistration, createRoute, OPERATOR_TOPIC, WORKERS_TOPIC } from '../configuration.mjs'
+import { createFleet, HAS_TROUBLE } from '../fleet.mjs'
+import { startProxy } from '../proxy.mjs'
 import { runCase, Verdict } from '../runCase.mjs'
 
-const ENTRIES = 4
-const SEEDS = 3
-const LIMIT_PER_S = 4
-const REQUESTS_PER_S_AND_ENTRY = 16
-const PLAY_MS = 24_000
-/** When the platform writes the addresses of live machines into the settings files, with a SIGHUP. */
-const RELOAD_AT_MS = 10_000
-const ANSWER_MS = 20
-const CLIENT_TIMEOUT_MS = 4_000
-/** The rule counts from this time after the worker first named its limit. */
+const ZONES = ['zone-a', 'zone-b', 'zone-c']
+const HEARTBEAT_MS = 1_200
+const SETTLE_MS = 6_000
+/** From the first change of the configuration to the silence, and from there to the second change. */
+const SILENCE_AFTER_MS = 200
+const SECOND_CHANGE_AFTER_MS = 1_000
 const STABLE_WINDOW_MS = 3_000
-const COUNT_WINDOW_MS = 4_000
-const ALLOWED_IN_WINDOW = 1.5 * LIMIT_PER_S * COUNT_WINDOW_MS / 1_000 + 5
+const APPLY_MS = 2_000
+const PROBE_INTERVAL_MS = 50
+const PROBE_MS = 12_000
+/** Covers the time from a timer to the first byte of a request. */
+const MARGIN_MS = 100
+const CLIENT_TIMEOUT_MS = 3_000
+
+const SERVICES = { old: 'orders-1', next: 'orders-2' }
 
-/** Largest number of arrivals in any window, from a time on. */
-const busiestWindow = (arrivals, fromMs) => {
-  const counted = arrivals.filter(atMs => atMs >= fromMs)
-  return Math.max(0, ...counted.map((startMs, at) => counted.slice(at).filter(atMs => atMs - startMs < COUNT_WINDOW_MS).length))
-}
+const createVersion = (version, service, moreRoutes = []) => createConfiguration(version, {
+  routes: [createRoute('book', { kind: 'non_idempotent', max_attempts: 1, service }), ...moreRoutes],
+  services: Object.values(SERVICES).map(name => ({ name, health_path: '/health', max_conns: 200 }))
+})
 
 await runCase(import.meta.url, async ({ note, onStop }) => {
   const store = await startStoreStandIn()
   onStop(() => store.close())
-  store.put(OPERATOR_TOPIC, 'config', createConfiguration(7))
-  const arrivals = { 'w-1': [], 'w-2': [] }
-  const startWorker = async (name, limitHeader) => {
-    const worker = await startWorkerStandIn(async (socket, { headers }) => {
-      const attemptId = headers['attempt-id']
-      arrivals[name].push(performance.now())
-      note(`${name} runs ${attemptId}`)
-      await wait(ANSWER_MS)
-      socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nServer-Seal: seal\r\n${limitHeader}Content-Length: 6\r\n\r\nanswer`)
+  const proxy = await startProxy(store.address)
+  onStop(() => proxy.close())
+  const startWorker = async (name, service) => {
+    const worker = await startWorkerStandIn((socket, received) => {
+      note(`worker of ${service} runs ${received.headers['attempt-id']}`)
+      respondWithBody(service)(socket, received)
     })
     onStop(() => worker.close())
-    store.put(WORKERS_TOPIC, name, createRegistration(worker.address))
+    let sequence = 1
+    const register = () => store.put(WORKERS_TOPIC, name, createRegistration(worker.address, { service, sequence: sequence++ }))
+    register()
+    const heartbeat = setInterval(register, HEARTBEAT_MS)
+    onStop(() => clearInterval(heartbeat))
   }
-  await startWorker('w-1', `Server-Limit: ${LIMIT_PER_S}\r\n`)
-  await startWorker('w-2', '')
+  await startWorker('w-1', SERVICES.old)
+  await startWorker('w-2', SERVICES.next)
+  store.put(OPERATOR_TOPIC, 'config', createVersion(7, SERVICES.old))
 
-  const fleet = createFleet({ note, storeAddress: store.address })
+  const fleet = createFleet({ note, storeAddress: proxy.address })
   onStop(fleet.stop)
   const listens = []
-  for (let index = 0; index < ENTRIES; index++) listens.push(await fleet.newListen())
-  const liveSeeds = listens.slice(0, SEEDS).map(({ control }) => control)
-  // Nothing listens at these addresses any more.
-  const staleSeeds = [await freeAddress(), await freeAddress(), await freeAddress()]
+  for (const zone of ZONES) listens.push({ zone, listen: await fleet.newListen() })
+  const seeds = listens.map(({ listen }) => listen.control)
   const entries = []
-  for (const [index, listen] of listens.entries()) {
-    entries.push(await fleet.startEntry({ name: `front-a-${index + 1}`, seeds: HAS_TROUBLE ? staleSeeds : liveSeeds, listen }))
-  }
+  for (const { zone, listen } of listens) entries.push(await fleet.startEntry({ name: `front-${zone}`, zone, zones: ZONES, seeds, listen }))
   await fleet.waitReady(entries)
-  await wait(STABLE_WINDOW_MS)
+  await wait(SETTLE_MS)
 
-  const startedMs = performance.now()
-  if (HAS_TROUBLE) {
-    setTimeout(() => {
-      for (const entry of entries) {
-        entry.writeSettings(liveSeeds)
-        entry.signal('SIGHUP')
-      }
-      note(`the settings files name live seeds: ${liveSeeds.join(' ')}`)
-    }, RELOAD_AT_MS)
+  const change = (text, configuration) => {
+    store.put(OPERATOR_TOPIC, 'config', configuration)
+    note(`store acknowledges version ${configuration.version}: ${text}`)
+    return performance.now()
   }
-  const statuses = {}
+  change('one more route', createVersion(8, SERVICES.old, [createRoute('more')]))
+  await wait(SILENCE_AFTER_MS)
+  const silentAtMs = performance.now()
+  if (HAS_TROUBLE) note(`${proxy.silence()} open connections to the store go silent; new ones work`)
+  await wait(SECOND_CHANGE_AFTER_MS)
+  const changedAtMs = change(`book moves from ${SERVICES.old} to ${SERVICES.next}`, createVersion(9, SERVICES.next, [createRoute('more')]))
+  const boundMs = Math.max(silentAtMs + STABLE_WINDOW_MS, changedAtMs + APPLY_MS) + MARGIN_MS
+
+  const late = []
   const pending = []
-  for (let sent = 0; performance.now() - startedMs < PLAY_MS; sent++) {
-    const entry = entries[sent % ENTRIES]
-    const attemptId = `attempt-${sent}`
-    pending.push(sendRequest({ address: entry.front, path: '/look/1', attemptId, timeoutMs: CLIENT_TIMEOUT_MS }).then(({ status }) => {
-      statuses[status] = (statuses[status] ?? 0) + 1
-      note(`client got ${attemptId} from ${entry.name}: status ${status}`)
-    }))
-    await wait(1_000 / (REQUESTS_PER_S_AND_ENTRY * ENTRIES))
+  for (let sent = 0; performance.now() - changedAtMs < PROBE_MS; sent++) {
+    for (const entry of entries) {
+      const attemptId = `${entry.name}-${sent}`
+      const sentAtMs = performance.now()
+      pending.push(sendRequest({ address: entry.front, method: 'POST', path: '/book/1', attemptId, body: 'order', timeoutMs: CLIENT_TIMEOUT_MS }).then(({ status, body }) => {
+        const isLate = sentAtMs > boundMs && status === 200 && body.toString() === SERVICES.old
+        if (isLate) late.push(entry.name)
+        note(`client got ${attemptId}, sent ${Math.round(sentAtMs - changedAtMs)} ms after the acknowledgement: status ${status} ${body}${isLate ? ', too late' : ''}`)
+      }))
+    }
+    await wait(PROBE_INTERVAL_MS)
   }
   await Promise.all(pending)
-  const countedFromMs = arrivals['w-1'][0] + STABLE_WINDOW_MS
-  const busiest = busiestWindow(arrivals['w-1'], countedFromMs)
-  const busiestReloaded = busiestWindow(arrivals['w-1'], startedMs + RELOAD_AT_MS + STABLE_WINDOW_MS)
-  note('statuses', JSON.stringify(statuses))
-  note(`w-1 names ${LIMIT_PER_S}/s; allowed in ${COUNT_WINDOW_MS} ms: ${ALLOWED_IN_WINDOW}; seen at most: ${busiest}, and ${busiestReloaded} from ${STABLE_WINDOW_MS} ms after the settings named live seeds`)
-  return busiest > ALLOWED_IN_WINDOW ? Verdict.Broken : Verdict.Held
+  note(`run by the old service, though sent later than ${APPLY_MS} ms after the acknowledgement and ${STABLE_WINDOW_MS} ms after the silence began: ${late.length}`)
+  return late.length > 0 ? Verdict.Broken : Verdict.Held
 })
--- a/review/runCase.mjs
+++ b/review/runCase.mjs
@@ -16,9 +16,13 @@
   const note = createRecord(scriptUrl)
   const stops = []
   let verdict = Verdict.NotRun
-  const limit = new Promise((resolve, reject) => setTimeout(() => reject(new Error('time limit reached')), LIMIT_MS).unref())
+  const interrupted = new Promise((resolve, reject) => {
+    setTimeout(() => reject(new Error('time limit reached')), LIMIT_MS).unref()
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => reject(new Error(`interrupted by ${signal}`)))
+    process.once('uncaughtException', reject)
+  })
   try {
-    verdict = await Promise.race([play({ note, onStop: stop => stops.push(stop) }), limit])
+    verdict = await Promise.race([play({ note, onStop: stop => stops.push(stop) }), interrupted])
   } catch (error) {
     note('could not run:', error instanceof Error ? error.stack : String(error))
   }
