--- a/src/cli/constants.ts
+++ b/src/cli/constants.ts
@@ -48,6 +48,7 @@
   [ResultCode.KeyTableFull]: ExitCode.Refused,
   [ResultCode.SuspectBusy]: ExitCode.Refused,
   [ResultCode.NotReady]: ExitCode.Refused,
+  [ResultCode.Unsendable]: ExitCode.Refused,
 
   [ResultCode.LogUnavailable]: ExitCode.Unavailable,
   [ResultCode.KeyOutsideWindow]: ExitCode.Refused,
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,5 +1,6 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
+import { isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
@@ -60,9 +61,10 @@
 /** An event stream is complete only if this is its last event. */
 const EVENT_STREAM_END = 'data: [DONE]'
 const TAIL_BYTES = 32
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
-/** Errors of the connection attempt itself, after which no byte of the request was sent. */
-const NEVER_CONNECTED_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'])
+/** Errors of the connection attempt itself, or of the request before it, after which no byte of the request was sent. */
+const NEVER_CONNECTED_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'UND_ERR_INVALID_ARG'])
 const TIMEOUT_CODES: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
 
 const codeOfError = (error: unknown): ResultCode => {
@@ -70,6 +72,20 @@
   return TIMEOUT_CODES.has((error as { code?: unknown }).code) ? ResultCode.DeadlineExceeded : ResultCode.UpstreamDied
 }
 
+const FINAL_STATUS_MIN = 200
+const STATUS_MAX = 599
+
+/**
+ * Returns the content type of a response, with one character for each byte.
+ *
+ * @throws BaobabdriftError if the head cannot be passed on
+ */
+const readHead = (status: number, contentType: string | string[] | undefined): string => {
+  const value = String(contentType ?? DEFAULT_CONTENT_TYPE)
+  if (status >= FINAL_STATUS_MIN && status <= STATUS_MAX && isFieldValue(value)) return value
+  throw new BaobabdriftError(ResultCode.UpstreamRefused, 'the head of the response is malformed')
+}
+
 const isSuccess = (status: number) => status >= 200 && status < 300
 
 /**
@@ -102,7 +118,7 @@
         bodyTimeout: call.timeoutMs
       })
       listener.onNotice?.(readUpstreamNotice(statusCode, headers))
-      listener.onHead(statusCode, String(headers['content-type'] ?? 'application/octet-stream'))
+      listener.onHead(statusCode, readHead(statusCode, headers['content-type']))
       let tail = ''
       let totalBytes = 0
       for await (const bytes of body as AsyncIterable<Buffer>) {
--- a/src/core/resultCode.ts
+++ b/src/core/resultCode.ts
@@ -24,6 +24,7 @@
   KeyTableFull = 2009,
   SuspectBusy = 2010,
   NotReady = 2011,
+  Unsendable = 2012,
 
   LogUnavailable = 3001,
   KeyOutsideWindow = 3002,
@@ -94,6 +95,7 @@
   [ResultCode.KeyTableFull]: notRun(503, true, 'the agent cannot keep another idempotency key'),
   [ResultCode.NotReady]: notRun(503, true, 'the process knows no configuration yet'),
   [ResultCode.SuspectBusy]: notRun(503, true, 'a suspected request already runs; try again later'),
+  [ResultCode.Unsendable]: notRun(503, false, 'the request cannot be encoded for the upstream'),
 
   [ResultCode.LogUnavailable]: unknown(503, true, 'the log is unavailable, an earlier attempt may have run'),
   [ResultCode.KeyOutsideWindow]: unknown(409, false, 'the Idempotency-Key is outside the window that is remembered'),
--- a/src/core/task.ts
+++ b/src/core/task.ts
@@ -15,25 +15,35 @@
   readonly queuedCount: number
 }
 
+/** An exception while a message was handled: in the core, or in one of its effects. */
+export interface TaskFailure<Message, Effect> {
+  error: unknown
+  message: Message
+  /** Undefined if the core itself failed; then the message has no effects. */
+  effect: Effect | undefined
+}
+
 export interface TaskOptions<Message, Effect> {
   name: string
   core: Core<Message, Effect>
   /** Performs one effect, usually by a lookup in a table of effect handlers. */
   perform: (effect: Effect) => void
+  /** Called after each exception; the other effects of the message are performed all the same. */
+  onFailure?: (failure: TaskFailure<Message, Effect>) => void
   capacity?: number
   overflow?: OverflowPolicy
 }
 
 /**
- * Runs a core: passes it the messages of a bounded mailbox and performs the effects in order. A
- * post schedules the task; it occupies no thread while its mailbox is empty.
+ * Runs a core: passes it the messages of a bounded mailbox and performs the effects in order. An effect that
+ * fails doesn't keep the ones behind it from being performed. A post schedules the task; it occupies no thread while its mailbox is empty.
  *
  * @example
  * const task = createTask({ name: 'gossip', core, perform: effect => dispatch(effectHandlers, effect) })
  * task.post({ kind: GossipMessageKind.Tick })
  */
 export const createTask = <Message, Effect>(
-  { name, core, perform, capacity = 4096, overflow = OverflowPolicy.RejectNew }: TaskOptions<Message, Effect>
+  { name, core, perform, onFailure = () => {}, capacity = 4096, overflow = OverflowPolicy.RejectNew }: TaskOptions<Message, Effect>
 ): Task<Message> => {
   const log = createLog(name)
   const mailbox = createMailbox<Message>({ capacity, overflow })
@@ -41,14 +51,21 @@
   let scheduled = false
   let stopped = false
 
-  const handleOne = (message: Message) => {
+  const attempt = <Result>(message: Message, effect: Effect | undefined, action: () => Result): Result | undefined => {
     try {
-      for (const effect of core.handle(message)) perform(effect)
+      return action()
     } catch (error) {
       log('failed to handle a message: %s', error instanceof Error ? error.stack : String(error))
+      onFailure({ error, message, effect })
+      return undefined
     }
   }
 
+  const handleOne = (message: Message) => {
+    const effects = attempt(message, undefined, () => core.handle(message)) ?? []
+    for (const effect of effects) attempt(message, effect, () => perform(effect))
+  }
+
   const drain = () => {
     scheduled = false
     for (let i = 0; i < MESSAGES_PER_TURN; i++) {
--- a/src/nodes/agent/keyedRunsTask.ts
+++ b/src/nodes/agent/keyedRunsTask.ts
@@ -97,6 +97,10 @@
     name: 'once',
     core: createKeyedRuns({ clock, incarnation, windowMs: WINDOW_UNKNOWN_MS }),
     perform: effect => dispatch(performers, effect),
+    // A run that could not be started ends, so that its entry does not wait for the deadline.
+    onFailure: ({ effect }) => {
+      if (effect?.kind === RunsEffectKind.StartRun) task.post({ kind: RunsMessageKind.UpstreamFailed, runId: effect.runId, code: ResultCode.UpstreamDied, hasStarted: true })
+    },
     capacity: TASK_CAPACITY
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RunsMessageKind.Tick }))
--- a/src/nodes/agent/runsTask.ts
+++ b/src/nodes/agent/runsTask.ts
@@ -82,7 +82,14 @@
   }
 
   const task: Task<AgentRunMessage> = createTask({
-    name: 'agent', core, perform: effect => dispatch(performers, effect), capacity: TASK_CAPACITY
+    name: 'agent',
+    core,
+    perform: effect => dispatch(performers, effect),
+    // A run that could not be started ends, so that its entry does not wait for the deadline.
+    onFailure: ({ effect }) => {
+      if (effect?.kind === AgentRunEffectKind.StartUpstream) task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId: effect.runId, code: ResultCode.UpstreamDied })
+    },
+    capacity: TASK_CAPACITY
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
 
--- /dev/null
+++ b/src/nodes/brokenUpstreamResponses.test.ts
@@ -0,0 +1,60 @@
+import { readFileSync } from 'node:fs'
+import { request } from 'undici'
+import { v7 as createKey } from 'uuid'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { type RawScript, type RawServiceStandIn, startRawServiceStandIn } from '../standIns/index.js'
+import { type LocalFleet, startLocalFleet } from './localFleet.js'
+
+const rows = readFileSync('examples/kpakpo/rows.yaml', 'utf8')
+/** Shorter than the deadlines of the routes, so that no response comes from there. */
+const ANSWER_MAX_MS = 2_000
+
+const respond = (statusLine: string, contentType: string, body = 'answer'): RawScript => socket => {
+  socket.write(Buffer.from(`${statusLine}\r\nContent-Type: ${contentType}\r\nContent-Length: ${body.length}\r\n\r\n${body}`, 'latin1'))
+}
+const inUtf8 = (text: string) => Buffer.from(text, 'utf8').toString('latin1')
+const OK = 'HTTP/1.1 200 OK'
+
+describe('responses of an upstream behind an agent', () => {
+  let fleet: LocalFleet
+  let service: RawServiceStandIn
+
+  const send = async (path: string, options: { method?: 'POST', headers?: Record<string, string>, body?: string } = {}) => {
+    const { headers, statusCode, body } = await request(`http://${fleet.entries[0]!.callerAddress}${path}`, {
+      method: options.method ?? 'GET',
+      headers: { 'x-customer': 'ridgeline-hardware', 'content-type': 'application/json', ...options.headers },
+      body: options.body ?? null,
+      headersTimeout: ANSWER_MAX_MS
+    })
+    const text = await body.text().catch(() => 'broken off')
+    return { status: statusCode, code: Number(headers['x-result-code']), outcome: headers['x-outcome'], type: headers['content-type'], text }
+  }
+  const look = () => send('/stock/ridge-cap')
+  const order = () => send('/orders', { method: 'POST', headers: { 'idempotency-key': createKey() }, body: '{}' })
+
+  beforeEach(async () => {
+    fleet = await startLocalFleet()
+    service = await startRawServiceStandIn(respond(OK, 'text/plain'))
+    fleet.onStop(service.close)
+    await fleet.startEntry()
+    await fleet.applyRows(rows)
+    await fleet.startAgent({ pool: 'yard-app', upstreamUrl: service.url })
+    await fleet.until(async () => (await look()).status === 200 && (await order()).status === 200)
+  })
+  afterEach(() => fleet.stop())
+
+  // Guards against a caller that never gets an answer: its entry could not write the head.
+  it.each([
+    ['a control byte in a value', OK, 'text/plain; area=1\x12'],
+    ['a status that is none', 'HTTP/1.1 099 X', 'text/plain'],
+    ['a status above all others', 'HTTP/1.1 700 X', 'text/plain']
+  ])('are failures if the head is broken: %s', async (_what, statusLine, contentType) => {
+    service.script = respond(statusLine, contentType)
+    for (const call of [look, order]) expect(await call()).toMatchObject({ status: 502, outcome: 'unknown' })
+  })
+
+  it('are passed on byte for byte if a value holds UTF-8', async () => {
+    service.script = respond(OK, `text/plain; area=${inUtf8('Porsáŋgu')}`)
+    for (const call of [look, order]) expect(await call()).toMatchObject({ status: 200, type: `text/plain; area=${inUtf8('Porsáŋgu')}`, text: 'answer' })
+  })
+})
--- a/src/nodes/entry/callerFrontEnd.ts
+++ b/src/nodes/entry/callerFrontEnd.ts
@@ -102,13 +102,13 @@
 
     return {
       onHead: ({ status, contentType }: ResponseHead) => {
-        isStarted = true
         raw.writeHead(status, {
           'content-type': contentType,
           'x-request-id': requestId,
           'x-result-code': ResultCode.Ok,
           ...(submitted.request.isEventStream ? { 'cache-control': 'no-cache' } : {})
         })
+        isStarted = true
       },
       onBody: bytes => {
         lastWriteMs = clock.nowMs()
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -1,4 +1,4 @@
-import { type Clock, describeResult, dispatch, type HandlerTable, type Incarnation, Outcome, ResultCode } from '../../core/index.js'
+import { type Clock, createLog, describeResult, dispatch, type HandlerTable, type Incarnation, Outcome, ResultCode } from '../../core/index.js'
 import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
 import {
   type AgentRef, type BindReply, type BindRequest, boundFrameSchema, type CallEffect, CallEffectKind, type CallMessage,
@@ -8,6 +8,8 @@
 import { decodeHead, encodeRequest } from '../requestCodec.js'
 import type { ResponseSink } from './types.js'
 
+const log = createLog('once')
+
 interface LiveCall {
   submitted: SubmittedRequest
   core: ReturnType<typeof createKeyedCall>
@@ -152,9 +154,24 @@
     [CallEffectKind.Finish]: ({ code }) => finish(call, code)
   })
 
+  /** Ends a call after an exception: its outcome is unknown, as it may have been dispatched. */
+  const failCall = ({ submitted: { requestId }, sink }: LiveCall, error: unknown) => {
+    log('call %s failed: %s', requestId, error instanceof Error ? error.stack : error)
+    callsByRequestId.delete(requestId)
+    try {
+      sink.onFail(ResultCode.AnswerLost)
+    } catch (failure) {
+      log('result of call %s cannot be delivered: %s', requestId, failure instanceof Error ? failure.message : failure)
+    }
+  }
+
   const post = (call: LiveCall, message: CallMessage) => {
     const performers = performersOf(call)
-    for (const effect of call.core.handle(message)) dispatch(performers, effect)
+    try {
+      for (const effect of call.core.handle(message)) dispatch(performers, effect)
+    } catch (error) {
+      failCall(call, error)
+    }
   }
 
   const postAll = (message: CallMessage) => {
--- a/src/nodes/entry/requestsTask.ts
+++ b/src/nodes/entry/requestsTask.ts
@@ -1,8 +1,10 @@
-import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
+import { type Clock, createLog, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
 import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
-import { createRequestCore, endFrameSchema, parseChunkFrame, refusedFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind, type RequestPorts, type ResponseFrame, type SubmittedRequest } from '../../requests/index.js'
+import { createCallerTable, createRequestCore, endFrameSchema, parseChunkFrame, refusedFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind, type RequestPorts, type ResponseFrame, type SubmittedRequest } from '../../requests/index.js'
 import type { ResponseSink } from './types.js'
 
+const log = createLog('requests')
+
 const TASK_CAPACITY = 65_536
 
 export interface RequestsTaskOptions {
@@ -32,25 +34,34 @@
  * requests.submit(request, sink)
  */
 export const createRequestsTask = ({ clock, ports, sendToAgent }: RequestsTaskOptions): RequestsTask => {
-  const sinks = new Map<string, ResponseSink>()
   const core = createRequestCore({ clock, ports })
-
-  const finish = (requestId: string, action: (sink: ResponseSink) => void) => {
-    const sink = sinks.get(requestId)
-    sinks.delete(requestId)
-    if (sink !== undefined) action(sink)
-  }
+  const callers = createCallerTable<ResponseSink>({
+    fail: sink => sink.onFail(ResultCode.AnswerLost),
+    onUndelivered: (requestId, error) => {
+      log('response to request %s cannot be delivered: %s', requestId, error instanceof Error ? error.message : error)
+      task.post({ kind: RequestMessageKind.CallerGone, requestId })
+    }
+  })
 
   const performers: HandlerTable<RequestEffect, void> = {
     [RequestEffectKind.SendToAgent]: ({ agent, frame }) => sendToAgent(agent.address, frame),
-    [RequestEffectKind.SendHead]: ({ requestId, head }) => sinks.get(requestId)?.onHead(head),
-    [RequestEffectKind.SendBody]: ({ requestId, bytes }) => sinks.get(requestId)?.onBody(bytes),
-    [RequestEffectKind.Complete]: ({ requestId }) => finish(requestId, sink => sink.onComplete()),
-    [RequestEffectKind.Fail]: ({ requestId, code }) => finish(requestId, sink => sink.onFail(code))
+    [RequestEffectKind.SendHead]: ({ requestId, head }) => callers.deliver(requestId, sink => sink.onHead(head)),
+    [RequestEffectKind.SendBody]: ({ requestId, bytes }) => callers.deliver(requestId, sink => sink.onBody(bytes)),
+    [RequestEffectKind.Complete]: ({ requestId }) => callers.finish(requestId, sink => sink.onComplete()),
+    [RequestEffectKind.Fail]: ({ requestId, code }) => callers.finish(requestId, sink => sink.onFail(code))
   }
 
   const task: Task<RequestMessage> = createTask({
-    name: 'requests', core, perform: effect => dispatch(performers, effect), capacity: TASK_CAPACITY
+    name: 'requests',
+    core: {
+      handle: message => {
+        if (message.kind === RequestMessageKind.Submitted) callers.take(message.request.requestId)
+        return core.handle(message)
+      }
+    },
+    perform: effect => dispatch(performers, effect),
+    onFailure: () => callers.failOrphans(core.isLive),
+    capacity: TASK_CAPACITY
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RequestMessageKind.Tick }))
 
@@ -59,12 +70,12 @@
 
   return {
     submit: (request, sink) => {
-      sinks.set(request.requestId, sink)
+      callers.add(request.requestId, sink)
       if (task.post({ kind: RequestMessageKind.Submitted, request })) return
-      finish(request.requestId, refused => refused.onFail(ResultCode.Overloaded))
+      callers.finish(request.requestId, refused => refused.onFail(ResultCode.Overloaded))
     },
     cancel: requestId => {
-      if (sinks.delete(requestId)) task.post({ kind: RequestMessageKind.CallerGone, requestId })
+      if (callers.remove(requestId)) task.post({ kind: RequestMessageKind.CallerGone, requestId })
     },
     frameHandlers: {
       [FrameKind.Chunk]: (peer, frame) => postResponse(peer, parseChunkFrame(frame)),
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -156,6 +156,7 @@
     clock,
     codec,
     workers: storeView.workers,
+    log,
     ports: createForwardPorts({
       random,
       configuration: storeView.configuration,
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -1,10 +1,14 @@
-import { type Clock, createTask, dispatch, type HandlerTable } from '../../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type TaskFailure } from '../../core/index.js'
 import type { WorkerTable } from '../../membership/index.js'
+import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import {
-  createForwardCore, type ForwardCore, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind,
+  createCallerTable, createForwardCore, type ForwardCore, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind,
   type ForwardPorts, type ForwardRequest, FORWARD_TICK_MS
 } from '../../requests/index.js'
-import { checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind, ExchangeFault } from '../../upstreams/index.js'
+import {
+  checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind, ExchangeFault,
+  UnsendableRequestError, UpstreamCheck
+} from '../../upstreams/index.js'
 import type { CallerSink, WorkerCodec } from './types.js'
 
 export interface ForwardTaskOptions {
@@ -12,6 +16,7 @@
   ports: ForwardPorts
   codec: WorkerCodec
   workers: WorkerTable
+  log: EventLog
 }
 
 /** The task that owns all requests in flight and the connections to workers. */
@@ -30,12 +35,18 @@
  * Starts the forward task.
  *
  * @example
- * const task = startForwardTask({ clock, ports, codec, workers })
+ * const task = startForwardTask({ clock, ports, codec, workers, log })
  * task.submit(request, sink)
  */
-export const startForwardTask = ({ clock, ports, codec, workers }: ForwardTaskOptions): ForwardTask => {
+export const startForwardTask = ({ clock, ports, codec, workers, log }: ForwardTaskOptions): ForwardTask => {
   const core = createForwardCore({ clock, ports })
-  const sinks = new Map<string, CallerSink>()
+  const callers = createCallerTable<CallerSink>({
+    fail: sink => sink.onRefuse(ResultCode.AnswerLost, undefined),
+    onUndelivered: (requestId, error) => {
+      log(LogEvent.ResponseUndelivered, { requestId, reason: error instanceof Error ? error.message : String(error) })
+      task.post({ kind: ForwardMessageKind.CallerGone, requestId })
+    }
+  })
   const pools = new Map<string, ConnectionPool>()
   const cancels = new Map<number, () => void>()
   let closedPoolConnections = 0
@@ -55,10 +66,9 @@
       ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, isUnframedEnd: fault === ExchangeFault.UnframedEnd })
   })
 
-  const removeSink = (requestId: string) => {
-    const sink = sinks.get(requestId)
-    sinks.delete(requestId)
-    return sink
+  const cancelExchange = (exchangeId: number) => {
+    cancels.get(exchangeId)?.()
+    cancels.delete(exchangeId)
   }
 
   const performers: HandlerTable<ForwardEffect, void> = {
@@ -68,36 +78,75 @@
       const outgoing = codec.encode({ request, worker, remainingMs, lastEventId })
       const cancel = poolOf(worker.address).send(outgoing, use, event => {
         if (event.kind === ExchangeEventKind.Finished || event.kind === ExchangeEventKind.Failed) cancels.delete(exchangeId)
-        task.post(dispatch(toMessage, event))
+        try {
+          task.post(dispatch(toMessage, event))
+        } catch (error) {
+          // A response that cannot be decoded is lost; its connection is closed.
+          logFailure({ error, message: event, effect: undefined })
+          cancelExchange(exchangeId)
+          endFailedSend(exchangeId, error)
+        }
       })
       cancels.set(exchangeId, cancel)
     },
     [ForwardEffectKind.CheckWorker]: ({ worker }) => {
       checkUpstream(worker.address, check => task.post({ kind: ForwardMessageKind.WorkerChecked, worker, check }))
     },
-    [ForwardEffectKind.CancelExchange]: ({ exchangeId }) => {
-      cancels.get(exchangeId)?.()
-      cancels.delete(exchangeId)
-    },
-    [ForwardEffectKind.SendHead]: ({ requestId, status, headers, framing }) => sinks.get(requestId)?.onHead(status, headers, framing),
-    [ForwardEffectKind.SendBody]: ({ requestId, bytes }) => sinks.get(requestId)?.onBody(bytes),
-    [ForwardEffectKind.Complete]: ({ requestId }) => removeSink(requestId)?.onComplete(),
-    [ForwardEffectKind.AbortConnection]: ({ requestId }) => removeSink(requestId)?.onAbort(),
-    [ForwardEffectKind.Refuse]: ({ requestId, code, retryAfterMs }) => removeSink(requestId)?.onRefuse(code, retryAfterMs)
+    [ForwardEffectKind.CancelExchange]: ({ exchangeId }) => cancelExchange(exchangeId),
+    [ForwardEffectKind.SendHead]: ({ requestId, status, headers, framing }) => callers.deliver(requestId, sink => sink.onHead(status, headers, framing)),
+    [ForwardEffectKind.SendBody]: ({ requestId, bytes }) => callers.deliver(requestId, sink => sink.onBody(bytes)),
+    [ForwardEffectKind.Complete]: ({ requestId }) => callers.finish(requestId, sink => sink.onComplete()),
+    [ForwardEffectKind.AbortConnection]: ({ requestId }) => callers.finish(requestId, sink => sink.onAbort()),
+    [ForwardEffectKind.Refuse]: ({ requestId, code, retryAfterMs }) => callers.finish(requestId, sink => sink.onRefuse(code, retryAfterMs)),
+    [ForwardEffectKind.ReportFailure]: ({ error }) => { throw error }
+  }
+
+  const logFailure = logTaskFailure(log, 'requests')
+
+  /** Ends an exchange after an exception; only an error of the encoder proves that nothing was sent. */
+  const endFailedSend = (exchangeId: number, error: unknown) => {
+    const reason = error instanceof Error ? error.message : String(error)
+    task.post(error instanceof UnsendableRequestError
+      ? { kind: ForwardMessageKind.RequestUnsendable, exchangeId, reason }
+      : { kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason })
+  }
+
+  /** Tells the core how an effect that threw has ended, where the core waits for its result. */
+  const endFailedEffect = (effect: ForwardEffect, error: unknown) => {
+    if (effect.kind === ForwardEffectKind.SendToWorker) endFailedSend(effect.exchangeId, error)
+    if (effect.kind === ForwardEffectKind.CheckWorker) task.post({ kind: ForwardMessageKind.WorkerChecked, worker: effect.worker, check: UpstreamCheck.Unknown })
+  }
+
+  const onFailure = (failure: TaskFailure<ForwardMessage, ForwardEffect>) => {
+    logFailure(failure)
+    if (failure.effect !== undefined) endFailedEffect(failure.effect, failure.error)
+    task.post({ kind: ForwardMessageKind.HandlingFailed })
+    callers.failOrphans(core.isLive)
   }
 
   const task = createTask<ForwardMessage, ForwardEffect>({
-    name: 'requests', core, perform: effect => dispatch(performers, effect), capacity: 65_536
+    name: 'requests',
+    core: {
+      handle: message => {
+        if (message.kind === ForwardMessageKind.Submitted) callers.take(message.request.requestId)
+        return core.handle(message)
+      }
+    },
+    perform: effect => dispatch(performers, effect),
+    onFailure,
+    capacity: 65_536
   })
   task.tickEvery(FORWARD_TICK_MS, () => ({ kind: ForwardMessageKind.Tick }))
 
   return {
     submit: (request, sink) => {
-      sinks.set(request.requestId, sink)
-      task.post({ kind: ForwardMessageKind.Submitted, request })
+      const { requestId } = request
+      callers.add(requestId, sink)
+      if (task.post({ kind: ForwardMessageKind.Submitted, request })) return
+      callers.finish(requestId, refused => refused.onRefuse(ResultCode.Overloaded, undefined))
     },
     cancel: requestId => {
-      sinks.delete(requestId)
+      callers.remove(requestId)
       task.post({ kind: ForwardMessageKind.CallerGone, requestId })
     },
     retryWaitingRequests: () => { if (core.waitingCount > 0) task.post({ kind: ForwardMessageKind.CapacityFreed }) },
--- a/src/nodes/forward/workerLimitsTask.ts
+++ b/src/nodes/forward/workerLimitsTask.ts
@@ -1,5 +1,5 @@
 import { createTask, dispatch, type HandlerTable } from '../../core/index.js'
-import { type EventLog, LogEvent } from '../../observe/index.js'
+import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import { DatagramContent, type PeerDatagram } from '../../peers/index.js'
 import {
   createWorkerLimits, LIMITS_TICK_MS, type WorkerLimits, type WorkerLimitsEffect, WorkerLimitsEffectKind, type WorkerLimitsMessage,
@@ -44,7 +44,7 @@
   }
 
   const task = createTask<WorkerLimitsMessage, WorkerLimitsEffect>({
-    name: 'worker-limits', core: limits, perform: effect => dispatch(performers, effect)
+    name: 'worker-limits', core: limits, perform: effect => dispatch(performers, effect), onFailure: logTaskFailure(log, 'worker-limits')
   })
   task.tickEvery(LIMITS_TICK_MS, () => ({ kind: WorkerLimitsMessageKind.Tick }))
   return { limits, post: message => { task.post(message) }, stop: () => task.stop() }
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -4,7 +4,7 @@
   MapCoordinatorMessageKind, OrderAnswer, type RankOrder, RankOrderKind, type RankReading, type ReplicaLimits
 } from '../../expertMaps/index.js'
 import type { Worker } from '../../membership/index.js'
-import { type EventLog, LogEvent } from '../../observe/index.js'
+import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import { createFeedClient } from '../../storeFeed/index.js'
 import { createStoreView, type StorePort } from '../storeView/index.js'
 import { openAgentSocket } from './agentSocket.js'
@@ -177,7 +177,7 @@
   }
 
   const task = createTask<MapCoordinatorMessage, MapCoordinatorEffect>({
-    name: 'maps', core: coordinator, perform: effect => dispatch(performers, effect)
+    name: 'maps', core: coordinator, perform: effect => dispatch(performers, effect), onFailure: logTaskFailure(log, 'maps')
   })
   task.tickEvery(COORDINATOR_TICK_MS, () => ({ kind: MapCoordinatorMessageKind.Tick }))
 
--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -1,7 +1,7 @@
 import { type ConfigurationHolder, createConfigurationHolder, type FleetConfiguration } from '../../configuration/index.js'
 import { type Clock, comparePositions, type LogPosition, type Random } from '../../core/index.js'
 import { createWorkerTable, type WorkerChange, type WorkerRegistration, type WorkerRun, type WorkerTable } from '../../membership/index.js'
-import { type EventLog, LogEvent } from '../../observe/index.js'
+import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import { createFeedClient, type FeedClient, FeedMessageKind, type KeyedRecord, type RecordSource, startTopicTask, type StoreCallListener, type StoreTopics, Topic, type TopicTask, type TopicTaskOptions, type WriterOrder } from '../../storeFeed/index.js'
 
 /** The topics of the store, and the decoders of their records. */
@@ -131,6 +131,7 @@
         log(LogEvent.FeedFailed, { topic, address, reason })
         listeners.onEntryFailed?.(address)
       },
+      onFailure: logTaskFailure(log, topic),
       onUnavailable: reason => log(LogEvent.StoreUnavailable, { topic, reason }),
       onRestored: change => log(LogEvent.StoreRestored, { topic, ...change }),
       onRecovered: outageMs => {
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -30,6 +30,8 @@
   AttemptEnded = 'attempt-ended',
   RequestEnded = 'request-ended',
   RequestRefused = 'request-refused',
+  /** The response to a request could not be written to its caller, who got an error or a closed connection instead. */
+  ResponseUndelivered = 'response-undelivered',
   /** Whether a worker is up after it lost a response that had not begun. */
   WorkerChecked = 'worker-checked',
   /** No worker of the service may be sent a request now, as far as their limits and pauses go; the request is refused. */
--- a/src/peers/peerReportTask.ts
+++ b/src/peers/peerReportTask.ts
@@ -58,7 +58,11 @@
   }
 
   const task = createTask<PeerMessage, PeerEffect>({
-    name: 'peers', core: reports, perform: effect => dispatch(performers, effect), overflow: OverflowPolicy.DropOldest
+    name: 'peers',
+    core: reports,
+    perform: effect => dispatch(performers, effect),
+    overflow: OverflowPolicy.DropOldest,
+    onFailure: ({ error }) => onFault(`a message was not handled: ${error instanceof Error ? error.stack ?? error.message : String(error)}`)
   })
 
   socket.on('message', (bytes, { address, port }) => {
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -15,6 +15,8 @@
 export interface ForwardCore extends Core<ForwardMessage, ForwardEffect> {
   readonly liveCount: number
   readonly waitingCount: number
+  /** Whether the request has not ended yet. */
+  isLive (requestId: string): boolean
 }
 
 export interface ForwardCoreOptions {
@@ -38,6 +40,16 @@
   const checks = createWorkerChecks<InFlightRequest>()
   let nextExchangeId = 1
 
+  /** Handles several requests; an exception at one doesn't lose the effects of the others. */
+  const forEachRequest = (requests: readonly InFlightRequest[], handle: (inFlight: InFlightRequest) => ForwardEffect[]): ForwardEffect[] =>
+    requests.flatMap((inFlight): ForwardEffect[] => {
+      try {
+        return handle(inFlight)
+      } catch (error) {
+        return [{ kind: ForwardEffectKind.ReportFailure, error }]
+      }
+    })
+
   const removeRequest = (inFlight: InFlightRequest, code: ResultCode, detail: string) => {
     live.delete(inFlight.request.requestId)
     waiting.delete(inFlight)
@@ -52,6 +64,12 @@
     ports.onAttemptEnded(inFlight.request, attempt.worker, { end, detail, sentAtMs: attempt.sentAtMs, hasHead: hasSuccessHead(attempt), hasAnswerBegun: hasAnswerBegun(attempt) })
   }
 
+  /** Ends an attempt that provably has not run. */
+  const endNotRun = (inFlight: InFlightRequest, { hadRunBefore }: Attempt, end: AttemptEnd, detail: string) => {
+    inFlight.mayHaveRun = hadRunBefore
+    endAttempt(inFlight, end, detail)
+  }
+
   const cancelAttempt = (inFlight: InFlightRequest, detail: string): ForwardEffect[] => {
     const exchangeId = inFlight.attempt?.exchangeId
     endAttempt(inFlight, AttemptEnd.Cancelled, detail)
@@ -74,7 +92,8 @@
     const { request } = inFlight
     const nowMs = clock.nowMs()
     const exchangeId = nextExchangeId++
-    inFlight.attempt = getDefaultAttempt(exchangeId, worker, nowMs)
+    inFlight.attempt = getDefaultAttempt(exchangeId, worker, inFlight.mayHaveRun, nowMs)
+    inFlight.mayHaveRun = true
     inFlight.attemptCount += 1
     inFlight.triedWorkerIds.push(worker.workerId)
     inFlight.queueDeadlineMs = undefined
@@ -122,7 +141,6 @@
    * retried only after a check of the worker, so that the crash is known by then.
    */
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
-    inFlight.mayHaveRun = true
     endAttempt(inFlight, AttemptEnd.Lost, detail)
     if (hasAnswerBegun(attempt)) return retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
     if (isRetryAllowed(inFlight, clock.nowMs())) return checkWorker(attempt.worker, inFlight)
@@ -139,12 +157,9 @@
   const onWorkerChecked = (worker: Worker, check: UpstreamCheck): ForwardEffect[] => {
     const held = checks.finish(worker).filter(({ request: { requestId } }) => live.has(requestId))
     const detail = `worker is ${check} after the end of its connection`
-    for (const inFlight of check === UpstreamCheck.Up ? [] : held) {
-      inFlight.mayHaveRun = true
-      endAttempt(inFlight, AttemptEnd.Lost, detail)
-    }
+    for (const inFlight of check === UpstreamCheck.Up ? [] : held) endAttempt(inFlight, AttemptEnd.Lost, detail)
     ports.onWorkerChecked(worker, check)
-    return held.flatMap(inFlight => {
+    return forEachRequest(held, inFlight => {
       const { attempt } = inFlight
       return attempt === undefined ? retryOrFail(inFlight, ResultCode.UpstreamDied, detail) : onResponseFinished(inFlight, attempt)
     })
@@ -199,7 +214,6 @@
 
   const onFailureResponse = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Failed, `status ${response.status}`)
-    inFlight.mayHaveRun = true
     if (inFlight.isHeadSent) return failRequest(inFlight, ResultCode.UpstreamRefused, `status ${response.status} in response to a stream resume`)
     if (canRetryFailure(inFlight)) {
       const placement = ports.place(inFlight.request, inFlight.triedWorkerIds)
@@ -209,8 +223,8 @@
   }
 
   const verdictHandlers: Record<ResponseVerdict, (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse) => ForwardEffect[]> = {
-    [ResponseVerdict.NotRun]: (inFlight, _attempt, { status }) => {
-      endAttempt(inFlight, AttemptEnd.NotRun, `status ${status}`)
+    [ResponseVerdict.NotRun]: (inFlight, attempt, { status }) => {
+      endNotRun(inFlight, attempt, AttemptEnd.NotRun, `status ${status}`)
       return retryOrFail(inFlight, ResultCode.Overloaded, `worker refused the request with status ${status}`)
     },
     [ResponseVerdict.Foreign]: (inFlight, attempt) => handleLostAttempt(inFlight, attempt, 'not a valid response to this request'),
@@ -236,10 +250,16 @@
     // A crash would end it too. Even from a worker that is up it may be broken off, so it is passed on without framing.
     if (mayBeComplete) return checkWorker(attempt.worker, inFlight)
     if (hasLeft) return handleLostAttempt(inFlight, attempt, reason)
-    endAttempt(inFlight, AttemptEnd.NotConnected, reason)
+    endNotRun(inFlight, attempt, AttemptEnd.NotConnected, reason)
     return retryOrFail(inFlight, ResultCode.NoUpstream, reason)
   }
 
+  /** No other worker could be sent the request either. */
+  const onRequestUnsendable = (inFlight: InFlightRequest, attempt: Attempt, reason: string): ForwardEffect[] => {
+    endNotRun(inFlight, attempt, AttemptEnd.Cancelled, reason)
+    return failRequest(inFlight, ResultCode.Unsendable, reason)
+  }
+
   const onCallerGone = (requestId: string): ForwardEffect[] => {
     const inFlight = live.get(requestId)
     if (inFlight === undefined) return []
@@ -248,19 +268,22 @@
     return effects
   }
 
-  const placeWaiting = (): ForwardEffect[] => {
-    const effects: ForwardEffect[] = []
-    for (const inFlight of [...waiting].sort(byUrgency)) {
+  const placeWaiting = (): ForwardEffect[] =>
+    forEachRequest([...waiting].sort(byUrgency), inFlight => {
       waiting.delete(inFlight)
-      effects.push(...placeOrQueue(inFlight))
-    }
-    return effects
-  }
+      return placeOrQueue(inFlight)
+    })
+
+  /** Whether something will happen to the request before its deadline. */
+  const isPending = (inFlight: InFlightRequest) => inFlight.attempt !== undefined || waiting.has(inFlight) || checks.isHeld(inFlight)
+
+  /** Ends the requests that an exception has left without a next step. */
+  const failStuck = (): ForwardEffect[] =>
+    forEachRequest([...live.values()], inFlight => isPending(inFlight) ? [] : failRequest(inFlight, ResultCode.Internal, 'an exception occurred'))
 
   const expireIfDue = (inFlight: InFlightRequest): ForwardEffect[] => {
     const nowMs = clock.nowMs()
     if (nowMs >= inFlight.request.deadlineAtMs) {
-      inFlight.mayHaveRun ||= inFlight.attempt !== undefined
       const effects = cancelAttempt(inFlight, 'deadline exceeded')
       const code = inFlight.mayHaveRun ? ResultCode.DeadlineExceeded : ResultCode.DeadlineUnreachable
       return [...effects, ...failRequest(inFlight, code, 'deadline exceeded')]
@@ -282,15 +305,18 @@
     [ForwardMessageKind.ResponseBytes]: withAttempt((inFlight, attempt, { bytes }) => onResponseBytes(inFlight, attempt, bytes)),
     [ForwardMessageKind.ResponseFinished]: withAttempt(onResponseFinished),
     [ForwardMessageKind.ExchangeFailed]: withAttempt(onExchangeFailed),
+    [ForwardMessageKind.RequestUnsendable]: withAttempt((inFlight, attempt, { reason }) => onRequestUnsendable(inFlight, attempt, reason)),
     [ForwardMessageKind.WorkerChecked]: ({ worker, check }) => onWorkerChecked(worker, check),
     [ForwardMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
+    [ForwardMessageKind.HandlingFailed]: failStuck,
     [ForwardMessageKind.CapacityFreed]: placeWaiting,
-    [ForwardMessageKind.Tick]: () => [...live.values()].flatMap(expireIfDue)
+    [ForwardMessageKind.Tick]: () => forEachRequest([...live.values()], expireIfDue)
   }
 
   return {
     handle: message => dispatch(handlers, message),
     get liveCount () { return live.size },
-    get waitingCount () { return waiting.size }
+    get waitingCount () { return waiting.size },
+    isLive: requestId => live.has(requestId)
   }
 }
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -41,6 +41,8 @@
   readonly liveCount: number
   /** Frames that matched no attempt, or were duplicates. */
   readonly droppedFrameCount: number
+  /** Whether the request has not ended yet. */
+  isLive (requestId: string): boolean
 }
 
 /** A gap that lasts this long is treated as loss rather than reordering: the missing chunks are requested again. */
@@ -293,6 +295,7 @@
   return {
     handle: message => dispatch(handlers, message),
     get liveCount () { return live.size },
-    get droppedFrameCount () { return droppedFrameCount }
+    get droppedFrameCount () { return droppedFrameCount },
+    isLive: requestId => live.has(requestId)
   }
 }
--- a/src/requests/createWorkerChecks.ts
+++ b/src/requests/createWorkerChecks.ts
@@ -5,6 +5,8 @@
   isRunning (worker: Worker): boolean
   /** Records that a check of the worker's run is under way, and the request that waits for it, if there is one. */
   hold (worker: Worker, request?: Request): void
+  /** Whether the request waits for a check. */
+  isHeld (request: Request): boolean
   /** Ends the check and returns the requests that waited for it. */
   finish (worker: Worker): Request[]
 }
@@ -27,6 +29,7 @@
       const requests = held.get(runKey(worker)) ?? []
       held.set(runKey(worker), request === undefined ? requests : [...requests, request])
     },
+    isHeld: request => [...held.values()].some(requests => requests.includes(request)),
     finish: worker => {
       const requests = held.get(runKey(worker)) ?? []
       held.delete(runKey(worker))
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -9,6 +9,8 @@
 export interface Attempt {
   exchangeId: number
   worker: Worker
+  /** Whether an earlier attempt may have run; holds again for the request if this one provably has not. */
+  hadRunBefore: boolean
   sentAtMs: TimestampMs
   answer: WorkerResponse | undefined
   splitter: EventSplitter
@@ -24,7 +26,7 @@
   attempt: Attempt | undefined
   attemptCount: number
   triedWorkerIds: string[]
-  /** Set once any attempt may have run; the request can then no longer be reported as not run. */
+  /** Whether any attempt may have run, the one in flight included; the request can then not be reported as not run. */
   mayHaveRun: boolean
   isHeadSent: boolean
   /** Whether the response to the caller ends with its connection. */
@@ -35,9 +37,10 @@
   waitCode: ResultCode
 }
 
-export const getDefaultAttempt = (exchangeId: number, worker: Worker, nowMs: TimestampMs): Attempt => ({
+export const getDefaultAttempt = (exchangeId: number, worker: Worker, hadRunBefore: boolean, nowMs: TimestampMs): Attempt => ({
   exchangeId,
   worker,
+  hadRunBefore,
   sentAtMs: nowMs,
   answer: undefined,
   splitter: createEventSplitter(),
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -128,8 +128,12 @@
   ResponseBytes = 'response-bytes',
   ResponseFinished = 'response-finished',
   ExchangeFailed = 'exchange-failed',
+  /** The head of the request cannot be encoded; nothing was sent. */
+  RequestUnsendable = 'request-unsendable',
   WorkerChecked = 'worker-checked',
   CallerGone = 'caller-gone',
+  /** An exception has cut the handling of a message short. */
+  HandlingFailed = 'handling-failed',
   /** Some worker may have free capacity. */
   CapacityFreed = 'capacity-freed',
   Tick = 'tick'
@@ -142,8 +146,10 @@
   | { kind: ForwardMessageKind.ResponseFinished, exchangeId: number }
   /** `isUnframedEnd` is set if a response with neither a length nor chunks ended with its connection. */
   | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, isUnframedEnd?: boolean }
+  | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
   | { kind: ForwardMessageKind.WorkerChecked, worker: Worker, check: UpstreamCheck }
   | { kind: ForwardMessageKind.CallerGone, requestId: string }
+  | { kind: ForwardMessageKind.HandlingFailed }
   | { kind: ForwardMessageKind.CapacityFreed }
   | { kind: ForwardMessageKind.Tick }
 
@@ -159,7 +165,9 @@
   Complete = 'complete',
   /** Aborts the caller's connection, so that a truncated response does not look complete. */
   AbortConnection = 'abort-connection',
-  Refuse = 'refuse'
+  Refuse = 'refuse',
+  /** An exception kept one of several requests from being handled. */
+  ReportFailure = 'report-failure'
 }
 
 export type ForwardEffect =
@@ -179,4 +187,5 @@
   | { kind: ForwardEffectKind.SendBody, requestId: string, bytes: Uint8Array }
   | { kind: ForwardEffectKind.Complete, requestId: string }
   | { kind: ForwardEffectKind.AbortConnection, requestId: string }
+  | { kind: ForwardEffectKind.ReportFailure, error: unknown }
   | { kind: ForwardEffectKind.Refuse, requestId: string, code: ResultCode, retryAfterMs: number | undefined }
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -1,6 +1,7 @@
 /** Handling of a request from submission to result, on the entry, on the agent and in a forwarding process. */
 export * from './constants.js'
 export * from './createAgentRuns.js'
+export * from './createCallerTable.js'
 export * from './createRequestCore.js'
 export * from './createResponseAssembler.js'
 export * from './createResponseBuffer.js'
--- /dev/null
+++ b/src/standIns/rawServiceStandIn.ts
@@ -0,0 +1,65 @@
+import { createServer, type Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+
+/** Answers one request on its socket; may write any bytes, close or reset the connection. */
+export type RawScript = (socket: Socket, requestLine: string) => void
+
+/** A service that reports its load and answers all other requests with the bytes of a script. */
+export interface RawServiceStandIn {
+  readonly url: string
+  script: RawScript
+  /** Requests for which the script was run. */
+  readonly runCount: number
+  /** Closes all connections and accepts no more, as a crashed process does. */
+  crash (): void
+  close (): Promise<void>
+}
+
+const LOAD_PATH = 'GET /load '
+
+/**
+ * Starts the stand-in on the loopback address.
+ *
+ * @example
+ * const service = await startRawServiceStandIn((socket) => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok') })
+ */
+export const startRawServiceStandIn = async (script: RawScript): Promise<RawServiceStandIn> => {
+  const sockets = new Set<Socket>()
+  const current = { script }
+  let sequence = 0
+  let runCount = 0
+
+  const answerLoad = (socket: Socket) => {
+    const load = JSON.stringify({ sequence: ++sequence, madeAtMs: Date.now(), queuedTokens: 0, runningRequests: 0, tokensPerS: 10 })
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${load.length}\r\n\r\n${load}`)
+  }
+
+  const server = createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => sockets.delete(socket))
+    socket.on('data', bytes => {
+      const [line = ''] = bytes.toString('latin1').split('\r\n', 1)
+      if (line.startsWith(LOAD_PATH)) return answerLoad(socket)
+      if (!/^[A-Z]+ \/\S* HTTP\/1\.1$/.test(line)) return
+      runCount += 1
+      current.script(socket, line)
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  const crash = () => {
+    server.close()
+    sockets.forEach(socket => socket.destroy())
+  }
+  return {
+    url: `http://127.0.0.1:${port}`,
+    get script () { return current.script },
+    set script (next) { current.script = next },
+    get runCount () { return runCount },
+    crash,
+    close: async () => {
+      crash()
+    }
+  }
+}
--- a/src/storeFeed/topicTask.ts
+++ b/src/storeFeed/topicTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createTask, dispatch, type HandlerTable, type LogPosition, type Random } from '../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, type LogPosition, type Random, type TaskFailure } from '../core/index.js'
 import { SourceKind, type StoreCallReason } from './constants.js'
 import { createRecordLog, type RecordLog } from './createRecordLog.js'
 import { createRestoreMerge, type RestoreMergeOptions } from './createRestoreMerge.js'
@@ -26,6 +26,8 @@
   onStoreCalled: (reason: StoreCallReason) => void
   onEntryFailed: (address: string, reason: string) => void
   onUnavailable: (reason: string) => void
+  /** Called after an exception, after which a part of the state may be missing. */
+  onFailure: (failure: TaskFailure<unknown, unknown>) => void
   onRecovered: (outageMs: number) => void
   /** Called when the store gives offsets out anew, with the position that this process would have read next. */
   onRestored: (change: { before: LogPosition, end: LogPosition }) => void
@@ -104,7 +106,14 @@
     }
   }
 
-  const task = createTask<FeedMessage, FeedEffect>({ name, core: follower, perform: effect => dispatch(performers, effect) })
+  const onFailure = (failure: TaskFailure<FeedMessage, FeedEffect>) => {
+    listeners.onFailure(failure)
+    const { effect } = failure
+    const isCall = effect?.kind === FeedEffectKind.List || effect?.kind === FeedEffectKind.Read
+    if (isCall) task.post({ kind: FeedMessageKind.CallFailed, callId: effect.callId, reason: 'the call could not be started' })
+  }
+
+  const task = createTask<FeedMessage, FeedEffect>({ name, core: follower, perform: effect => dispatch(performers, effect), onFailure })
   task.tickEvery(tickIntervalMs, () => ({ kind: FeedMessageKind.Tick }))
   task.post({ kind: FeedMessageKind.Started })
   return {
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -4,7 +4,7 @@
   CONNECT_TIMEOUT_MS, ConnectionState, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS
 } from './constants.js'
 import { createResponseReader, type ResponseReader } from './createResponseReader.js'
-import { type ExchangeEvent, ExchangeEventKind, type HeaderField, type OutgoingRequest, type ResponseHeadRaw } from './types.js'
+import { type EncodedRequest, type ExchangeEvent, ExchangeEventKind, type HeaderField, type ResponseHeadRaw } from './types.js'
 
 const MS_PER_S = 1_000
 
@@ -14,7 +14,7 @@
   /** Time until which the idle connection may be reused. */
   readonly reusableUntilMs: TimestampMs
   /** Starts an exchange; allowed while the connection is new or idle. */
-  send (request: OutgoingRequest, emit: (event: ExchangeEvent) => void): void
+  send (request: EncodedRequest, emit: (event: ExchangeEvent) => void): void
   /** Closes the connection at once; an exchange in flight emits no further events. */
   destroy (): void
 }
@@ -29,18 +29,12 @@
 }
 
 interface Exchange {
-  request: OutgoingRequest
+  requestBytes: Uint8Array
   emit: (event: ExchangeEvent) => void
   reader: ResponseReader
   hasLeft: boolean
 }
 
-const encodeRequest = ({ method, path, headers, body }: OutgoingRequest): Buffer => {
-  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')
-  const head = Buffer.from(`${method} ${path} HTTP/1.1\r\n${lines}\r\n`, 'latin1')
-  return body.length === 0 ? head : Buffer.concat([head, body])
-}
-
 /** Returns the idle timeout that the upstream announces in its Keep-Alive header. */
 const announcedIdleMs = (headers: readonly HeaderField[]): number | undefined => {
   const value = headers.find(([name]) => name === 'keep-alive')?.[1]
@@ -97,7 +91,7 @@
   const write = () => {
     if (exchange === undefined) return
     exchange.hasLeft = true
-    socket.write(encodeRequest(exchange.request))
+    socket.write(exchange.requestBytes)
   }
 
   const onHead = (head: ResponseHeadRaw) => {
@@ -136,11 +130,11 @@
     get reusableUntilMs () { return reusableUntilMs },
     send: (request, emit) => {
       const started: Exchange = {
-        request,
+        requestBytes: request.bytes,
         emit,
         hasLeft: false,
         reader: createResponseReader({
-          isHeadRequest: request.method === 'HEAD',
+          isHeadRequest: request.isHeadRequest,
           onHead,
           onBody: bytes => emit({ kind: ExchangeEventKind.Body, bytes })
         })
--- a/src/upstreams/connectionPool.ts
+++ b/src/upstreams/connectionPool.ts
@@ -1,11 +1,16 @@
 import type { Clock } from '../core/index.js'
 import { ConnectionState, IDLE_CONNECTIONS_MAX } from './constants.js'
 import { type Connection, openConnection } from './connection.js'
+import { encodeRequest } from './encodeRequest.js'
 import { ConnectionUse, type ExchangeEvent, type OutgoingRequest } from './types.js'
 
 /** Manages the connections of this process to one address. */
 export interface ConnectionPool {
-  /** Starts an exchange; the returned function cancels it and closes its connection. */
+  /**
+   * Starts an exchange; the returned function cancels it and closes its connection.
+   *
+   * @throws UnsendableRequestError if the head of the request cannot be encoded; nothing was sent
+   */
   send (request: OutgoingRequest, use: ConnectionUse, emit: (event: ExchangeEvent) => void): () => void
   readonly openedCount: number
   /** Closes idle connections; exchanges in flight finish first, then their connections close too. */
@@ -66,9 +71,10 @@
 
   return {
     send: (request, use, emit) => {
+      const encoded = encodeRequest(request)
       const connection = (use === ConnectionUse.Reuse ? takeIdleConnection() : undefined) ?? open()
       let hasEnded = false
-      connection.send(request, event => {
+      connection.send(encoded, event => {
         hasEnded = event.kind === 'finished' || event.kind === 'failed'
         emit(event)
       })
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -1,7 +1,11 @@
 import { HTTPParser } from 'http-parser-js'
 import { ExchangeFault, FRAMING_HEADERS, RESPONSE_BODY_BYTES_MAX, RESPONSE_FRAMING_BYTES_MAX } from './constants.js'
+import { isFieldLine, isFieldValue, isFoldedLine } from './headerFields.js'
 import type { HeaderField, ResponseHeadRaw } from './types.js'
 
+/** Keeps all eight bits of each byte, so that header values are passed on as they came. */
+HTTPParser.encoding = 'latin1'
+
 export interface ResponseReaderOptions {
   /** A response to HEAD has no body, regardless of its headers. */
   isHeadRequest: boolean
@@ -22,7 +26,12 @@
   readonly keepsAlive: boolean
 }
 
+const FIRST_INTERIM_STATUS = 100
+/** Never asked for, so that the bytes behind it belong to no protocol that is spoken here. */
+const SWITCHING_PROTOCOLS = 101
 const FIRST_FINAL_STATUS = 200
+const LAST_STATUS = 599
+const HTTP_MAJOR_VERSION = 1
 /** Returned to the parser to indicate that the response has no body. */
 const SKIP_BODY = 1
 
@@ -36,6 +45,8 @@
   /** Returns the next complete line, or undefined if there is none. */
   consumeLine (): string | undefined
   line: string
+  /** Adds the header of a line, or appends the line to the header before it. */
+  parseHeader (line: string, headers: string[]): void
 }
 
 const CHUNK_SIZE_LINE = /^[0-9a-f]+[ \t]*(;.*)?$/i
@@ -56,6 +67,20 @@
   }
 }
 
+/** The library skips lines that are no header and accepts any byte in a value, so that a broken head would look valid. */
+const rejectInvalidHeaders = (parser: ParserInternals) => {
+  const { parseHeader } = parser
+  parser.parseHeader = (line, headers) => {
+    const isValid = isFieldLine(line) || (headers.length > 0 && isFoldedLine(line))
+    if (!isValid) throw new SyntaxError('invalid header')
+    parseHeader.call(parser, line, headers)
+  }
+}
+
+const isStatusLineValid = ({ versionMajor, statusCode, statusMessage }: { versionMajor: number, statusCode: number, statusMessage: string }) =>
+  versionMajor === HTTP_MAJOR_VERSION && statusCode >= FIRST_INTERIM_STATUS && statusCode <= LAST_STATUS &&
+  statusCode !== SWITCHING_PROTOCOLS && isFieldValue(statusMessage)
+
 const toFields = (flat: readonly string[]): HeaderField[] => {
   const fields: HeaderField[] = []
   for (let i = 0; i + 1 < flat.length; i += 2) fields.push([flat[i]!.toLowerCase(), flat[i + 1]!.trim()])
@@ -83,6 +108,7 @@
   const internals = parser as unknown as ParserInternals
   parser.maxHeaderSize = RESPONSE_FRAMING_BYTES_MAX
   rejectInvalidChunkSizes(internals)
+  rejectInvalidHeaders(internals)
   let hasFinalHead = false
   let isFramed = false
   let isComplete = false
@@ -94,8 +120,14 @@
 
   parser[HTTPParser.kOnHeadersComplete] = info => {
     const { statusCode, headers, shouldKeepAlive } = info
-    // Interim responses have no body, and bytes after the final response are ignored.
-    if (statusCode < FIRST_FINAL_STATUS || isComplete) return SKIP_BODY
+    // Bytes after the final response are ignored.
+    if (isComplete) return SKIP_BODY
+    if (!isStatusLineValid(info)) {
+      fault = ExchangeFault.MalformedResponse
+      return SKIP_BODY
+    }
+    // Interim responses have no body.
+    if (statusCode < FIRST_FINAL_STATUS) return SKIP_BODY
     const fields = toFields(headers)
     if (isFramedTwice(fields)) fault = ExchangeFault.MalformedResponse
     hasFinalHead = true
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -10,6 +10,13 @@
   body: Uint8Array
 }
 
+/** A request as it is written to a connection. */
+export interface EncodedRequest {
+  bytes: Uint8Array
+  /** The response to a HEAD request has no body. */
+  isHeadRequest: boolean
+}
+
 /** Status line and headers of a response; header names are in lower case. */
 export interface ResponseHeadRaw {
   status: number
