Show every early end of a response to its caller

Cause: such streams were passed on without framing, so that the end of the process, which closes connections without a reset, was the end of the stream. Only ends that the core decides on were reset. Beside it: a planned stop cut off callers that read slowly, as Node takes a connection for idle once its response has ended, written or not.

Ruled out: that the entry writes an end.

Why this works: the last chunk, or the last byte of a length, is written only after the core has decided that the response is whole; whatever ends the process or the connection before that shows. On the path through agents, a response without framing counts as whole only if its upstream is up.

--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
-import { isFieldValue } from '../upstreams/index.js'
+import { checkUpstream, FRAMING_HEADERS, isFieldValue, UpstreamCheck } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
@@ -98,6 +98,8 @@
   const pool = new Pool(baseUrl, { connections: CONNECTIONS_MAX, pipelining: 1 })
   const json = createJsonClient(baseUrl, LOAD_TIMEOUT_MS)
 
+  const isUp = () => new Promise<boolean>(resolve => checkUpstream(new URL(baseUrl).host, check => resolve(check === UpstreamCheck.Up)))
+
   const run = (call: UpstreamCall, listener: UpstreamListener) => {
     const abort = new AbortController()
     let isEnded = false
@@ -127,7 +129,11 @@
         listener.onBytes(bytes)
         if (call.isEventStream) tail = (tail + bytes.subarray(-TAIL_BYTES).toString('latin1')).slice(-TAIL_BYTES)
       }
-      const isComplete = !call.isEventStream || !isSuccess(statusCode) || tail.trimEnd().endsWith(EVENT_STREAM_END)
+      const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
+      const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
+      const isUnframed = FRAMING_HEADERS.every(name => headers[name] === undefined)
+      // The connection of a crashed upstream ends like that of a response without framing.
+      const isComplete = hasEnd || (!mustHaveEnd && (!isUnframed || await isUp()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
 
--- a/src/nodes/brokenUpstreamResponses.test.ts
+++ b/src/nodes/brokenUpstreamResponses.test.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs'
+import { connect } from 'node:net'
 import { request } from 'undici'
 import { v7 as createKey } from 'uuid'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
@@ -53,6 +54,30 @@
     for (const call of [look, order]) expect(await call()).toMatchObject({ status: 502, outcome: 'unknown' })
   })
 
+  const UNFRAMED_HEAD = `${OK}\r\nContent-Type: text/plain\r\n\r\n`
+
+  // Guards against a response that broke off and is passed on as complete: without framing, the connection of a crashed
+  // upstream ends like that of a complete response.
+  it('are complete without framing only if their upstream is up at their end', async () => {
+    service.script = socket => { socket.end(`${UNFRAMED_HEAD}answer`) }
+    for (const call of [look, order]) expect(await call()).toMatchObject({ status: 200, text: 'answer' })
+    service.script = socket => { socket.write(`${UNFRAMED_HEAD}ans`, () => service.crash()) }
+    expect(await order()).toMatchObject({ status: 502, outcome: 'unknown' })
+  })
+
+  it('have a length for a caller of HTTP/1.0, who cannot tell the end of a connection from that of a response', async () => {
+    const [host = '', port] = fleet.entries[0]!.callerAddress.split(':')
+    const text = await new Promise<string>((resolve, reject) => {
+      let received = ''
+      const caller = connect(Number(port), host)
+      caller.on('data', bytes => { received += bytes.toString('latin1') })
+      caller.on('close', () => resolve(received))
+      caller.on('error', reject)
+      caller.write('GET /stock/ridge-cap HTTP/1.0\r\nHost: x\r\nX-Customer: ridgeline-hardware\r\n\r\n')
+    })
+    expect(text).toMatch(/^HTTP\/1\.1 200 .*content-length: 6\r\n.*\r\n\r\nanswer$/is)
+  })
+
   it('are passed on byte for byte if a value holds UTF-8', async () => {
     service.script = respond(OK, `text/plain; area=${inUtf8('Porsáŋgu')}`)
     for (const call of [look, order]) expect(await call()).toMatchObject({ status: 200, type: `text/plain; area=${inUtf8('Porsáŋgu')}`, text: 'answer' })
--- a/src/nodes/entry/callerFrontEnd.ts
+++ b/src/nodes/entry/callerFrontEnd.ts
@@ -3,6 +3,7 @@
 import { type Clock, createLog, describeResult, fingerprint, ResultCode } from '../../core/index.js'
 import type { RouteRow } from '../../configuration/index.js'
 import { COMMENT_INTERVAL_MS, type ResponseHead, type SubmittedRequest } from '../../requests/index.js'
+import { trackUnsent } from '../trackUnsent.js'
 import { readPromptShape } from './promptBlocks.js'
 import type { AddressResponse, RequestGateway, ResponseSink } from './types.js'
 
@@ -13,6 +14,7 @@
 const CUSTOMER_LENGTH_MAX = 128
 const RETRY_AFTER_S = 1
 const CALLER_BUFFER_MAX_BYTES = 8 * 1024 * 1024
+const OLD_HTTP_VERSION = '1.0'
 const MODEL_PATH = /^\/v1\/(chat\/)?completions$/
 
 export interface CallerFrontEndOptions {
@@ -32,6 +34,8 @@
 
 export interface CallerFrontEnd {
   readonly port: number
+  /** Connections with bytes of responses that have not been written. */
+  readonly unsentCount: number
   close (): Promise<void>
 }
 
@@ -49,6 +53,7 @@
     forceCloseConnections: true,
     http: { maxHeaderSize: HEADER_BYTES_MAX }
   })
+  const unsent = trackUnsent(app.server)
   app.removeAllContentTypeParsers()
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
 
@@ -68,6 +73,10 @@
   /** Relays one response. The reply must be hijacked, so that chunks are written as they arrive. */
   const createSink = (reply: FastifyReply, submitted: SubmittedRequest): ResponseSink => {
     const { raw } = reply
+    // Responses of HTTP/1.0 have no chunks: the whole response is held, so that its length shows whether it is complete.
+    const held: Uint8Array[] | undefined = reply.request.raw.httpVersion === OLD_HTTP_VERSION ? [] : undefined
+    let heldHead: ResponseHead | undefined
+    let heldBytes = 0
     const { requestId, customer } = submitted
     let isStarted = false
     let isEnded = false
@@ -100,23 +109,33 @@
       raw.destroy()
     }
 
+    const start = ({ status, contentType }: ResponseHead, framing: Record<string, number> = {}) => {
+      raw.writeHead(status, {
+        'content-type': contentType,
+        'x-request-id': requestId,
+        'x-result-code': ResultCode.Ok,
+        ...(submitted.request.isEventStream ? { 'cache-control': 'no-cache' } : {}),
+        ...framing
+      })
+      isStarted = true
+    }
+
     return {
-      onHead: ({ status, contentType }: ResponseHead) => {
-        raw.writeHead(status, {
-          'content-type': contentType,
-          'x-request-id': requestId,
-          'x-result-code': ResultCode.Ok,
-          ...(submitted.request.isEventStream ? { 'cache-control': 'no-cache' } : {})
-        })
-        isStarted = true
+      onHead: head => {
+        if (held === undefined) start(head)
+        else heldHead = head
       },
       onBody: bytes => {
         lastWriteMs = clock.nowMs()
-        raw.write(bytes)
+        if (held === undefined) raw.write(bytes)
+        else held.push(bytes)
+        heldBytes += held === undefined ? 0 : bytes.length
         // Limits the memory that a caller holds when it stops reading its response.
-        if (raw.writableLength > CALLER_BUFFER_MAX_BYTES) raw.destroy()
+        if (raw.writableLength + heldBytes > CALLER_BUFFER_MAX_BYTES) raw.destroy()
       },
       onComplete: () => {
+        if (held !== undefined && heldHead !== undefined) start(heldHead, { 'content-length': heldBytes })
+        held?.forEach(bytes => raw.write(bytes))
         finish()
         raw.end()
       },
@@ -221,6 +240,7 @@
   await app.listen({ host: options.host, port: options.port })
   return {
     port: (app.server.address() as AddressInfo).port,
+    get unsentCount () { return unsent.count },
     close: async () => {
       app.server.closeIdleConnections()
       await app.close()
--- a/src/nodes/entry/createEntryNode.ts
+++ b/src/nodes/entry/createEntryNode.ts
@@ -194,7 +194,7 @@
   linkAddress = `${linkHost}:${server.port}`
 
   const liveCount = () => requests.liveCount + keyedCalls.liveCount
-  const drain = createEntryDrain({ settings, clock, liveCount })
+  const drain = createEntryDrain({ settings, clock, countWork: () => liveCount() + frontEnd.unsentCount })
   const status = createEntryStatus({
     settings, incarnation, table, routers, owner, placement, hub: () => hub, isDraining: () => drain.isStarted, liveCount
   })
--- a/src/nodes/entry/entryDrain.ts
+++ b/src/nodes/entry/entryDrain.ts
@@ -9,8 +9,8 @@
 export interface EntryDrainOptions {
   settings: EntrySettings
   clock: Clock
-  /** Number of requests and keyed calls in flight. */
-  liveCount: () => number
+  /** Number of requests and keyed calls in flight, and of responses that are still being written. */
+  countWork: () => number
 }
 
 /** Drain of one entry, from the stop order until no caller uses the entry. */
@@ -26,10 +26,10 @@
  * Creates the drain of one entry.
  *
  * @example
- * const drain = createEntryDrain({ settings, clock, liveCount })
+ * const drain = createEntryDrain({ settings, clock, countWork })
  * await drain.run(membership)
  */
-export const createEntryDrain = ({ settings, clock, liveCount }: EntryDrainOptions): EntryDrain => {
+export const createEntryDrain = ({ settings, clock, countWork }: EntryDrainOptions): EntryDrain => {
   const { nodeId, drainLimitMs: workLimitMs, drainSettleMs: settleMs, addressLifetimeMs } = settings
   let startedMs: number | undefined
   return {
@@ -39,7 +39,7 @@
       log('entry %s is draining', nodeId)
       startedMs = clock.nowMs()
       membership.startDrain()
-      await waitForDrain({ role: NodeRole.Entry, clock, settings: { workLimitMs, settleMs, addressLifetimeMs }, countWork: liveCount })
+      await waitForDrain({ role: NodeRole.Entry, clock, settings: { workLimitMs, settleMs, addressLifetimeMs }, countWork })
       log('entry %s has drained', nodeId)
     }
   }
--- /dev/null
+++ b/src/nodes/forward/createWholeResponseSink.ts
@@ -0,0 +1,44 @@
+import { ResultCode } from '../../core/index.js'
+import { BodyFramingKind, HELD_RESPONSE_BYTES_MAX } from '../../requests/index.js'
+import type { CallerSink } from './types.js'
+
+/**
+ * Returns a sink for a caller that understands no chunks. It holds a response until it is complete, so that the caller gets
+ * its length; one that ends early, or is too large to hold, is refused instead.
+ *
+ * @example
+ * const sink = createWholeResponseSink(responseSink)
+ */
+export const createWholeResponseSink = (sink: CallerSink): CallerSink => {
+  let head: Parameters<CallerSink['onHead']> | undefined
+  let held: Uint8Array[] = []
+  let heldBytes = 0
+  let hasEnded = false
+
+  const refuse = (code: ResultCode, retryAfterMs: number | undefined) => {
+    if (hasEnded) return
+    hasEnded = true
+    held = []
+    sink.onRefuse(code, retryAfterMs)
+  }
+
+  return {
+    onHead: (...parts) => { head = parts },
+    onBody: bytes => {
+      if (hasEnded) return
+      held.push(bytes)
+      heldBytes += bytes.length
+      if (heldBytes > HELD_RESPONSE_BYTES_MAX) refuse(ResultCode.AnswerLost, undefined)
+    },
+    onComplete: () => {
+      if (hasEnded || head === undefined) return
+      hasEnded = true
+      const [status, headers, framing] = head
+      sink.onHead(status, headers, framing.kind === BodyFramingKind.Chunks ? { kind: BodyFramingKind.Length, bodyBytes: heldBytes } : framing)
+      for (const bytes of held) sink.onBody(bytes)
+      sink.onComplete()
+    },
+    onAbort: () => refuse(ResultCode.AnswerLost, undefined),
+    onRefuse: refuse
+  }
+}
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -43,3 +43,5 @@
 export const EVENT_BYTES_MAX = 256 * 1024
 /** Bytes of a response that are kept until it is complete, so that only complete responses reach the caller. */
 export const HELD_RESPONSE_BYTES_MAX = 4 * 1024 * 1024
+/** A body up to this size is written together with its head by one call, as the operating system buffers at least as much. */
+export const WRITTEN_AT_ONCE_BYTES_MAX = 16 * 1024
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -246,9 +246,8 @@
   ): ForwardEffect[] => {
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
-    const mayBeComplete = isUnframedEnd === true && hasAnswerBegun(attempt) && (inFlight.endsWithConnection || !inFlight.isHeadSent)
-    // A crash would end it too. Even from a worker that is up it may be broken off, so it is passed on without framing.
-    if (mayBeComplete) return checkWorker(attempt.worker, inFlight)
+    // The end of the connection is that of the response, unless the worker has crashed.
+    if (isUnframedEnd === true && hasAnswerBegun(attempt)) return checkWorker(attempt.worker, inFlight)
     if (hasLeft) return handleLostAttempt(inFlight, attempt, reason)
     endNotRun(inFlight, attempt, AttemptEnd.NotConnected, reason)
     return retryOrFail(inFlight, ResultCode.NoUpstream, reason)
--- a/src/requests/deliverResponse.ts
+++ b/src/requests/deliverResponse.ts
@@ -1,4 +1,5 @@
 import type { TimestampMs } from '../core/index.js'
+import { WRITTEN_AT_ONCE_BYTES_MAX } from './constants.js'
 import type { Attempt, InFlightRequest } from './forwardState.js'
 import {
   type BodyFraming, BodyFramingKind, type ForwardEffect, ForwardEffectKind, type ForwardPorts, type WorkerResponse
@@ -10,11 +11,9 @@
  * @example
  * const effects = [deliverStreamHead(inFlight, attempt.answer)]
  */
-export const deliverStreamHead = (inFlight: InFlightRequest, { status, headers, isUnframed }: WorkerResponse): ForwardEffect => {
+export const deliverStreamHead = (inFlight: InFlightRequest, { status, headers }: WorkerResponse): ForwardEffect => {
   inFlight.isHeadSent = true
-  inFlight.endsWithConnection = isUnframed
-  const framing: BodyFraming = { kind: isUnframed ? BodyFramingKind.ConnectionEnd : BodyFramingKind.Chunks }
-  return { kind: ForwardEffectKind.SendHead, requestId: inFlight.request.requestId, status, headers, framing }
+  return { kind: ForwardEffectKind.SendHead, requestId: inFlight.request.requestId, status, headers, framing: { kind: BodyFramingKind.Chunks } }
 }
 
 /**
@@ -43,7 +42,7 @@
 }
 
 /**
- * Returns a response that is no stream, whole.
+ * Returns a response that is no stream, whole, as effects that are performed in one turn.
  *
  * @example
  * deliverResponse(request.requestId, response, attempt.held)
@@ -52,7 +51,9 @@
   requestId: string, { status, headers, isUnframed }: WorkerResponse, held: readonly Uint8Array[]
 ): ForwardEffect[] => {
   const bytes = Buffer.concat(held)
-  const framing: BodyFraming = isUnframed
+  const isWrittenAtOnce = bytes.length <= WRITTEN_AT_ONCE_BYTES_MAX
+  // A worker may break off a response without framing and stay up, so a length would claim more than is known.
+  const framing: BodyFraming = isUnframed && isWrittenAtOnce
     ? { kind: BodyFramingKind.ConnectionEnd }
     : { kind: BodyFramingKind.Length, bodyBytes: bytes.length }
   return [
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -29,8 +29,6 @@
   /** Whether any attempt may have run, the one in flight included; the request can then not be reported as not run. */
   mayHaveRun: boolean
   isHeadSent: boolean
-  /** Whether the response to the caller ends with its connection. */
-  endsWithConnection: boolean
   lastEventId: string | undefined
   /** While the request is queued for a worker: when it is refused, and the code that it is refused with. */
   queueDeadlineMs: TimestampMs | undefined
@@ -57,7 +55,6 @@
   triedWorkerIds: [],
   mayHaveRun: false,
   isHeadSent: false,
-  endsWithConnection: false,
   lastEventId: request.lastEventId,
   queueDeadlineMs: undefined,
   waitCode: ResultCode.Overloaded
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -59,7 +59,10 @@
 export enum BodyFramingKind {
   Length = 'length',
   Chunks = 'chunks',
-  /** As the worker's response had no framing, its end is passed on as it came: callers see that it may be incomplete. */
+  /**
+   * As the worker's response had no framing, its end is passed on as it came. Only for a response that is written at once:
+   * the end of the connection may be that of this process, and would look like the end of the body.
+   */
   ConnectionEnd = 'connection-end'
 }
 
