Pass on no promise that a worker has not proved

Cause: the core guards the results that it chooses itself, but wrote a worker's status unchanged. The decoder was right: the attempt counted as failed, not as refused.

Ruled out: a wrong verdict (attempt-ended says failed) and a retry that hides an earlier run (one send).

Why this works: whether a status is such a promise is decoded; without proof, a request that runs at most once ends with 502 and nothing of the worker's head. What the worker says of itself is learned before. The entry's own statuses are checked in one place. Requests that may run again get the worker's response unchanged.

--- a/src/nodes/brokenUpstreamResponses.test.ts
+++ b/src/nodes/brokenUpstreamResponses.test.ts
@@ -54,6 +54,14 @@
     for (const call of [look, order]) expect(await call()).toMatchObject({ status: 502, outcome: 'unknown' })
   })
 
+  // Guards against a caller that repeats an order because of a status that the service chose after it had run the order.
+  it('say that the call has run, whatever status the upstream chose', async () => {
+    for (const status of [408, 421, 429, 503]) {
+      service.script = respond(`HTTP/1.1 ${status} X`, 'text/plain')
+      expect(await order()).toMatchObject({ status, outcome: 'ran', text: 'answer' })
+    }
+  })
+
   const UNFRAMED_HEAD = `${OK}\r\nContent-Type: text/plain\r\n\r\n`
 
   // Guards against a response that broke off and is passed on as complete: without framing, the connection of a crashed
--- a/src/nodes/entry/callerFrontEnd.ts
+++ b/src/nodes/entry/callerFrontEnd.ts
@@ -114,6 +114,8 @@
         'content-type': contentType,
         'x-request-id': requestId,
         'x-result-code': ResultCode.Ok,
+        // The status is that of the upstream, which may fail a request after it has run.
+        'x-outcome': describeResult(ResultCode.Ok).outcome,
         ...(submitted.request.isEventStream ? { 'cache-control': 'no-cache' } : {}),
         ...framing
       })
--- a/src/nodes/forward/forwardTask.test.ts
+++ b/src/nodes/forward/forwardTask.test.ts
@@ -54,7 +54,7 @@
   }
   const codec: WorkerCodec = {
     encode: ({ request: { method, path, body } }) => ({ method, path, headers: [['content-length', '0']], body }),
-    decode: ({ status }) => ({ verdict: ResponseVerdict.Success, status, headers: [], isEventStream: false, isUnframed: false, notice: undefined })
+    decode: ({ status }) => ({ verdict: ResponseVerdict.Success, status, isPromiseNotRun: false, headers: [], isEventStream: false, isUnframed: false, notice: undefined })
   }
 
   const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec> }) => {
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -34,7 +34,7 @@
 const streamRoute = { ...idempotentRoute, repeat: RepeatPolicy.AtMostOnce, isEventStream: true, isResumable: true }
 
 const createResponse = (verdict: ResponseVerdict, status: number, isEventStream = false): WorkerResponse =>
-  ({ verdict, status, headers: [['server-seal', `seal-${status}`]], isEventStream, isUnframed: false, notice: undefined })
+  ({ verdict, status, isPromiseNotRun: status === 503, headers: [['server-seal', `seal-${status}`]], isEventStream, isUnframed: false, notice: undefined })
 
 describe('createForwardCore', () => {
   let clock: ManualClock
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -219,6 +219,9 @@
       const placement = ports.place(inFlight.request, inFlight.triedWorkerIds)
       if (placement.kind === PlacementKind.Placed) return sendToWorker(inFlight, placement.worker)
     }
+    // The status would promise on behalf of this process what the worker has not proved.
+    const isFalsePromise = response.isPromiseNotRun && !isSafeToRetry(inFlight.request)
+    if (isFalsePromise) return failRequest(inFlight, ResultCode.UpstreamRefused, `worker failed with status ${response.status}, which is no proof`)
     return sendResponse(inFlight, response, attempt.held)
   }
 
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -34,11 +34,11 @@
 
 /** Classification of a worker's response by its head. */
 export enum ResponseVerdict {
-  /** The worker reports that the request has not run. */
+  /** The worker proves that the request has not run. */
   NotRun = 'not-run',
   /** The response belongs to another request, or was not produced by the worker itself. */
   Foreign = 'foreign',
-  /** The worker ran the request, which failed. */
+  /** The worker reports a failure without proof that the request has not run. */
   Failure = 'failure',
   Success = 'success'
 }
@@ -46,6 +46,8 @@
 export interface WorkerResponse {
   verdict: ResponseVerdict
   status: number
+  /** Whether callers take the status for a promise that the request has not run and never will. */
+  isPromiseNotRun: boolean
   /** End-to-end headers for the caller. */
   headers: readonly HeaderField[]
   isEventStream: boolean
