Notice silent connections within the bounds of the deployment

Cause: a silent connection was found by the timeout of a long poll (5 to 8 s). The guard, some reader whose poll ends early, fails when one record makes all polls begin together.

Ruled out: that reports do not reach the others (entries differ by less than a second).

Why this works: the first readers of two zones time their polls by the settings' bounds, less the time in which reports spread a record; a silent call is repeated at once on a new connection.

--- a/bench/scale/feedWorld.test.ts
+++ b/bench/scale/feedWorld.test.ts
@@ -26,6 +26,16 @@
     expect(Math.max(...agesMs)).toBeLessThanOrEqual(RECORD_AGE_MAX_MS)
   })
 
+  // Guards against a fleet that learns of revoked keys and draining workers only when the long polls end: no process sees that
+  // its connections have fallen silent, and a record shortly before has made all polls start together.
+  it.each([[3, 2_000], [ZONES, 2_000], [ZONES, 4_000]])('arrive in time after all open connections have fallen silent at once: %i zones, within %i ms', (zones, recordAgeMaxMs) => {
+    for (const faultAtMs of [7_050, 7_650]) {
+      const { agesMs, missing } = runFeedWorld({ seed: 1, entries: ENTRIES, zones, fault: ReaderFault.Silent, faultAtMs, recordAgeMaxMs })
+      expect(missing).toBe(0)
+      expect(Math.max(...agesMs)).toBeLessThanOrEqual(recordAgeMaxMs)
+    }
+  })
+
   // Guards against records that are missed because their offsets were given out before, by readers, relays or other entries.
   it.each([ReaderFault.None, ReaderFault.Paused, ReaderFault.Killed])('arrive in time although the store comes back from an older copy, twice, with readers that are faulty: %s', fault => {
     for (const seed of [1, 2, 3]) {
--- a/bench/scale/feedWorld.ts
+++ b/bench/scale/feedWorld.ts
@@ -3,7 +3,10 @@
   createPeerReports, encodeDatagram, type PeerDatagram, type PeerEffect, PeerEffectKind, PeerMessageKind, PEER_TICK_MS, SelfChange
 } from '../../src/peers/index.js'
 import { EMPTY_CRASH_REPORT } from '../../src/quarantine/index.js'
-import { chooseReader, createRecordLog, createTopicFollower, type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type KeyedRecord, type RecordSource, SourceKind, Topic } from '../../src/storeFeed/index.js'
+import {
+  chooseReader, createRecordLog, createTopicFollower, type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, mustWatchConnection, type KeyedRecord, noticeMsFor, type ReaderChoice, type RecordSource,
+  SourceKind, Topic
+} from '../../src/storeFeed/index.js'
 import { createEventQueue, type EventQueue } from '../harness/index.js'
 import { endOf, type FeedFigures, type FeedWorldOptions, idOf, type Node, ReaderFault, recordsOf, type Store } from './feedWorldTypes.js'
 
@@ -16,6 +19,7 @@
 const FAULT_AT_MS = 7_000
 const FAULT_MS = 4_000
 const RECORD_INTERVAL_MS = 700
+const RECORD_AGE_MAX_MS = 2_000
 const AWAY_MS = 500
 const LOST_RECORDS = 4
 /** Requests of an entry in a second; each is reported when it is sent. */
@@ -28,7 +32,9 @@
  * @example
  * runFeedWorld({ seed: 1, entries: 100, zones: 5, fault: ReaderFault.Paused }).agesMs
  */
-export const runFeedWorld = ({ seed, entries, zones, fault, restoresAtMs = [] }: FeedWorldOptions): FeedFigures => {
+export const runFeedWorld = (
+  { seed, entries, zones, fault, restoresAtMs = [], recordIntervalMs = RECORD_INTERVAL_MS, faultAtMs = FAULT_AT_MS, recordAgeMaxMs = RECORD_AGE_MAX_MS }: FeedWorldOptions
+): FeedFigures => {
   const queue: EventQueue = createEventQueue()
   const random: Random = createRandom(seed)
   const store: Store = { era: 1, records: [], isAway: false, waiting: [] }
@@ -80,8 +86,10 @@
   const callStore = (node: Node, from: LogPosition | undefined, callId: number, waitMs: number, timeoutMs: number) => {
     figures.storeCalls += 1
     const end = endOf(store)
-    if (node.isCutOff) respond(node, timeoutMs, { kind: FeedMessageKind.CallFailed, callId, reason: 'no response' })
-    else if (store.isAway) respond(node, STORE_MS, { kind: FeedMessageKind.CallFailed, callId, reason: 'connection refused' })
+    // A response that arrives before ends the call, so that its timeout is ignored.
+    respond(node, timeoutMs, { kind: FeedMessageKind.CallFailed, callId, reason: 'no response', isSilent: true })
+    if (node.isCutOff) return
+    if (store.isAway) respond(node, STORE_MS, { kind: FeedMessageKind.CallFailed, callId, reason: 'connection refused' })
     else if (from === undefined) respond(node, STORE_MS, { kind: FeedMessageKind.Listed, callId, records: recordsOf(store, 0), end })
     else if (from.offset > end.offset) respond(node, STORE_MS, { kind: FeedMessageKind.RecordsExpired, callId })
     else if (from.offset < end.offset || waitMs === 0) respond(node, STORE_MS, { kind: FeedMessageKind.RecordsRead, callId, records: recordsOf(store, from.offset), end })
@@ -114,7 +122,7 @@
       else if (hasNews || waitMs === 0) answerFromLog(reader, node, from, callId)
       else reader.waiting.push({ from, callId, reader: node })
     }))
-    queue.after(timeoutMs, () => deliver(node, () => performFeed(node, node.follower.handle({ kind: FeedMessageKind.CallFailed, callId, reason: 'timeout' }))))
+    queue.after(timeoutMs, () => deliver(node, () => performFeed(node, node.follower.handle({ kind: FeedMessageKind.CallFailed, callId, reason: 'no response', isSilent: true }))))
   }
 
   const adopt = (node: Node, records: readonly KeyedRecord[]) => {
@@ -124,9 +132,11 @@
       if (!node.hadFault && appendedMs >= START_MS) figures.agesMs.push(queue.clock.nowMs() - appendedMs)
     }
     for (const { from, callId, reader: waiter } of node.waiting.splice(0)) answerFromLog(node, waiter, from, callId)
-    performPeers(node, node.reports.handle({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State }))
+    reportState(node)
   }
 
+  const reportState = (node: Node) => performPeers(node, node.reports.handle({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State }))
+
   const call = (node: Node, { source, callId, timeoutMs }: { source: RecordSource, callId: number, timeoutMs: number }, from: LogPosition | undefined, waitMs: number) => {
     if (source.kind === SourceKind.Store) callStore(node, from, callId, waitMs, timeoutMs)
     else callEntry(node, source.address, from, callId, waitMs, timeoutMs)
@@ -137,6 +147,8 @@
     [FeedEffectKind.List]: effect => call(node, effect, undefined, 0),
     [FeedEffectKind.Read]: effect => call(node, effect, effect.from, effect.waitMs),
     [FeedEffectKind.Abort]: ignore,
+    [FeedEffectKind.ConnectionSilent]: () => reportState(node),
+    [FeedEffectKind.ConnectionReplaced]: () => reportState(node),
     [FeedEffectKind.ReplaceAll]: ({ records, end }) => {
       node.records.replaceAll(records, end)
       adopt(node, records)
@@ -146,7 +158,7 @@
       adopt(node, records)
     },
     [FeedEffectKind.EntryFailed]: ignore,
-    [FeedEffectKind.StoreUnavailable]: ignore,
+    [FeedEffectKind.StoreUnavailable]: () => reportState(node),
     [FeedEffectKind.StoreRecovered]: ignore
   })
   const performers = new Map<Node, HandlerTable<FeedEffect, void>>()
@@ -156,7 +168,7 @@
 
   const positionsOf = ({ follower: { position } }: Node): Record<string, LogPosition> => position === undefined ? {} : { [Topic.Workers]: position }
 
-  const sourceOf = (node: Node) => chooseReader({
+  const choiceOf = (node: Node): ReaderChoice => ({
     zone: node.zone,
     zones: node.reports.countZones(),
     self: { nodeId: node.id, isReady: node.follower.hasState, isStoreConnected: node.follower.isConnected },
@@ -164,6 +176,8 @@
       ({ nodeId: report.nodeId, address, isReady: report.isReady, isStoreConnected: report.isStoreConnected, ageMs }))
   })
 
+  const sourceOf = (node: Node) => chooseReader(choiceOf(node))
+
   const addNode = (zone: string, at: number) => {
     const id = `${zone}-${at}`
     const node = { id, zone, address: id, records: createRecordLog(), running: {}, isPaused: false, isCutOff: false, isKilled: false, hadFault: false, knownIds: new Set(), waiting: [] } as unknown as Node
@@ -194,7 +208,8 @@
     node.follower = createTopicFollower({
       clock: queue.clock,
       random,
-      source: () => sourceOf(node)
+      source: () => sourceOf(node),
+      noticeWithinMs: () => mustWatchConnection({ ...choiceOf(node), zoneRank: node.reports.zoneRank() }) ? noticeMsFor(recordAgeMaxMs) : undefined
     })
     nodes.set(id, node)
     performers.set(node, createPerformers(node))
@@ -247,9 +262,13 @@
       node.hadFault = true
       node.isKilled = true
       store.waiting = store.waiting.filter(waiter => waiter.node !== node)
+    },
+    [ReaderFault.Silent]: () => {
+      store.waiting = []
+      for (const other of nodes.values()) other.waiting = []
     }
   }
-  queue.after(FAULT_AT_MS, () => readers().forEach(FAULTS[fault]))
+  queue.after(faultAtMs, () => readers().forEach(FAULTS[fault]))
 
   const append = (id: number) => {
     appendedMsById.set(id, queue.clock.nowMs())
@@ -272,7 +291,7 @@
   }
   for (const atMs of restoresAtMs) queue.after(atMs, restore)
 
-  queue.every(RECORD_INTERVAL_MS, () => {
+  queue.every(recordIntervalMs, () => {
     if (queue.clock.nowMs() > LENGTH_MS - 3_000) return false
     // Every entry of the naive version reads each record by a call of its own.
     figures.naive.storeCalls += entries
--- a/bench/scale/feedWorldTypes.ts
+++ b/bench/scale/feedWorldTypes.ts
@@ -10,7 +10,9 @@
   /** Its calls to the store are not answered. */
   CutOff = 'cut-off',
   /** The process ends and is not replaced. */
-  Killed = 'killed'
+  Killed = 'killed',
+  /** All open connections, of all processes to the store and to each other, deliver nothing any more; new ones work. */
+  Silent = 'silent'
 }
 
 export interface FeedWorldOptions {
@@ -20,6 +22,12 @@
   fault: ReaderFault
   /** Times at which the store comes back from a copy that lacks the last records. */
   restoresAtMs?: readonly number[]
+  /** Time between two records in ms; 700 unless stated otherwise. */
+  recordIntervalMs?: number
+  /** When the fault begins, in ms. */
+  faultAtMs?: number
+  /** Time within which each record must be known to all entries, in ms; 2,000 unless stated otherwise. */
+  recordAgeMaxMs?: number
 }
 
 export interface FeedFigures {
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -26,6 +26,8 @@
   peerAddress: string
   seedAddresses: readonly string[]
   retryBudget: () => FleetRetryBudgetSettings
+  /** Time within which each record of the store must be in force, in ms. */
+  recordAgeMaxMs: () => number
   clock: Clock
   random: Random
   store: StorePort
@@ -93,7 +95,13 @@
   const crashes = createCrashMonitor({ clock, log, onChanged: reportStateChange })
 
   const recordSources = createRecordSources({
-    random, nodeId, zone, reports: () => peers.reports, isReady: () => isReady(), isStoreConnected: () => storeView.isStoreConnected
+    random,
+    nodeId,
+    zone,
+    reports: () => peers.reports,
+    isReady: () => isReady(),
+    isStoreConnected: () => storeView.isStoreConnected,
+    recordAgeMaxMs: options.recordAgeMaxMs
   })
 
   const storeView: StoreView = createStoreView({
@@ -108,6 +116,8 @@
       reportStateChange()
     },
     onStoreCalled: counters.countStoreCall,
+    onConnectionChanged: reportStateChange,
+    onSilent: () => forward.discardIdle(),
     onConfiguration: () => {
       options.onConfiguration(storeView)
     },
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -24,6 +24,8 @@
   submit (request: ForwardRequest, sink: CallerSink): void
   cancel (requestId: string): void
   retryWaitingRequests (): void
+  /** Closes all idle connections, which may have fallen silent. */
+  discardIdle (): void
   /** Closes idle connections to addresses that no longer belong to a worker. */
   closeUnused (): void
   readonly core: Pick<ForwardCore, 'liveCount' | 'waitingCount'>
@@ -150,6 +152,7 @@
       task.post({ kind: ForwardMessageKind.CallerGone, requestId })
     },
     retryWaitingRequests: () => { if (core.waitingCount > 0) task.post({ kind: ForwardMessageKind.CapacityFreed }) },
+    discardIdle: () => { for (const pool of pools.values()) pool.discardIdle() },
     closeUnused: () => {
       const used = new Set(workers.all().map(({ address }) => address))
       for (const [address, pool] of pools) {
--- a/src/nodes/forward/recordSources.ts
+++ b/src/nodes/forward/recordSources.ts
@@ -1,6 +1,6 @@
 import type { Random } from '../../core/index.js'
 import type { PeerReports } from '../../peers/index.js'
-import { chooseReader, type RecordSource, SourceKind } from '../../storeFeed/index.js'
+import { chooseReader, mustWatchConnection, noticeMsFor, type ReaderChoice, type RecordSource, SourceKind } from '../../storeFeed/index.js'
 
 export interface RecordSourcesOptions {
   random: Random
@@ -10,6 +10,8 @@
   reports: () => PeerReports
   isReady: () => boolean
   isStoreConnected: () => boolean
+  /** Time within which each record of the store must be in force, in ms. */
+  recordAgeMaxMs: () => number
 }
 
 /** From where an entry gets the store's records. */
@@ -18,24 +20,36 @@
   source (): RecordSource
   /** Any ready entry of the zone other than this one; undefined if there is none. */
   otherEntry (): RecordSource | undefined
+  /**
+   * Time within which this entry itself must notice a silent connection, in ms; undefined if the reports of others show it
+   * that it misses records.
+   */
+  noticeWithinMs (): number | undefined
 }
 
 /**
  * Creates the sources of one entry.
  *
  * @example
- * createRecordSources({ random, nodeId, zone, reports, isReady, isStoreConnected }).source()
+ * createRecordSources({ random, nodeId, zone, reports, isReady, isStoreConnected, recordAgeMaxMs }).source()
  */
-export const createRecordSources = ({ random, nodeId, zone, reports, isReady, isStoreConnected }: RecordSourcesOptions): RecordSources => ({
-  source: () => chooseReader({
+export const createRecordSources = (
+  { random, nodeId, zone, reports, isReady, isStoreConnected, recordAgeMaxMs }: RecordSourcesOptions
+): RecordSources => {
+  const choice = (): ReaderChoice => ({
     zone,
     zones: reports().countZones(),
     self: { nodeId, isReady: isReady(), isStoreConnected: isStoreConnected() },
     peers: reports().zonePeers().map(({ report, address, ageMs }) =>
       ({ nodeId: report.nodeId, address, isReady: report.isReady, isStoreConnected: report.isStoreConnected, ageMs }))
-  }),
-  otherEntry: () => {
-    const ready = reports().zonePeers().filter(({ report }) => report.isReady)
-    return ready.length === 0 ? undefined : { kind: SourceKind.Entry, address: random.pick(ready).address }
+  })
+
+  return {
+    source: () => chooseReader(choice()),
+    otherEntry: () => {
+      const ready = reports().zonePeers().filter(({ report }) => report.isReady)
+      return ready.length === 0 ? undefined : { kind: SourceKind.Entry, address: random.pick(ready).address }
+    },
+    noticeWithinMs: () => mustWatchConnection({ ...choice(), zoneRank: reports().zoneRank() }) ? noticeMsFor(recordAgeMaxMs()) : undefined
   }
-})
+}
--- a/src/nodes/mapAgent/createMapAgent.test.ts
+++ b/src/nodes/mapAgent/createMapAgent.test.ts
@@ -33,7 +33,8 @@
   list: () => ({ result: Promise.resolve({ records, end: { era: 1, offset: records.length } }), abort: () => {} }),
   // Never resolves: no record changes during a test.
   read: (): RecordCall => ({ result: new Promise(() => {}), abort: () => {} }),
-  isRecordsExpired: () => false
+  isRecordsExpired: () => false,
+  isSilence: () => false
 })
 
 const store: StorePort = {
@@ -79,6 +80,7 @@
 
   const startAgents = (ranks: readonly number[]) => {
     agents = ranks.map(rank => startMapAgent({
+      recordAgeMaxMs: 2_000,
       service: SERVICE,
       agentPort,
       ip: ipOf(rank),
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -5,7 +5,7 @@
 } from '../../expertMaps/index.js'
 import type { Worker } from '../../membership/index.js'
 import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
-import { createFeedClient } from '../../storeFeed/index.js'
+import { createFeedClient, noticeMsFor, SourceKind } from '../../storeFeed/index.js'
 import { createStoreView, type StorePort } from '../storeView/index.js'
 import { openAgentSocket } from './agentSocket.js'
 import { createEntryLocator } from './entryLocator.js'
@@ -27,6 +27,8 @@
   zone: string
   /** `ip:port` of a few entries, to which a slow worker is reported and which know the others; may be out of date. */
   entryAddresses: readonly string[]
+  /** Time within which each record of the store must be in force, in ms. */
+  recordAgeMaxMs: number
   clock: Clock
   random: Random
   store: StorePort
@@ -64,10 +66,10 @@
  * host; the agent of the lowest live rank is the coordinator, which plans and switches the maps of the group.
  *
  * @example
- * const agent = startMapAgent({ service, agentPort: 7340, ip, nodeId, zone, entryAddresses, clock, random, store, rank, rankPortOf, log })
+ * const agent = startMapAgent({ service, agentPort: 7340, ip, nodeId, zone, entryAddresses, recordAgeMaxMs, clock, random, store, rank, rankPortOf, log })
  */
 export const startMapAgent = (
-  { service, agentPort, ip, nodeId, zone, entryAddresses, clock, random, store, rank: port, rankPortOf, log }: MapAgentOptions
+  { service, agentPort, ip, nodeId, zone, entryAddresses, recordAgeMaxMs, clock, random, store, rank: port, rankPortOf, log }: MapAgentOptions
 ): MapAgent => {
   let ownReading: RankReading | undefined
   let isReading = false
@@ -95,7 +97,9 @@
     log,
     onConfiguration: () => {},
     onWorkersChanged: () => {},
-    onEntryFailed: locator.recordFailure
+    onEntryFailed: locator.recordFailure,
+    // No report shows an agent that it misses records. The store would not bear as many calls as entries do.
+    noticeWithinMs: () => locator.source()?.kind === SourceKind.Entry ? noticeMsFor(recordAgeMaxMs) : undefined
   })
   const expertSettings = () => storeView.configuration.findService(service)?.engine?.experts
 
--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -29,6 +29,12 @@
   onAdvanced?: (topic: Topic) => void
   onStoreCalled?: StoreCallListener
   onEntryFailed?: (address: string) => void
+  /** Called when an open connection has fallen silent; others may have, too. */
+  onSilent?: () => void
+  /** Called when this process has lost the store, or regained it. */
+  onConnectionChanged?: () => void
+  /** Time within which this process itself must notice a silent connection, in ms; undefined while others would show it. */
+  noticeWithinMs?: () => number | undefined
 }
 
 /** The configuration in force and the workers, as read from the store or from an entry that passes them on. */
@@ -122,6 +128,7 @@
       random,
       source,
       otherEntry: listeners.otherEntry,
+      noticeWithinMs: listeners.noticeWithinMs,
       storePort: store[topic],
       entryPortOf: address => feed.portOf(topic, address),
       tickIntervalMs,
@@ -131,6 +138,11 @@
         log(LogEvent.FeedFailed, { topic, address, reason })
         listeners.onEntryFailed?.(address)
       },
+      onSilent: silent => {
+        log(LogEvent.ConnectionSilent, { topic, ...silent })
+        listeners.onSilent?.()
+      },
+      onConnectionChanged: () => listeners.onConnectionChanged?.(),
       onFailure: logTaskFailure(log, topic),
       onUnavailable: reason => log(LogEvent.StoreUnavailable, { topic, reason }),
       onRestored: change => log(LogEvent.StoreRestored, { topic, ...change }),
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -14,6 +14,8 @@
   WorkerChanged = 'worker-changed',
   StoreUnavailable = 'store-lost',
   StoreRecovered = 'store-regained',
+  /** A call to the store, or to an entry that passes its records on, got no response in time; it is repeated on a new connection. */
+  ConnectionSilent = 'connection-silent',
   /** The store came back from an older copy and gives offsets out anew. */
   StoreRestored = 'store-restored',
   PeerFound = 'peer-found',
--- a/src/peers/createPeerReports.ts
+++ b/src/peers/createPeerReports.ts
@@ -35,6 +35,8 @@
   entries (): KnownEntry[]
   /** Number of live zones, this one included. */
   countZones (): number
+  /** Number of live zones whose names come before that of this one. */
+  zoneRank (): number
   /** Whether an address belongs to an entry of this zone, as far as known. */
   isInZone (address: string): boolean
   /** Requests in flight at a worker from all other live entries. */
@@ -262,6 +264,7 @@
     zonePeers,
     entries,
     countZones: () => zones.live().length + 1,
+    zoneRank: () => zones.live().filter(({ zone }) => zone < ownZone).length,
     isInZone: address => peers.get(address)?.zone === ownZone,
     runningAt: workerId => (runningSums ??= sumRunning()).get(workerId) ?? 0
   }
--- a/src/storeFeed/chooseReader.test.ts
+++ b/src/storeFeed/chooseReader.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { chooseReader, type ReaderCandidate } from './chooseReader.js'
-import { READER_SILENCE_MS, READERS_MIN, SourceKind } from './constants.js'
+import { chooseReader, mustWatchConnection, type ReaderCandidate } from './chooseReader.js'
+import { READER_SILENCE_MS, READERS_MIN, SourceKind, WATCHING_ZONES } from './constants.js'
 
 const peer = (nodeId: string, overrides: Partial<ReaderCandidate> = {}): ReaderCandidate =>
   ({ nodeId, address: `${nodeId}:1`, isReady: true, isStoreConnected: true, ageMs: 0, ...overrides })
@@ -46,6 +46,16 @@
     expect(readers(Object.fromEntries(NODE_IDS.map(nodeId => [nodeId, { isStoreConnected: false }])))).toHaveLength(1)
   })
 
+  // Guards against a fleet whose readers all wait on silent connections, and against one whose readers all call the store often.
+  it('is the one that watches its connection in the first zones, as an entry without a reader does', () => {
+    const watchers = (zoneRank: number) => NODE_IDS.filter(nodeId => mustWatchConnection({
+      zone: 'a', zones: 2, zoneRank, self: self(nodeId), peers: NODE_IDS.filter(other => other !== nodeId).map(other => peer(other))
+    }))
+    expect([0, WATCHING_ZONES - 1, WATCHING_ZONES].map(zoneRank => watchers(zoneRank).length)).toEqual([1, 1, 0])
+    expect(mustWatchConnection({ zone: 'a', zones: 1, zoneRank: 0, self: self('n1'), peers: [] })).toBe(true)
+    expect(mustWatchConnection({ zone: 'a', zones: 4, zoneRank: 3, self: self('n1', false), peers: [] })).toBe(true)
+  })
+
   it('is the entry itself while it knows no other, and an entry with the state while it starts', () => {
     expect(chooseReader({ zone: 'a', zones: READERS_MIN, self: self('n1', false), peers: [] })).toEqual({ kind: SourceKind.Store })
     expect(chooseReader({ zone: 'a', zones: READERS_MIN, self: self('n1', false), peers: [peer('n2')] })).toEqual({ kind: SourceKind.Entry, address: 'n2:1' })
--- a/src/storeFeed/constants.ts
+++ b/src/storeFeed/constants.ts
@@ -27,6 +27,19 @@
 export const READ_WAIT_MAX_MS = 7_000
 /** If a read exceeds its wait by this time, its connection is broken or the source is unavailable. */
 export const READ_TIMEOUT_MARGIN_MS = 1_000
+/** The same for a read that must notice soon that its connection is broken, while its source responds quickly. */
+export const SILENCE_MARGIN_MS = 300
+/** What such a read allows for a source that responds slowly: this many times its last delay. */
+export const SILENCE_DELAY_FACTOR = 3
+/** Time that a record takes from the first process that reads it to the last one that learns of it by a report. */
+export const SPREAD_MS = 1_000
+/**
+ * The first readers of this many zones, the first ones by name, notice by themselves that their connections are silent; all
+ * other entries learn from their reports that they miss records. The second one covers a zone that has lost the store.
+ */
+export const WATCHING_ZONES = 2
+/** A read is not timed out sooner, however soon a record must be in force. */
+export const NOTICE_MIN_MS = 800
 export const LIST_TIMEOUT_MS = 1_500
 /** Delay between reads from the store, so that one call fetches records that arrive in quick succession. */
 export const READ_BATCH_DELAY_MS = 150
--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -190,6 +190,67 @@
     })
   })
 
+  describe('that must notice by itself that its connection has fallen silent', () => {
+    const NOTICE_MS = 1_200
+    const SLOW_MS = 300
+    let noticeMs: number | undefined
+
+    beforeEach(() => {
+      noticeMs = NOTICE_MS
+      follower = createTopicFollower({ clock, random: createRandom(1), source: () => source, noticeWithinMs: () => noticeMs })
+    })
+    const silent = (callId: number) => follower.handle({ kind: FeedMessageKind.CallFailed, callId, reason: 'no response', isSilent: true })
+    const readOf = (effects: readonly FeedEffect[]) => effects.find(effect => effect.kind === FeedEffectKind.Read)!
+
+    it('gives its long polls no more time than that', () => {
+      const { waitMs, timeoutMs } = readOf(listed())
+      expect(waitMs).toBeGreaterThanOrEqual(NOTICE_MS / 2)
+      expect(timeoutMs).toBeLessThanOrEqual(NOTICE_MS)
+    })
+
+    // Guards against an outage of the store that is only that of a connection.
+    it('repeats a call without a response at once on a new connection, without waiting, and reports no outage', () => {
+      const { callId } = callOf(listed())
+      const effects = silent(callId)
+      expect(effects).toMatchObject([
+        { kind: FeedEffectKind.ConnectionSilent, source: STORE },
+        { kind: FeedEffectKind.Read, source: STORE, from: at(5), waitMs: 0, needsFreshConnection: true }
+      ])
+      expect(follower.isConnected).toBe(false)
+      expect(follower.handle({ kind: FeedMessageKind.RecordsRead, callId: callOf(effects).callId, records: [], end: at(5) }))
+        .toMatchObject([{ kind: FeedEffectKind.ConnectionReplaced }, { kind: FeedEffectKind.Read, needsFreshConnection: false }])
+      expect(follower.isConnected).toBe(true)
+    })
+
+    it('reports an outage if the store does not respond on the new connection either', () => {
+      const { callId } = callOf(silent(callOf(listed()).callId))
+      expect(silent(callId)).toMatchObject([{ kind: FeedEffectKind.StoreUnavailable }])
+    })
+
+    it('repeats a call to an entry first, and changes to another one after that', () => {
+      source = entryAt('reader:1')
+      const { callId } = callOf(silent(callOf(listed()).callId))
+      expect(silent(callId)).toMatchObject([{ kind: FeedEffectKind.EntryFailed, address: 'reader:1' }])
+    })
+
+    it('ends a long poll that began before it had to notice by itself', () => {
+      noticeMs = undefined
+      const { callId, waitMs } = readOf(listed())
+      expect(waitMs).toBeGreaterThan(NOTICE_MS)
+      noticeMs = NOTICE_MS
+      expect(tickAfter(NOTICE_MS - 10)).toEqual([])
+      expect(tickAfter(20)).toMatchObject([{ kind: FeedEffectKind.Abort, callId }, { kind: FeedEffectKind.Read }])
+    })
+
+    // Guards against a store that is slow and is taken for lost at each call.
+    it('allows for a source that responds slowly', () => {
+      const { callId, waitMs } = readOf(listed())
+      clock.advance(waitMs + SLOW_MS)
+      const next = readOf(follower.handle({ kind: FeedMessageKind.RecordsRead, callId, records: [], end: at(5) }))
+      expect(next.timeoutMs - next.waitMs).toBe(3 * SLOW_MS)
+    })
+  })
+
   describe('after the store came back from an older copy', () => {
     // Guards against records that are skipped because their offsets were given out before.
     it('lists again, whether or not the store has grown past the old position', () => {
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -1,14 +1,20 @@
 import { comparePositions, dispatch, type HandlerTable, laterPosition, type LogPosition, type TimestampMs } from '../core/index.js'
 import {
   CONFIRM_INTERVAL_MS, CONFIRM_TIME_MS, ENTRY_FAILURES_MAX, FIRST_ERA, LIST_TIMEOUT_MS, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_TIMEOUT_MARGIN_MS, READ_WAIT_MAX_MS,
-  READ_WAIT_MIN_MS, RETRY_DELAY_MAX_MS, RETRY_DELAY_MIN_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
+  READ_WAIT_MIN_MS, RETRY_DELAY_MAX_MS, RETRY_DELAY_MIN_MS, SILENCE_DELAY_FACTOR, SILENCE_MARGIN_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
 } from './constants.js'
 import {
   type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type FeedPage, type TopicFollower, type TopicFollowerOptions
 } from './followerTypes.js'
 import type { RecordSource } from './types.js'
 
-interface RunningCall { callId: number, source: RecordSource }
+interface RunningCall {
+  callId: number
+  source: RecordSource
+  startedAtMs: TimestampMs
+  /** Time for which the source holds the call while it has no records; undefined for a list. */
+  waitMs: number | undefined
+}
 
 const isSameSource = (one: RecordSource, other: RecordSource) =>
   one.kind === other.kind && (one.kind === SourceKind.Store || one.address === (other as typeof one).address)
@@ -22,7 +28,9 @@
  * const follower = createTopicFollower({ clock, random, source })
  * follower.handle({ kind: FeedMessageKind.Started }) // [{ kind: FeedEffectKind.List, ... }]
  */
-export const createTopicFollower = ({ clock, random, source, otherEntry = () => undefined }: TopicFollowerOptions): TopicFollower => {
+export const createTopicFollower = (
+  { clock, random, source, otherEntry = () => undefined, noticeWithinMs = () => undefined }: TopicFollowerOptions
+): TopicFollower => {
   let position: LogPosition | undefined
   let outageStartMs: TimestampMs | undefined
   let storeFailedMs: TimestampMs | undefined
@@ -35,6 +43,10 @@
   let mustList = true
   let entryFailures = 0
   let isBehind = false
+  /** Set while a call checks on a new connection whether the source of a silent call responds. */
+  let isRechecking = false
+  /** Delay of the last response that the source did not hold back. */
+  let sourceDelayMs = 0
   let peerPosition: LogPosition | undefined
   let peerAheadSinceMs: TimestampMs | undefined
   let peerAheadLimitMs = PEER_AHEAD_LIMIT_MS
@@ -53,25 +65,35 @@
     return entryFailures >= ENTRY_FAILURES_MAX ? StoreCallReason.EntriesFailed : StoreCallReason.Reader
   }
 
-  /** While the store is lost, or is known to have records, a read without waiting shows at once how it is. */
-  const chooseWaitMs = ({ kind }: RecordSource) => {
-    const isUrgent = kind === SourceKind.Store && (isBehind || outageStartMs !== undefined)
-    return isUrgent ? 0 : random.int(READ_WAIT_MIN_MS, READ_WAIT_MAX_MS)
+  /** How long the source holds a read, and how long after that a response must have arrived. */
+  const chooseTimes = ({ kind }: RecordSource): { waitMs: number, marginMs: number } => {
+    // While the store is lost, or is known to have records, a read without waiting shows at once how it is.
+    const isUrgent = isRechecking || (kind === SourceKind.Store && (isBehind || outageStartMs !== undefined))
+    if (isUrgent) return { waitMs: 0, marginMs: READ_TIMEOUT_MARGIN_MS }
+    const noticeMs = noticeWithinMs()
+    if (noticeMs === undefined) return { waitMs: random.int(READ_WAIT_MIN_MS, READ_WAIT_MAX_MS), marginMs: READ_TIMEOUT_MARGIN_MS }
+    const marginMs = Math.min(READ_TIMEOUT_MARGIN_MS, Math.max(SILENCE_MARGIN_MS, SILENCE_DELAY_FACTOR * sourceDelayMs))
+    return { waitMs: Math.floor(Math.max(noticeMs / 2, noticeMs - marginMs)), marginMs }
   }
 
   const startCall = (chosen = nextSource()): FeedEffect[] => {
     if (chosen === undefined) return []
     const callId = nextCallId++
-    running = { callId, source: chosen }
-    const reason = reasonOfStoreCall()
-    if (mustList || position === undefined) return [{ kind: FeedEffectKind.List, callId, source: chosen, reason, timeoutMs: LIST_TIMEOUT_MS }]
-    const waitMs = chooseWaitMs(chosen)
-    return [{ kind: FeedEffectKind.Read, callId, source: chosen, reason, from: position, waitMs, timeoutMs: waitMs + READ_TIMEOUT_MARGIN_MS }]
+    const call = { callId, source: chosen, reason: reasonOfStoreCall(), needsFreshConnection: isBehind || isRechecking }
+    const startedAtMs = clock.nowMs()
+    if (mustList || position === undefined) {
+      running = { callId, source: chosen, startedAtMs, waitMs: undefined }
+      return [{ kind: FeedEffectKind.List, ...call, timeoutMs: LIST_TIMEOUT_MS }]
+    }
+    const { waitMs, marginMs } = chooseTimes(chosen)
+    running = { callId, source: chosen, startedAtMs, waitMs }
+    return [{ kind: FeedEffectKind.Read, ...call, from: position, waitMs, timeoutMs: waitMs + marginMs }]
   }
 
   const recordStoreResponse = (): FeedEffect[] => {
+    const hadFailed = storeFailedMs !== undefined
     storeFailedMs = undefined
-    if (outageStartMs === undefined) return []
+    if (outageStartMs === undefined) return hadFailed ? [{ kind: FeedEffectKind.ConnectionReplaced }] : []
     const outageMs = clock.nowMs() - outageStartMs
     outageStartMs = undefined
     recoveredAtMs = clock.nowMs()
@@ -89,8 +111,17 @@
     return [{ kind: FeedEffectKind.StoreRecovered, outageMs: 0 }]
   }
 
+  /** Records how late a response was that the source held to the end of its wait, or did not hold at all. */
+  const recordDelay = () => {
+    if (running?.waitMs === undefined) return
+    const delayMs = clock.nowMs() - running.startedAtMs - running.waitMs
+    if (delayMs >= 0) sourceDelayMs = delayMs
+  }
+
   const onCallSucceeded = ({ sinceRecoveryMs }: { sinceRecoveryMs?: number | undefined }): FeedEffect[] => {
     const isFromStore = running?.source.kind === SourceKind.Store
+    recordDelay()
+    isRechecking = false
     running = undefined
     retryMs = RETRY_DELAY_MIN_MS
     entryFailures = 0
@@ -165,8 +196,18 @@
     return [{ kind: FeedEffectKind.StoreUnavailable, reason }]
   }
 
-  const onCallFailed = (reason: string): FeedEffect[] => {
+  /** Repeats a call whose connection may be broken at once; the store counts as lost until it responds. */
+  const recheck = (silent: RecordSource): FeedEffect[] => {
+    isRechecking = true
+    running = undefined
+    if (silent.kind === SourceKind.Store) storeFailedMs = clock.nowMs()
+    return [{ kind: FeedEffectKind.ConnectionSilent, source: silent }, ...startCall(silent)]
+  }
+
+  const onCallFailed = (reason: string, isSilent = false): FeedEffect[] => {
     const failed = running?.source
+    if (isSilent && !isRechecking && outageStartMs === undefined && failed !== undefined) return recheck(failed)
+    isRechecking = false
     running = undefined
     nextCallAtMs = clock.nowMs() + retryMs * (0.5 + random.next())
     retryMs = Math.min(RETRY_DELAY_MAX_MS, retryMs * 2)
@@ -183,6 +224,13 @@
 
   const isOvertaken = (nowMs: TimestampMs) => peerAheadSinceMs !== undefined && nowMs - peerAheadSinceMs > peerAheadLimitMs
 
+  /** Whether the read in flight was started before this process had to notice silence by itself, and has become too old. */
+  const isReadTooOld = (nowMs: TimestampMs): boolean => {
+    const noticeMs = noticeWithinMs()
+    if (noticeMs === undefined || running?.waitMs === undefined || running.waitMs < noticeMs) return false
+    return nowMs - running.startedAtMs >= noticeMs
+  }
+
   /** Whether the entry that this process reads from is no longer the one to use. */
   const hasSourceChanged = (): boolean => {
     if (running?.source.kind !== SourceKind.Entry || confirmUntilMs !== undefined) return false
@@ -211,7 +259,7 @@
       isBehind = true
       return restartCall()
     }
-    if (hasSourceChanged()) return restartCall()
+    if (hasSourceChanged() || isReadTooOld(nowMs)) return restartCall()
     return running === undefined && nowMs >= nextCallAtMs ? startCall() : []
   }
 
@@ -232,7 +280,7 @@
     [FeedMessageKind.Listed]: ifCurrentCall<FeedPage>(onListed),
     [FeedMessageKind.RecordsRead]: ifCurrentCall<FeedPage>(onRecordsRead),
     [FeedMessageKind.RecordsExpired]: ifCurrentCall(() => listFromSameSource({})),
-    [FeedMessageKind.CallFailed]: ifCurrentCall<{ callId: number, reason: string }>(({ reason }) => onCallFailed(reason)),
+    [FeedMessageKind.CallFailed]: ifCurrentCall<{ callId: number, reason: string, isSilent?: boolean }>(({ reason, isSilent }) => onCallFailed(reason, isSilent)),
     [FeedMessageKind.PeerAhead]: ({ position: ahead }) => onPeerAhead(ahead),
     [FeedMessageKind.ProcessResumed]: () => {
       mustList = true
--- a/src/storeFeed/feedClient.ts
+++ b/src/storeFeed/feedClient.ts
@@ -1,6 +1,6 @@
 import { BaobabdriftError, type Clock, ResultCode } from '../core/index.js'
 import type { EntryAddress } from '../peers/index.js'
-import { createHttpCaller, type HttpCaller } from '../upstreams/index.js'
+import { ConnectionUse, createHttpCaller, type HttpCaller, NoResponseError } from '../upstreams/index.js'
 import type { Topic } from './constants.js'
 import { decodeEntryAddresses, decodePage, FeedPath } from './feedCodec.js'
 import type { RecordCall, TopicPort } from './types.js'
@@ -39,8 +39,8 @@
     return caller
   }
 
-  const get = (address: string, path: string, timeoutMs: number): RecordCall => {
-    const { answer, abort } = callerOf(address).call({ method: 'GET', path, timeoutMs })
+  const get = (address: string, path: string, timeoutMs: number, use: ConnectionUse = ConnectionUse.Reuse): RecordCall => {
+    const { answer, abort } = callerOf(address).call({ method: 'GET', path, timeoutMs, use })
     const result = answer.then(({ status, body }) => {
       if (status === GONE) throw new RecordsDroppedError()
       if (status !== OK) throw new Error(`status ${status} from entry ${address}`)
@@ -51,9 +51,11 @@
 
   return {
     portOf: (topic, address) => ({
-      list: timeoutMs => get(address, `${FeedPath.Records}?topic=${topic}`, timeoutMs),
-      read: ({ era, offset }, waitMs, timeoutMs) => get(address, `${FeedPath.Records}?topic=${topic}&era=${era}&from=${offset}&wait_ms=${waitMs}`, timeoutMs),
-      isRecordsExpired: error => error instanceof RecordsDroppedError
+      list: (timeoutMs, use) => get(address, `${FeedPath.Records}?topic=${topic}`, timeoutMs, use),
+      read: ({ era, offset }, waitMs, timeoutMs, use) =>
+        get(address, `${FeedPath.Records}?topic=${topic}&era=${era}&from=${offset}&wait_ms=${waitMs}`, timeoutMs, use),
+      isRecordsExpired: error => error instanceof RecordsDroppedError,
+      isSilence: error => error instanceof NoResponseError
     }),
     fetchEntries: async (address, zone, timeoutMs) => {
       const { status, body } = await callerOf(address).call({ method: 'GET', path: `${FeedPath.Entries}?zone=${encodeURIComponent(zone)}`, timeoutMs }).answer
--- a/src/storeFeed/followerTypes.ts
+++ b/src/storeFeed/followerTypes.ts
@@ -25,7 +25,8 @@
   | { kind: FeedMessageKind.Listed } & FeedPage
   | { kind: FeedMessageKind.RecordsRead } & FeedPage
   | { kind: FeedMessageKind.RecordsExpired, callId: number }
-  | { kind: FeedMessageKind.CallFailed, callId: number, reason: string }
+  /** `isSilent` is set if there was no response within the timeout of the call. */
+  | { kind: FeedMessageKind.CallFailed, callId: number, reason: string, isSilent?: boolean }
   | { kind: FeedMessageKind.PeerAhead, position: LogPosition }
   | { kind: FeedMessageKind.ProcessResumed }
   | { kind: FeedMessageKind.Tick }
@@ -40,6 +41,10 @@
   /** Replaces the whole state; keys that are not among the records no longer exist. */
   ReplaceAll = 'replace-all',
   Apply = 'apply',
+  /** A call got no response in time; it is repeated at once on a new connection, which shows whether the source responds. */
+  ConnectionSilent = 'connection-silent',
+  /** The source has responded on the new connection. */
+  ConnectionReplaced = 'connection-replaced',
   /** An entry did not respond. */
   EntryFailed = 'entry-failed',
   StoreUnavailable = 'store-lost',
@@ -53,6 +58,8 @@
   /** Why the store is called, if it is the source. */
   reason: StoreCallReason
   timeoutMs: number
+  /** Whether the call needs a new connection, as open ones may be broken. */
+  needsFreshConnection: boolean
 }
 
 export type FeedEffect =
@@ -62,6 +69,8 @@
   /** `isRestored` is set if the store came back from an older copy, so that the records may be older than what is known. */
   | { kind: FeedEffectKind.ReplaceAll, records: readonly KeyedRecord[], end: LogPosition, isRestored: boolean }
   | { kind: FeedEffectKind.Apply, records: readonly KeyedRecord[], end: LogPosition }
+  | { kind: FeedEffectKind.ConnectionSilent, source: RecordSource }
+  | { kind: FeedEffectKind.ConnectionReplaced }
   | { kind: FeedEffectKind.EntryFailed, address: string, reason: string }
   | { kind: FeedEffectKind.StoreUnavailable, reason: string }
   | { kind: FeedEffectKind.StoreRecovered, outageMs: number }
@@ -73,6 +82,11 @@
   source: () => RecordSource | undefined
   /** Another entry that has the state of the topic; undefined while none is known. */
   otherEntry?: () => RecordSource | undefined
+  /**
+   * Time in ms within which this process itself must notice that its connection to the source no longer delivers; undefined
+   * while the reports of others show it that it misses records.
+   */
+  noticeWithinMs?: () => number | undefined
 }
 
 export interface TopicFollower extends Core<FeedMessage, FeedEffect> {
--- a/src/storeFeed/topicTask.ts
+++ b/src/storeFeed/topicTask.ts
@@ -1,4 +1,5 @@
 import { type Clock, createTask, dispatch, type HandlerTable, type LogPosition, type Random, type TaskFailure } from '../core/index.js'
+import { ConnectionUse } from '../upstreams/index.js'
 import { SourceKind, type StoreCallReason } from './constants.js'
 import { createRecordLog, type RecordLog } from './createRecordLog.js'
 import { createRestoreMerge, type RestoreMergeOptions } from './createRestoreMerge.js'
@@ -14,6 +15,8 @@
   source: () => RecordSource | undefined
   /** Another entry that has the state of the topic; undefined while none is known. */
   otherEntry?: (() => RecordSource | undefined) | undefined
+  /** Time within which this process itself must notice a silent connection, in ms; undefined while others would show it. */
+  noticeWithinMs?: (() => number | undefined) | undefined
   storePort: TopicPort
   /** Port to an entry that passes on the topic. */
   entryPortOf: (address: string) => TopicPort
@@ -24,6 +27,10 @@
   /** Called after each change of the log and each recovery of the store, for the processes that wait for them. */
   onAdvanced: () => void
   onStoreCalled: (reason: StoreCallReason) => void
+  /** Called when a call to a source got no response in time, before it is repeated on a new connection. */
+  onSilent: (source: RecordSource) => void
+  /** Called when this process has lost the store, or regained it. */
+  onConnectionChanged: () => void
   onEntryFailed: (address: string, reason: string) => void
   onUnavailable: (reason: string) => void
   /** Called after an exception, after which a part of the state may be missing. */
@@ -48,9 +55,9 @@
  * const task = startTopicTask({ name: 'workers', clock, random, source, storePort, entryPortOf, ... })
  */
 export const startTopicTask = (
-  { name, clock, random, source, otherEntry = () => undefined, storePort, entryPortOf, tickIntervalMs, orderOf, keepsLostKeys, ...listeners }: TopicTaskOptions
+  { name, clock, random, source, otherEntry = () => undefined, noticeWithinMs = () => undefined, storePort, entryPortOf, tickIntervalMs, orderOf, keepsLostKeys, ...listeners }: TopicTaskOptions
 ): TopicTask => {
-  const follower = createTopicFollower({ clock, random, source, otherEntry })
+  const follower = createTopicFollower({ clock, random, source, otherEntry, noticeWithinMs })
   const calls = new Map<number, RecordCall>()
   const records = createRecordLog()
   const memory = createRestoreMerge({ clock, orderOf, keepsLostKeys })
@@ -68,20 +75,22 @@
       .then(page => task.post(toMessage(page)))
       .catch(error => task.post(port.isRecordsExpired(error)
         ? { kind: FeedMessageKind.RecordsExpired, callId }
-        : { kind: FeedMessageKind.CallFailed, callId, reason: error instanceof Error ? error.message : String(error) }))
+        : { kind: FeedMessageKind.CallFailed, callId, reason: error instanceof Error ? error.message : String(error), isSilent: port.isSilence(error) }))
       .finally(() => calls.delete(callId))
   }
 
+  const useOf = ({ needsFreshConnection }: { needsFreshConnection: boolean }) => needsFreshConnection ? ConnectionUse.Fresh : ConnectionUse.Reuse
+
   const performers: HandlerTable<FeedEffect, void> = {
     [FeedEffectKind.List]: call => {
       const { callId, timeoutMs } = call
       const port = portFor(call)
-      startCall(callId, port, port.list(timeoutMs), page => ({ kind: FeedMessageKind.Listed, callId, ...page }))
+      startCall(callId, port, port.list(timeoutMs, useOf(call)), page => ({ kind: FeedMessageKind.Listed, callId, ...page }))
     },
     [FeedEffectKind.Read]: call => {
       const { callId, from, waitMs, timeoutMs } = call
       const port = portFor(call)
-      startCall(callId, port, port.read(from, waitMs, timeoutMs), page => ({ kind: FeedMessageKind.RecordsRead, callId, ...page }))
+      startCall(callId, port, port.read(from, waitMs, timeoutMs, useOf(call)), page => ({ kind: FeedMessageKind.RecordsRead, callId, ...page }))
     },
     [FeedEffectKind.Abort]: ({ callId }) => calls.get(callId)?.abort(),
     [FeedEffectKind.ReplaceAll]: ({ records: listed, end, isRestored }) => {
@@ -98,8 +107,16 @@
       listeners.onRecords(read)
       listeners.onAdvanced()
     },
+    [FeedEffectKind.ConnectionSilent]: ({ source: silent }) => {
+      listeners.onSilent(silent)
+      listeners.onConnectionChanged()
+    },
+    [FeedEffectKind.ConnectionReplaced]: () => listeners.onConnectionChanged(),
     [FeedEffectKind.EntryFailed]: ({ address, reason }) => listeners.onEntryFailed(address, reason),
-    [FeedEffectKind.StoreUnavailable]: ({ reason }) => listeners.onUnavailable(reason),
+    [FeedEffectKind.StoreUnavailable]: ({ reason }) => {
+      listeners.onUnavailable(reason)
+      listeners.onConnectionChanged()
+    },
     [FeedEffectKind.StoreRecovered]: ({ outageMs }) => {
       listeners.onRecovered(outageMs)
       listeners.onAdvanced()
--- a/src/storeFeed/types.ts
+++ b/src/storeFeed/types.ts
@@ -1,4 +1,5 @@
 import type { LogPosition } from '../core/index.js'
+import type { ConnectionUse } from '../upstreams/index.js'
 import type { SourceKind, StoreCallReason, Topic } from './constants.js'
 
 /** One record of a keyed topic; the value is undefined if the key was deleted. */
@@ -30,10 +31,12 @@
 /** One keyed topic of the store, or of an entry that passes it on. */
 export interface TopicPort {
   /** Reads the latest record of each key. */
-  list (timeoutMs: number): RecordCall
+  list (timeoutMs: number, use?: ConnectionUse): RecordCall
   /** Long poll: reads the records from a position on; the source waits up to `waitMs` until there are any. */
-  read (from: LogPosition, waitMs: number, timeoutMs: number): RecordCall
+  read (from: LogPosition, waitMs: number, timeoutMs: number, use?: ConnectionUse): RecordCall
   isRecordsExpired (error: unknown): boolean
+  /** Whether the call failed because it got no response within its timeout. */
+  isSilence (error: unknown): boolean
 }
 
 /** The topics of the store. */
--- a/src/upstreams/connectionPool.ts
+++ b/src/upstreams/connectionPool.ts
@@ -13,6 +13,8 @@
    */
   send (request: OutgoingRequest, use: ConnectionUse, emit: (event: ExchangeEvent) => void): () => void
   readonly openedCount: number
+  /** Closes the connections that are idle now, which may be broken. */
+  discardIdle (): void
   /** Closes idle connections; exchanges in flight finish first, then their connections close too. */
   closeIdle (): void
   close (): void
@@ -81,6 +83,7 @@
       return () => { if (!hasEnded) connection.destroy() }
     },
     get openedCount () { return openedCount },
+    discardIdle: () => idleConnections().forEach(connection => connection.destroy()),
     closeIdle: () => {
       isRetired = true
       idleConnections().forEach(connection => connection.destroy())
--- a/src/upstreams/httpCall.ts
+++ b/src/upstreams/httpCall.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../core/index.js'
+import { BaobabdriftError, type Clock, ResultCode } from '../core/index.js'
 import { type ConnectionPool, createConnectionPool } from './connectionPool.js'
 import { ConnectionUse, ExchangeEventKind, type HeaderField } from './types.js'
 
@@ -8,8 +8,15 @@
   body: Buffer
 }
 
+/** A call got no complete response within its timeout: its connection may have fallen silent. */
+export class NoResponseError extends BaobabdriftError {
+  constructor (timeoutMs: number) {
+    super(ResultCode.DeadlineExceeded, `no response within ${timeoutMs} ms`)
+  }
+}
+
 export interface HttpCall {
-  /** Rejects if there is no complete response within the timeout. */
+  /** Rejects if there is no complete response; with NoResponseError if there is none within the timeout. */
   answer: Promise<HttpResponse>
   /** Aborts the call and closes its connection; `answer` rejects. */
   abort (): void
@@ -21,6 +28,8 @@
   headers?: readonly HeaderField[]
   body?: Uint8Array
   timeoutMs: number
+  /** Any idle connection unless stated otherwise. */
+  use?: ConnectionUse
 }
 
 /** Sends requests to one address and buffers each response completely. */
@@ -39,14 +48,14 @@
 ): HttpCaller => {
   const pool: ConnectionPool = createConnectionPool({ address, clock, connectTimeoutMs })
 
-  const call = ({ method, path, headers = [], body = new Uint8Array(), timeoutMs }: HttpCallRequest): HttpCall => {
+  const call = ({ method, path, headers = [], body = new Uint8Array(), timeoutMs, use = ConnectionUse.Reuse }: HttpCallRequest): HttpCall => {
     const length: HeaderField[] = method === 'POST' ? [['content-length', String(body.length)]] : []
     let abort = () => {}
     const answer = new Promise<HttpResponse>((resolve, reject) => {
       const chunks: Uint8Array[] = []
       let status = 0
       let responseHeaders: readonly HeaderField[] = []
-      const cancel = pool.send({ method, path, headers: [['host', address], ...headers, ...length], body }, ConnectionUse.Reuse, event => {
+      const cancel = pool.send({ method, path, headers: [['host', address], ...headers, ...length], body }, use, event => {
         if (event.kind === ExchangeEventKind.Head) {
           status = event.head.status
           responseHeaders = event.head.headers
@@ -57,13 +66,17 @@
           else reject(new Error(event.fault))
         }
       })
-      const stop = (reason: string) => {
+      const stop = (reason: Error) => {
         clearTimeout(timer)
         cancel()
-        reject(new Error(reason))
+        reject(reason)
       }
-      const timer = setTimeout(() => stop(`no response within ${timeoutMs} ms`), timeoutMs)
-      abort = () => stop('aborted')
+      const timer = setTimeout(() => {
+        // What silenced one connection may have silenced the others to the same address.
+        pool.discardIdle()
+        stop(new NoResponseError(timeoutMs))
+      }, timeoutMs)
+      abort = () => stop(new Error('aborted'))
     })
     return { answer, abort: () => abort() }
   }
