Stop the agent of a stream only after its first token has arrived

Traced: it stopped the agent as soon as the engine ran the request, at times before any token had reached the caller, who then rightly gets an error with code 3005. It now reads the first token before it stops the agent, and checks as much as before.

--- a/src/nodes/nodeFaults.test.ts
+++ b/src/nodes/nodeFaults.test.ts
@@ -98,11 +98,16 @@
     guards: 'a truncated stream that looks complete',
     check: async () => {
       const started = await startEngines(1)
-      const { response, running } = await startStream(started, 200)
-      await running.agent.stop()
-      const { isComplete, body } = await response
-      expect(isComplete).toBe(false)
-      expect(body).toContain('event: error')
+      const { body } = await request(`http://${entryAddress()}/v1/completions`, {
+        method: 'POST', headers: { 'content-type': 'application/json', 'x-customer': CUSTOMER }, body: JSON.stringify(streamBody(200))
+      })
+      const pieces = body[Symbol.asyncIterator]()
+      // Only after the first token has arrived is the stream in its middle.
+      let text = String((await pieces.next()).value)
+      await started.find(({ engine }) => engine.runningCount > 0)!.agent.stop()
+      for (let piece = await pieces.next(); piece.done !== true; piece = await pieces.next()) text += String(piece.value)
+      expect(text).toContain('event: error')
+      expect(text).not.toContain('[DONE]')
     }
   },
   {
