--- a/src/upstreams/encodeRequest.test.ts
+++ b/src/upstreams/encodeRequest.test.ts
@@ -20,6 +20,7 @@
   it.each<[string, Partial<OutgoingRequest>]>([
     ['a line break in a value', { headers: [['tenant', 'a\r\nx: y']] }],
     ['a character of more than one byte in a value', { headers: [['tenant', 'Porsáŋgu']] }],
+    ['a space at the end of a value, which a receiver drops', { headers: [['tenant', 'a ']] }],
     ['a control character in a value', { headers: [['tenant', 'a\u0001']] }],
     ['a space in a name', { headers: [['x y', 'a']] }],
     ['an empty name', { headers: [['', 'a']] }],
--- a/src/upstreams/encodeRequest.ts
+++ b/src/upstreams/encodeRequest.ts
@@ -1,5 +1,5 @@
 import { BaobabdriftError, ResultCode } from '../core/index.js'
-import { isFieldValue, isToken } from './headerFields.js'
+import { isExactFieldValue, isToken } from './headerFields.js'
 import type { EncodedRequest, HeaderField, OutgoingRequest } from './types.js'
 
 /** The head of a request holds characters that HTTP does not allow there; nothing was sent. */
@@ -13,14 +13,14 @@
 const TARGET = /^[\x21-\x7e\x80-\xff]+$/
 
 const encodeField = ([name, value]: HeaderField): string => {
-  if (!isToken(name) || !isFieldValue(value)) throw new UnsendableRequestError(`header ${JSON.stringify(name)}`)
+  if (!isToken(name) || !isExactFieldValue(value)) throw new UnsendableRequestError(`header ${JSON.stringify(name)}`)
   return `${name}: ${value}\r\n`
 }
 
 /**
  * Encodes a request. Each character of its head stands for one byte.
  *
- * @throws UnsendableRequestError if the method, the target or a header holds characters that are not allowed in a head
+ * @throws UnsendableRequestError if the method, the target or a header cannot be written so that a receiver reads the same
  * @example
  * socket.write(encodeRequest({ method: 'GET', path: '/', headers: [['host', 'site.example']], body: new Uint8Array() }).bytes)
  */
