--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,11 +1,10 @@
-import { type Clock, createIncarnation, createRequestIds, describeResult, dispatch, type Random } from '../../core/index.js'
+import { type Clock, createIncarnation, createRequestIds, dispatch, type Random } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget, type FleetRetryBudgetSettings } from '../../limits/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { PeerMessageKind, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask } from '../../peers/index.js'
 import { createWorkerPlacement } from '../../routing/index.js'
 import { type FeedServer, startFeedServer } from '../../storeFeed/index.js'
 import { createStoreView, type StorePort, type StoreView } from '../storeView/index.js'
-import { admitCaller } from './admitCaller.js'
 import { createCrashMonitor } from './crashMonitor.js'
 import { createEntryDirectory } from './entryDirectory.js'
 import { createForwardCounters, type ForwardCounters } from './forwardCounters.js'
@@ -13,6 +12,7 @@
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
 import { createPeerEventHandlers } from './peerEventHandlers.js'
 import { createPlannedStop, type StopSchedule } from './plannedStop.js'
+import { createRequestOpener, type OpenRequest } from './createRequestOpener.js'
 import { createRecordSources } from './recordSources.js'
 import { createSlowdownTracker } from './slowdownTracker.js'
 import { createStreamLimits } from './streamLimits.js'
@@ -36,11 +36,6 @@
   onConfiguration: (view: StoreView) => void
 }
 
-/** A request whose head was admitted and whose body has not arrived yet. */
-export interface OpenRequest {
-  submit (body: Uint8Array): void
-}
-
 /** An entry that forwards requests directly to workers. */
 export interface ForwardNode {
   /** Unique across all runs of all entries. */
@@ -71,8 +66,6 @@
 const PROCESS_PAUSE_MS = 1_200
 const HOUSEKEEPING_MS = 200
 const FEED_TICK_MS = 100
-/** A caller that this entry cannot serve may try another one at once. */
-const REFUSED_RETRY_MS = 200
 
 /**
  * Starts an entry. It reads the configuration and the workers from the store, and learns about the
@@ -255,30 +248,7 @@
     }
   }, HOUSEKEEPING_MS)
 
-  const open = (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined => {
-    const admitted = admitCaller(caller, { configuration: storeView.configuration, plannedStop, clock, random })
-    if (typeof admitted === 'number') {
-      log(LogEvent.RequestRefused, {
-        requestId: caller.requestId,
-        callerAttemptId: caller.callerAttemptId,
-        code: admitted,
-        path: caller.path,
-        configurationVersion: storeView.configuration.version
-      })
-      sink.onRefuse(admitted, describeResult(admitted).retryable ? REFUSED_RETRY_MS : undefined)
-      return undefined
-    }
-    const { requestId, callerAttemptId, route, service, tenant } = admitted
-    log(LogEvent.RequestAdmitted, {
-      requestId, callerAttemptId, route: route.name, service, tenant, configurationVersion: storeView.configuration.version
-    })
-    return {
-      submit: body => {
-        budget.recordRequest(service)
-        forward.submit({ ...admitted, body }, sink)
-      }
-    }
-  }
+  const open = createRequestOpener({ configuration: storeView.configuration, plannedStop, clock, random, budget, submit: forward.submit, log })
 
   return {
     nextRequestId: createRequestIds(incarnation),
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -2,10 +2,12 @@
 import type { Worker } from '../membership/index.js'
 import { UpstreamCheck } from '../upstreams/index.js'
 import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
+import { createInFlightTable } from './createInFlightTable.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
+import { forEachRequest } from './forEachRequest.js'
 import { deliverEvents, deliverResponse, deliverStreamHead } from './deliverResponse.js'
 import {
-  type Attempt, byUrgency, getDefaultAttempt, getDefaultInFlightRequest, hasAnswerBegun, hasSuccessHead, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse
+  type Attempt, byUrgency, hasAnswerBegun, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
@@ -34,41 +36,9 @@
  * core.handle({ kind: ForwardMessageKind.Submitted, request }) // [{ kind: SendToWorker, ... }]
  */
 export const createForwardCore = ({ clock, ports }: ForwardCoreOptions): ForwardCore => {
-  const live = new Map<string, InFlightRequest>()
-  const inFlightByExchangeId = new Map<number, InFlightRequest>()
-  const waiting = new Set<InFlightRequest>()
+  const table = createInFlightTable({ clock, ports })
+  const { waiting, remove: removeRequest, endAttempt, endNotRun } = table
   const checks = createWorkerChecks<InFlightRequest>()
-  let nextExchangeId = 1
-
-  /** Handles several requests; an exception at one doesn't lose the effects of the others. */
-  const forEachRequest = (requests: readonly InFlightRequest[], handle: (inFlight: InFlightRequest) => ForwardEffect[]): ForwardEffect[] =>
-    requests.flatMap((inFlight): ForwardEffect[] => {
-      try {
-        return handle(inFlight)
-      } catch (error) {
-        return [{ kind: ForwardEffectKind.ReportFailure, error }]
-      }
-    })
-
-  const removeRequest = (inFlight: InFlightRequest, code: ResultCode, detail: string) => {
-    live.delete(inFlight.request.requestId)
-    waiting.delete(inFlight)
-    ports.onRequestEnded(inFlight.request, code, detail)
-  }
-
-  const endAttempt = (inFlight: InFlightRequest, end: AttemptEnd, detail: string) => {
-    const { attempt } = inFlight
-    if (attempt === undefined) return
-    inFlightByExchangeId.delete(attempt.exchangeId)
-    inFlight.attempt = undefined
-    ports.onAttemptEnded(inFlight.request, attempt.worker, { end, detail, sentAtMs: attempt.sentAtMs, hasHead: hasSuccessHead(attempt), hasAnswerBegun: hasAnswerBegun(attempt) })
-  }
-
-  /** Ends an attempt that provably has not run. */
-  const endNotRun = (inFlight: InFlightRequest, { hadRunBefore }: Attempt, end: AttemptEnd, detail: string) => {
-    inFlight.mayHaveRun = hadRunBefore
-    endAttempt(inFlight, end, detail)
-  }
 
   const cancelAttempt = (inFlight: InFlightRequest, detail: string): ForwardEffect[] => {
     const exchangeId = inFlight.attempt?.exchangeId
@@ -91,14 +61,7 @@
   const sendToWorker = (inFlight: InFlightRequest, worker: Worker): ForwardEffect[] => {
     const { request } = inFlight
     const nowMs = clock.nowMs()
-    const exchangeId = nextExchangeId++
-    inFlight.attempt = getDefaultAttempt(exchangeId, worker, inFlight.mayHaveRun, nowMs)
-    inFlight.mayHaveRun = true
-    inFlight.attemptCount += 1
-    inFlight.triedWorkerIds.push(worker.workerId)
-    inFlight.queueDeadlineMs = undefined
-    waiting.delete(inFlight)
-    inFlightByExchangeId.set(exchangeId, inFlight)
+    const { exchangeId } = table.beginAttempt(inFlight, worker)
     ports.onSent(request, worker, inFlight.attemptCount)
     return [{
       kind: ForwardEffectKind.SendToWorker,
@@ -122,9 +85,8 @@
   }
 
   const onSubmitted = (request: ForwardRequest): ForwardEffect[] => {
-    const inFlight = getDefaultInFlightRequest(request)
-    live.set(request.requestId, inFlight)
-    if (live.size > FORWARDED_REQUESTS_MAX) return failRequest(inFlight, ResultCode.Overloaded, 'too many requests in flight in this process')
+    const inFlight = table.add(request)
+    if (table.count > FORWARDED_REQUESTS_MAX) return failRequest(inFlight, ResultCode.Overloaded, 'too many requests in flight in this process')
     return placeOrQueue(inFlight)
   }
 
@@ -155,7 +117,7 @@
   }
 
   const onWorkerChecked = (worker: Worker, check: UpstreamCheck): ForwardEffect[] => {
-    const held = checks.finish(worker).filter(({ request: { requestId } }) => live.has(requestId))
+    const held = checks.finish(worker).filter(({ request: { requestId } }) => table.get(requestId) !== undefined)
     const detail = `worker is ${check} after the end of its connection`
     for (const inFlight of check === UpstreamCheck.Up ? [] : held) endAttempt(inFlight, AttemptEnd.Lost, detail)
     ports.onWorkerChecked(worker, check)
@@ -263,7 +225,7 @@
   }
 
   const onCallerGone = (requestId: string): ForwardEffect[] => {
-    const inFlight = live.get(requestId)
+    const inFlight = table.get(requestId)
     if (inFlight === undefined) return []
     const effects = cancelAttempt(inFlight, 'caller disconnected')
     removeRequest(inFlight, ResultCode.CallerGone, 'caller disconnected')
@@ -281,7 +243,7 @@
 
   /** Ends the requests that an exception has left without a next step. */
   const failStuck = (): ForwardEffect[] =>
-    forEachRequest([...live.values()], inFlight => isPending(inFlight) ? [] : failRequest(inFlight, ResultCode.Internal, 'an exception occurred'))
+    forEachRequest(table.all(), inFlight => isPending(inFlight) ? [] : failRequest(inFlight, ResultCode.Internal, 'an exception occurred'))
 
   const expireIfDue = (inFlight: InFlightRequest): ForwardEffect[] => {
     const nowMs = clock.nowMs()
@@ -297,7 +259,7 @@
   const withAttempt = <Message extends { exchangeId: number }>(
     handle: (inFlight: InFlightRequest, attempt: Attempt, message: Message) => ForwardEffect[]
   ) => (message: Message): ForwardEffect[] => {
-      const inFlight = inFlightByExchangeId.get(message.exchangeId)
+      const inFlight = table.findByExchange(message.exchangeId)
       return inFlight?.attempt === undefined ? [] : handle(inFlight, inFlight.attempt, message)
     }
 
@@ -312,13 +274,13 @@
     [ForwardMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
     [ForwardMessageKind.HandlingFailed]: failStuck,
     [ForwardMessageKind.CapacityFreed]: placeWaiting,
-    [ForwardMessageKind.Tick]: () => forEachRequest([...live.values()], expireIfDue)
+    [ForwardMessageKind.Tick]: () => forEachRequest(table.all(), expireIfDue)
   }
 
   return {
     handle: message => dispatch(handlers, message),
-    get liveCount () { return live.size },
+    get liveCount () { return table.count },
     get waitingCount () { return waiting.size },
-    isLive: requestId => live.has(requestId)
+    isLive: requestId => table.get(requestId) !== undefined
   }
 }
--- a/src/requests/createRequestCore.ts
+++ b/src/requests/createRequestCore.ts
@@ -60,8 +60,7 @@
   const live = new Map<string, LiveRequest>()
   let droppedFrameCount = 0
 
-  const failRequest = (requestId: string, code: ResultCode): RequestEffect[] =>
-    [{ kind: RequestEffectKind.Fail, requestId, code }]
+  const failRequest = (requestId: string, code: ResultCode): RequestEffect[] => [{ kind: RequestEffectKind.Fail, requestId, code }]
 
   const endRequest = (request: LiveRequest, code: ResultCode): RequestEffect[] => {
     const { submitted, mayHaveRunCode } = request
