Recheck a long poll that is too old on a new connection, and split the follower

An entry that becomes the watcher of its zone ended its long poll, but the next one could use an idle connection that is silent, too. Found by reading; the follower's test asks for a new connection now.

--- a/src/core/task.ts
+++ b/src/core/task.ts
@@ -36,7 +36,8 @@
 
 /**
  * Runs a core: passes it the messages of a bounded mailbox and performs the effects in order. An effect that
- * fails doesn't keep the ones behind it from being performed. A post schedules the task; it occupies no thread while its mailbox is empty.
+ * fails doesn't keep the ones behind it from being performed. A post schedules the task; it occupies no thread while its
+ * mailbox is empty.
  *
  * @example
  * const task = createTask({ name: 'gossip', core, perform: effect => dispatch(effectHandlers, effect) })
--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -239,7 +239,7 @@
       expect(waitMs).toBeGreaterThan(NOTICE_MS)
       noticeMs = NOTICE_MS
       expect(tickAfter(NOTICE_MS - 10)).toEqual([])
-      expect(tickAfter(20)).toMatchObject([{ kind: FeedEffectKind.Abort, callId }, { kind: FeedEffectKind.Read }])
+      expect(tickAfter(20)).toMatchObject([{ kind: FeedEffectKind.Abort, callId }, { kind: FeedEffectKind.Read, needsFreshConnection: true }])
     })
 
     // Guards against a store that is slow and is taken for lost at each call.
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -1,8 +1,8 @@
 import { comparePositions, dispatch, type HandlerTable, laterPosition, type LogPosition, type TimestampMs } from '../core/index.js'
 import {
-  CONFIRM_INTERVAL_MS, CONFIRM_TIME_MS, ENTRY_FAILURES_MAX, FIRST_ERA, LIST_TIMEOUT_MS, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_TIMEOUT_MARGIN_MS, READ_WAIT_MAX_MS,
-  READ_WAIT_MIN_MS, RETRY_DELAY_MAX_MS, RETRY_DELAY_MIN_MS, SILENCE_DELAY_FACTOR, SILENCE_MARGIN_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
+  CONFIRM_INTERVAL_MS, CONFIRM_TIME_MS, ENTRY_FAILURES_MAX, FIRST_ERA, LIST_TIMEOUT_MS, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_TIMEOUT_MARGIN_MS, RETRY_DELAY_MAX_MS, RETRY_DELAY_MIN_MS, STORE_DISTRUST_MS, SourceKind, StoreCallReason
 } from './constants.js'
+import { createReadTimes } from './createReadTimes.js'
 import {
   type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type FeedPage, type TopicFollower, type TopicFollowerOptions
 } from './followerTypes.js'
@@ -45,8 +45,7 @@
   let isBehind = false
   /** Set while a call checks on a new connection whether the source of a silent call responds. */
   let isRechecking = false
-  /** Delay of the last response that the source did not hold back. */
-  let sourceDelayMs = 0
+  const readTimes = createReadTimes({ random, noticeWithinMs })
   let peerPosition: LogPosition | undefined
   let peerAheadSinceMs: TimestampMs | undefined
   let peerAheadLimitMs = PEER_AHEAD_LIMIT_MS
@@ -65,16 +64,9 @@
     return entryFailures >= ENTRY_FAILURES_MAX ? StoreCallReason.EntriesFailed : StoreCallReason.Reader
   }
 
-  /** How long the source holds a read, and how long after that a response must have arrived. */
-  const chooseTimes = ({ kind }: RecordSource): { waitMs: number, marginMs: number } => {
-    // While the store is lost, or is known to have records, a read without waiting shows at once how it is.
-    const isUrgent = isRechecking || (kind === SourceKind.Store && (isBehind || outageStartMs !== undefined))
-    if (isUrgent) return { waitMs: 0, marginMs: READ_TIMEOUT_MARGIN_MS }
-    const noticeMs = noticeWithinMs()
-    if (noticeMs === undefined) return { waitMs: random.int(READ_WAIT_MIN_MS, READ_WAIT_MAX_MS), marginMs: READ_TIMEOUT_MARGIN_MS }
-    const marginMs = Math.min(READ_TIMEOUT_MARGIN_MS, Math.max(SILENCE_MARGIN_MS, SILENCE_DELAY_FACTOR * sourceDelayMs))
-    return { waitMs: Math.floor(Math.max(noticeMs / 2, noticeMs - marginMs)), marginMs }
-  }
+  /** While the store is lost, or is known to have records, a read without waiting shows at once how it is. */
+  const isReadUrgent = ({ kind }: RecordSource) =>
+    isRechecking || (kind === SourceKind.Store && (isBehind || outageStartMs !== undefined))
 
   const startCall = (chosen = nextSource()): FeedEffect[] => {
     if (chosen === undefined) return []
@@ -85,7 +77,7 @@
       running = { callId, source: chosen, startedAtMs, waitMs: undefined }
       return [{ kind: FeedEffectKind.List, ...call, timeoutMs: LIST_TIMEOUT_MS }]
     }
-    const { waitMs, marginMs } = chooseTimes(chosen)
+    const { waitMs, marginMs } = readTimes.choose(isReadUrgent(chosen))
     running = { callId, source: chosen, startedAtMs, waitMs }
     return [{ kind: FeedEffectKind.Read, ...call, from: position, waitMs, timeoutMs: waitMs + marginMs }]
   }
@@ -111,16 +103,9 @@
     return [{ kind: FeedEffectKind.StoreRecovered, outageMs: 0 }]
   }
 
-  /** Records how late a response was that the source held to the end of its wait, or did not hold at all. */
-  const recordDelay = () => {
-    if (running?.waitMs === undefined) return
-    const delayMs = clock.nowMs() - running.startedAtMs - running.waitMs
-    if (delayMs >= 0) sourceDelayMs = delayMs
-  }
-
   const onCallSucceeded = ({ sinceRecoveryMs }: { sinceRecoveryMs?: number | undefined }): FeedEffect[] => {
     const isFromStore = running?.source.kind === SourceKind.Store
-    recordDelay()
+    if (running?.waitMs !== undefined) readTimes.recordDelay(clock.nowMs() - running.startedAtMs - running.waitMs)
     isRechecking = false
     running = undefined
     retryMs = RETRY_DELAY_MIN_MS
@@ -259,7 +244,11 @@
       isBehind = true
       return restartCall()
     }
-    if (hasSourceChanged() || isReadTooOld(nowMs)) return restartCall()
+    if (hasSourceChanged()) return restartCall()
+    if (isReadTooOld(nowMs)) {
+      isRechecking = true
+      return restartCall()
+    }
     return running === undefined && nowMs >= nextCallAtMs ? startCall() : []
   }
 
