--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -43,6 +43,8 @@
   /** Admits a request by its head, or refuses it through the sink and returns undefined. */
   open (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined
   cancel (requestId: string): void
+  /** Replaces the peer addresses through which this entry finds the others; they may be out of date. */
+  setSeeds (addresses: readonly string[]): void
   /** Addresses of ready entries for callers in a zone; those of all zones if the zone has too few. */
   addressesFor (zone: string): string[]
   readonly isReady: boolean
@@ -254,6 +256,7 @@
     nextRequestId: createRequestIds(incarnation),
     open,
     cancel: forward.cancel,
+    setSeeds: addresses => { peers.post({ kind: PeerMessageKind.SeedsChanged, seeds: addresses }) },
     addressesFor: directory.callerAddresses,
     get isReady () { return isReady() },
     get isStopping () { return plannedStop.isStarted },
--- a/src/peers/createPeerReports.ts
+++ b/src/peers/createPeerReports.ts
@@ -151,7 +151,7 @@
   const listReceivers = (): string[] => {
     const isOutward = relayRole() !== undefined || livePeers().length === 0
     return peers.all()
-      .filter(({ zone, address }) => zone === ownZone || (isOutward && (seeds.includes(address) || zone === undefined || !zones.isLive(zone))))
+      .filter(({ zone, address }) => zone === ownZone || (isOutward && (peers.isSeed(address) || zone === undefined || !zones.isLive(zone))))
       .map(({ address }) => address)
   }
 
@@ -245,6 +245,10 @@
       peers.recordPause()
       zones.recordPause()
       return []
+    },
+    [PeerMessageKind.SeedsChanged]: ({ seeds: nextSeeds }) => {
+      peers.setSeeds(nextSeeds)
+      return []
     }
   }
 
--- a/src/peers/createPeerTable.ts
+++ b/src/peers/createPeerTable.ts
@@ -25,6 +25,9 @@
   store (peer: Peer, report: PeerReport): boolean
   /** Returns the peers that have become silent, and forgets those that have been so for long. */
   expire (): Peer[]
+  /** Replaces the addresses that are never forgotten. */
+  setSeeds (seeds: readonly string[]): void
+  isSeed (address: string): boolean
   /** A pause of this process proves no silence of others. */
   recordPause (): void
 }
@@ -38,6 +41,7 @@
  */
 export const createPeerTable = ({ clock, ownAddress, seeds }: { clock: Clock, ownAddress: string, seeds: readonly string[] }): PeerTable => {
   const peers = new Map<string, Peer>()
+  let currentSeeds = seeds
 
   const add = (address: string, zone?: string): Peer | undefined => {
     if (address === ownAddress) return undefined
@@ -74,10 +78,15 @@
           peer.isAlive = false
           lost.push(peer)
         }
-        if (!peer.isAlive && silentMs > PEER_FORGET_MS && !seeds.includes(peer.address)) peers.delete(peer.address)
+        if (!peer.isAlive && silentMs > PEER_FORGET_MS && !currentSeeds.includes(peer.address)) peers.delete(peer.address)
       }
       return lost
     },
+    setSeeds: nextSeeds => {
+      currentSeeds = nextSeeds
+      nextSeeds.forEach(address => add(address))
+    },
+    isSeed: address => currentSeeds.includes(address),
     recordPause: () => {
       for (const peer of peers.values()) if (peer.isAlive) peer.lastReportMs = clock.nowMs()
     }
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -123,7 +123,9 @@
   /** Another slice of this process has a datagram for one entry. */
   SendRequested = 'send-requested',
   /** The process continues after a pause. */
-  ProcessResumed = 'process-resumed'
+  ProcessResumed = 'process-resumed',
+  /** The settings name other seeds. */
+  SeedsChanged = 'seeds-changed'
 }
 
 export type PeerMessage =
@@ -132,6 +134,7 @@
   | { kind: PeerMessageKind.SelfChanged, change: SelfChange }
   | { kind: PeerMessageKind.SendRequested, address: string, datagram: PeerDatagram }
   | { kind: PeerMessageKind.ProcessResumed }
+  | { kind: PeerMessageKind.SeedsChanged, seeds: readonly string[] }
 
 export enum PeerEffectKind {
   Send = 'send',
