--- a/bench/scale/feedWorld.ts
+++ b/bench/scale/feedWorld.ts
@@ -8,24 +8,11 @@
   SourceKind, Topic
 } from '../../src/storeFeed/index.js'
 import { createEventQueue, type EventQueue } from '../harness/index.js'
+import {
+  IN_ZONE_MS, BETWEEN_ZONES_MS, STORE_MS, FEED_TICK_MS, START_MS, LENGTH_MS, FAULT_AT_MS, FAULT_MS, RECORD_INTERVAL_MS, RECORD_AGE_MAX_MS, AWAY_MS, LOST_RECORDS, REQUESTS_PER_S, MS_PER_S
+} from './feedWorldConstants.js'
 import { endOf, type FeedFigures, type FeedWorldOptions, idOf, type Node, ReaderFault, recordsOf, type Store } from './feedWorldTypes.js'
 
-const IN_ZONE_MS = 0.3
-const BETWEEN_ZONES_MS = 1.4
-const STORE_MS = 4
-const FEED_TICK_MS = 100
-const START_MS = 6_000
-const LENGTH_MS = 16_000
-const FAULT_AT_MS = 7_000
-const FAULT_MS = 4_000
-const RECORD_INTERVAL_MS = 700
-const RECORD_AGE_MAX_MS = 2_000
-const AWAY_MS = 500
-const LOST_RECORDS = 4
-/** Requests of an entry in a second; each is reported when it is sent. */
-const REQUESTS_PER_S = 3
-const MS_PER_S = 1_000
-
 /**
  * Runs one fleet of entries that read one topic of the store through readers and report through relays.
  *
