--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -26,8 +26,8 @@
   peerAddress: string
   seedAddresses: readonly string[]
   retryBudget: () => FleetRetryBudgetSettings
-  /** Time within which each record of the store must be in force, in ms. */
-  recordAgeMaxMs: () => number
+  /** Time after open connections have fallen silent within which the store's records must be in force again, in ms. */
+  silenceMaxMs: () => number
   clock: Clock
   random: Random
   store: StorePort
@@ -96,7 +96,7 @@
     reports: () => peers.reports,
     isReady: () => isReady(),
     isStoreConnected: () => storeView.isStoreConnected,
-    recordAgeMaxMs: options.recordAgeMaxMs
+    silenceMaxMs: options.silenceMaxMs
   })
 
   const storeView: StoreView = createStoreView({
--- a/src/nodes/forward/recordSources.ts
+++ b/src/nodes/forward/recordSources.ts
@@ -10,8 +10,8 @@
   reports: () => PeerReports
   isReady: () => boolean
   isStoreConnected: () => boolean
-  /** Time within which each record of the store must be in force, in ms. */
-  recordAgeMaxMs: () => number
+  /** Time after open connections have fallen silent within which the store's records must be in force again, in ms. */
+  silenceMaxMs: () => number
 }
 
 /** From where an entry gets the store's records. */
@@ -31,10 +31,10 @@
  * Creates the sources of one entry.
  *
  * @example
- * createRecordSources({ random, nodeId, zone, reports, isReady, isStoreConnected, recordAgeMaxMs }).source()
+ * createRecordSources({ random, nodeId, zone, reports, isReady, isStoreConnected, silenceMaxMs }).source()
  */
 export const createRecordSources = (
-  { random, nodeId, zone, reports, isReady, isStoreConnected, recordAgeMaxMs }: RecordSourcesOptions
+  { random, nodeId, zone, reports, isReady, isStoreConnected, silenceMaxMs }: RecordSourcesOptions
 ): RecordSources => {
   const choice = (): ReaderChoice => ({
     zone,
@@ -50,6 +50,6 @@
       const ready = reports().zonePeers().filter(({ report }) => report.isReady)
       return ready.length === 0 ? undefined : { kind: SourceKind.Entry, address: random.pick(ready).address }
     },
-    noticeWithinMs: () => mustWatchConnection({ ...choice(), zoneRank: reports().zoneRank() }) ? noticeMsFor(recordAgeMaxMs()) : undefined
+    noticeWithinMs: () => mustWatchConnection({ ...choice(), zoneRank: reports().zoneRank() }) ? noticeMsFor(silenceMaxMs()) : undefined
   }
 }
--- a/src/nodes/mapAgent/createMapAgent.ts
+++ b/src/nodes/mapAgent/createMapAgent.ts
@@ -27,8 +27,8 @@
   zone: string
   /** `ip:port` of a few entries, to which a slow worker is reported and which know the others; may be out of date. */
   entryAddresses: readonly string[]
-  /** Time within which each record of the store must be in force, in ms. */
-  recordAgeMaxMs: number
+  /** Time after open connections have fallen silent within which the store's records must be in force again, in ms. */
+  silenceMaxMs: number
   clock: Clock
   random: Random
   store: StorePort
@@ -66,10 +66,10 @@
  * host; the agent of the lowest live rank is the coordinator, which plans and switches the maps of the group.
  *
  * @example
- * const agent = startMapAgent({ service, agentPort: 7340, ip, nodeId, zone, entryAddresses, recordAgeMaxMs, clock, random, store, rank, rankPortOf, log })
+ * const agent = startMapAgent({ service, agentPort: 7340, ip, nodeId, zone, entryAddresses, silenceMaxMs, clock, random, store, rank, rankPortOf, log })
  */
 export const startMapAgent = (
-  { service, agentPort, ip, nodeId, zone, entryAddresses, recordAgeMaxMs, clock, random, store, rank: port, rankPortOf, log }: MapAgentOptions
+  { service, agentPort, ip, nodeId, zone, entryAddresses, silenceMaxMs, clock, random, store, rank: port, rankPortOf, log }: MapAgentOptions
 ): MapAgent => {
   let ownReading: RankReading | undefined
   let isReading = false
@@ -99,7 +99,7 @@
     onWorkersChanged: () => {},
     onEntryFailed: locator.recordFailure,
     // No report shows an agent that it misses records. The store would not bear as many calls as entries do.
-    noticeWithinMs: () => locator.source()?.kind === SourceKind.Entry ? noticeMsFor(recordAgeMaxMs) : undefined
+    noticeWithinMs: () => locator.source()?.kind === SourceKind.Entry ? noticeMsFor(silenceMaxMs) : undefined
   })
   const expertSettings = () => storeView.configuration.findService(service)?.engine?.experts
 
--- a/src/storeFeed/noticeMsFor.ts
+++ b/src/storeFeed/noticeMsFor.ts
@@ -5,6 +5,6 @@
  * records that it has missed are in force everywhere in time.
  *
  * @example
- * noticeMsFor(2_000) // 1000
+ * noticeMsFor(3_000) // 2000
  */
-export const noticeMsFor = (recordAgeMaxMs: number): number => Math.max(NOTICE_MIN_MS, recordAgeMaxMs - SPREAD_MS)
+export const noticeMsFor = (silenceMaxMs: number): number => Math.max(NOTICE_MIN_MS, silenceMaxMs - SPREAD_MS)
