--- a/review/fleet-2.mjs
+++ b/review/fleet-2.mjs
@@ -16,6 +16,8 @@
 export const hasTrouble = process.env.TROUBLE !== '0'
 
 const START_MAX_MS = 30_000
+/** The program's exit code if an address is in use. */
+const EXIT_ADDRESS_IN_USE = 5
 const LONG_POLL_MAX_MS = 30_000
 const OFFSET_BYTES = 8
 
@@ -43,12 +45,20 @@
   server.listen(port, host, () => resolve(server.address().port))
 })
 
-/** Returns a port that is free at the address now. */
-export const freePort = async (host = '127.0.0.1') => {
-  const server = createServer()
-  const port = await listen(server, host)
-  await new Promise(resolve => server.close(resolve))
-  return port
+/** Below the ports from which the operating system chooses those of clients, so that no client takes the port of a stopped entry. */
+const PORT_MIN = 15_000
+const PORT_MAX = 32_000
+
+/** Returns a port that is free now. */
+const freePort = async () => {
+  for (;;) {
+    const server = createServer()
+    const port = PORT_MIN + Math.floor(Math.random() * (PORT_MAX - PORT_MIN))
+    const isFree = await listen(server, '127.0.0.1', port).then(() => true, () => false)
+    if (!isFree) continue
+    await new Promise(resolve => server.close(resolve))
+    return port
+  }
 }
 
 /** The platform's names have underscores. */
@@ -270,6 +280,8 @@
   const folder = mkdtempSync(join(tmpdir(), 'baobabdrift-review-'))
   const programs = []
   const closers = []
+  process.on('exit', () => { for (const { child, end } of programs) if (end === undefined) child.kill('SIGKILL') })
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(COULD_NOT_RUN))
 
   return {
     addCloser: close => closers.push(close),
@@ -304,7 +316,7 @@
       const isReady = async () => await statusOf(ready, '/v1/ready') === 200
       await until(async () => program.end !== undefined || await isReady(), START_MAX_MS, `start of ${name}: ${program.errors}`)
       // One that was started again may end at once, which its case counts.
-      if (program.end !== undefined && portsOf === undefined) throw new Error(`${name} did not start: ${program.errors}`)
+      if (program.end === EXIT_ADDRESS_IN_USE || (program.end !== undefined && portsOf === undefined)) throw new Error(`${name} did not start: ${program.errors}`)
       return Object.assign(program, { front, ready, directory, control, controlAddress: address(control) })
     },
     stop: async () => {
