--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -92,7 +92,7 @@
 
   const counts = { sound: 0, soundWhole: 0 }
   const ask = async (parts, isBad) => {
-    const answer = await call({ port: entry.front, path: '/ask/1', headers: { model: 'm', 'token-count': '1460,80', 'prompt-prefix': parts } })
+    const answer = await call({ port: entry.front, path: '/ask/1', body: `prompt of ${parts}`, headers: { model: 'm', 'token-count': '1460,80', 'prompt-prefix': parts } })
     if (!isBad) counts.sound += 1
     if (!isBad && answer.status === 200 && answer.isComplete) counts.soundWhole += 1
     record(`${isBad ? 'with the part' : 'sound'} ${answer.attemptId}: status ${answer.status}, complete ${answer.isComplete} ${answer.error ?? ''} after ${answer.tookMs} ms`)
@@ -100,7 +100,7 @@
   const asked = []
   const startedMs = performance.now()
   let nextBadMs = startedMs + TROUBLE_AT_MS
-  // The last part belongs to the request itself, so that no two are alike.
+  // The last part and the body belong to the request itself, so that no two are alike.
   for (let at = 1; performance.now() - startedMs < PLAY_MS; at++) {
     asked.push(ask(`${SHARED_PART},${(0x10000000 + at).toString(16)}:600`, false))
     if (performance.now() >= nextBadMs) {
