Count what a response costs to hold by its pieces, so that endless events do not end the entries

Cause: each event was an effect and a write of its own, some 32,000 of both for a read of 64 KiB, while every limit counted the two bytes of payload. Ruled out: the mailbox (the case's chunks of 32,000 bytes are few messages) and the bytes held (below 256 KiB a caller).

Change: blank lines are no event and count against the limit of one; events of one read are one write; a write counts with the memory of its objects; held bytes lie in compact memory and are scanned once, also on the paths of the store, of ranks and of HTTP/1.0.

--- a/src/callerLimits/callerLimits.test.ts
+++ b/src/callerLimits/callerLimits.test.ts
@@ -1,30 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { BYTES_PER_MB, PAGE_BYTES_MIN, PLATFORM_BASE_MB } from './constants.js'
-import { createBodyBuffer } from './createBodyBuffer.js'
+import { BYTES_PER_MB, PLATFORM_BASE_MB } from './constants.js'
 import { createUpstreamBytes } from './createUpstreamBytes.js'
 import { deriveCallerLimits } from './deriveCallerLimits.js'
 
-describe('a body buffer', () => {
-  // Guards against chunks of one byte that each keep a buffer or an object alive.
-  it('keeps small chunks in compact memory', () => {
-    const body = createBodyBuffer()
-    for (let at = 0; at < 50_000; at++) body.add(Buffer.from([at % 256]))
-    expect(body.length).toBe(50_000)
-    expect(body.occupiedBytes).toBeLessThanOrEqual(128 * 1024)
-    expect(body.join().equals(Buffer.from(Array.from({ length: 50_000 }, (_, at) => at % 256)))).toBe(true)
-  })
-
-  it('occupies little for a small body, and joins chunks of any size', () => {
-    const body = createBodyBuffer()
-    expect(body.add(Buffer.from('abc'))).toBe(PAGE_BYTES_MIN)
-    const large = Buffer.alloc(300_000, 'x')
-    body.add(large)
-    expect(body.join().toString()).toBe('abc' + 'x'.repeat(300_000))
-    body.clear()
-    expect([body.length, body.occupiedBytes]).toEqual([0, 0])
-  })
-})
-
 describe('the limits of a host', () => {
   it('hold one body of 4 MiB with its joined copy on the smallest host', () => {
     const { callerBytesMax } = deriveCallerLimits({ memoryMb: 112, descriptorsMax: 2_069, baseMb: PLATFORM_BASE_MB })
--- a/src/callerLimits/constants.ts
+++ b/src/callerLimits/constants.ts
@@ -62,6 +62,8 @@
 export const CONNECTION_COST_BYTES = 8 * 1024
 /** Memory of the objects of one request, beyond its head. */
 export const REQUEST_COST_BYTES = 4 * 1024
+/** Memory of the objects of one write that the operating system has not taken yet, beyond its bytes. */
+export const WRITE_COST_BYTES = 512
 /** Heads and bookkeeping of a connection's requests up to this size are no reason to close it. */
 export const REQUEST_ALLOWANCE_BYTES = 32 * 1024
 /** A caller at 1 KB/s makes progress many times in this time. */
@@ -86,7 +88,3 @@
 export const COLLECT_ABOVE_SHARE = 0.7
 /** Share above which the interval is not waited for. */
 export const COLLECT_AT_ONCE_SHARE = 0.8
-export const PAGE_BYTES_MIN = 1024
-export const PAGE_BYTES_MAX = 64 * 1024
-/** Pages that are kept for the next body, so that large bodies leave less garbage behind. */
-export const SPARE_PAGES_MAX = 128
--- a/src/callerLimits/guardCallers.ts
+++ b/src/callerLimits/guardCallers.ts
@@ -1,8 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Clock } from '../core/index.js'
-import { BodyRefusal, BudgetMessageKind, CloseReason, HeldKind, REQUEST_COST_BYTES } from './constants.js'
-import { createBodyBuffer } from './createBodyBuffer.js'
+import { type Clock, createByteBuffer } from '../core/index.js'
+import { BodyRefusal, BudgetMessageKind, CloseReason, HeldKind, REQUEST_COST_BYTES, WRITE_COST_BYTES } from './constants.js'
 import { createCollector } from './createCollector.js'
 import { createCallerBudget } from './createCallerBudget.js'
 import type { BudgetMessage, BudgetLimits, CloseEffect } from './types.js'
@@ -30,7 +29,7 @@
   releaseResponse (bytes: number): void
   /** Writes a part of the response, which counts until the operating system has taken it. */
   write (bytes: Uint8Array, onTaken?: () => void): void
-  /** Bytes of the response that are held or were not taken yet. */
+  /** Memory of the response that is held or was not taken yet. */
   readonly unreadBytes: number
 }
 
@@ -144,7 +143,7 @@
     response.on('close', end)
 
     const receiveBody = ({ bytesMax, remainingMs, onBody, onRefuse }: BodyReception) => {
-      const body = createBodyBuffer()
+      const body = createByteBuffer()
       let isOver = false
       let timer: NodeJS.Timeout | undefined
 
@@ -205,9 +204,10 @@
       holdResponse: bytes => hold(HeldKind.Response, bytes),
       releaseResponse: bytes => release(HeldKind.Response, bytes),
       write: (bytes, onTaken) => {
-        hold(HeldKind.Response, bytes.length)
+        const costBytes = bytes.length + WRITE_COST_BYTES
+        hold(HeldKind.Response, costBytes)
         response.write(bytes, () => {
-          release(HeldKind.Response, bytes.length)
+          release(HeldKind.Response, costBytes)
           onTaken?.()
         })
       },
--- a/src/callerLimits/createBodyBuffer.ts
+++ b/src/core/byteBuffer.ts
@@ -1,14 +1,20 @@
-import { PAGE_BYTES_MAX, PAGE_BYTES_MIN, SPARE_PAGES_MAX } from './constants.js'
+export const PAGE_BYTES_MIN = 1024
+export const PAGE_BYTES_MAX = 64 * 1024
+/** Pages that are kept for the next body, so that large bodies leave less garbage behind. */
+const SPARE_PAGES_MAX = 128
 
-/** Collects a body in compact memory. */
-export interface BodyBuffer {
-  /** Copies a chunk, and returns the bytes of memory that this has added. */
-  add (chunk: Uint8Array): number
+/** Collects the pieces of a body in compact memory, however small they are. */
+export interface ByteBuffer {
+  /** Copies a piece, and returns the bytes of memory that this has added. */
+  add (piece: Uint8Array): number
   /** Bytes of the body so far. */
   readonly length: number
   /** Memory that the body occupies. */
   readonly occupiedBytes: number
+  /** Copies the body into one piece. */
   join (): Buffer
+  /** Hands the body over in few parts, without a copy; the buffer is empty afterwards. */
+  takeParts (): Buffer[]
   /** Gives the memory back. */
   clear (): void
 }
@@ -18,15 +24,15 @@
 const takePage = (bytes: number): Buffer => (bytes === PAGE_BYTES_MAX ? sparePages.pop() : undefined) ?? Buffer.allocUnsafeSlow(bytes)
 
 /**
- * Creates an empty buffer. Its pages grow with the body, so that a small one occupies little. A chunk is copied, as it may keep
+ * Creates an empty buffer. Its pages grow with the body, so that a small one occupies little. A piece is copied, as it may keep
  * the whole read buffer that it lies in.
  *
  * @example
- * const body = createBodyBuffer()
- * body.add(chunk)
+ * const body = createByteBuffer()
+ * body.add(piece)
  * const bytes = body.join()
  */
-export const createBodyBuffer = (): BodyBuffer => {
+export const createByteBuffer = (): ByteBuffer => {
   let pages: Buffer[] = []
   let lastUsed = 0
   let length = 0
@@ -39,18 +45,25 @@
     occupiedBytes += bytes
   }
 
+  const reset = () => {
+    pages = []
+    lastUsed = 0
+    length = 0
+    occupiedBytes = 0
+  }
+
   return {
-    add: chunk => {
+    add: piece => {
       const before = occupiedBytes
-      for (let at = 0; at < chunk.length;) {
+      for (let at = 0; at < piece.length;) {
         if (pages.length === 0 || lastUsed === pages.at(-1)!.length) addPage()
         const page = pages.at(-1)!
-        const part = chunk.subarray(at, at + page.length - lastUsed)
+        const part = piece.subarray(at, at + page.length - lastUsed)
         page.set(part, lastUsed)
         lastUsed += part.length
         at += part.length
       }
-      length += chunk.length
+      length += piece.length
       return occupiedBytes - before
     },
     get length () { return length },
@@ -64,12 +77,14 @@
       }
       return joined
     },
+    takeParts: () => {
+      const parts = pages.map((page, at) => at === pages.length - 1 ? page.subarray(0, lastUsed) : page)
+      reset()
+      return parts
+    },
     clear: () => {
       for (const page of pages) if (page.length === PAGE_BYTES_MAX && sparePages.length < SPARE_PAGES_MAX) sparePages.push(page)
-      pages = []
-      lastUsed = 0
-      length = 0
-      occupiedBytes = 0
+      reset()
     }
   }
 }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,6 @@
 /** Types and helpers shared by all slices: time, randomness, tasks, results and hashes. */
 export * from './addressInUse.js'
+export * from './byteBuffer.js'
 export * from './clock.js'
 export * from './core.js'
 export * from './errors.js'
--- a/src/nodes/forward/createWholeResponseSink.ts
+++ b/src/nodes/forward/createWholeResponseSink.ts
@@ -1,4 +1,4 @@
-import { ResultCode } from '../../core/index.js'
+import { createByteBuffer, ResultCode } from '../../core/index.js'
 import { BodyFramingKind, HELD_RESPONSE_BYTES_MAX } from '../../requests/index.js'
 import type { CallerSink } from './types.js'
 
@@ -11,14 +11,13 @@
  */
 export const createWholeResponseSink = (sink: CallerSink): CallerSink => {
   let head: Parameters<CallerSink['onHead']> | undefined
-  let held: Uint8Array[] = []
-  let heldBytes = 0
+  const held = createByteBuffer()
   let hasEnded = false
 
   const refuse = (code: ResultCode, retryAfterMs: number | undefined) => {
     if (hasEnded) return
     hasEnded = true
-    held = []
+    held.clear()
     sink.onRefuse(code, retryAfterMs)
   }
 
@@ -28,16 +27,15 @@
     onExchange: setPaused => sink.onExchange?.(setPaused),
     onBody: bytes => {
       if (hasEnded) return
-      held.push(bytes)
-      heldBytes += bytes.length
-      if (heldBytes > HELD_RESPONSE_BYTES_MAX) refuse(ResultCode.AnswerLost, undefined)
+      held.add(bytes)
+      if (held.length > HELD_RESPONSE_BYTES_MAX) refuse(ResultCode.AnswerLost, undefined)
     },
     onComplete: () => {
       if (hasEnded || head === undefined) return
       hasEnded = true
       const [status, headers, framing] = head
-      sink.onHead(status, headers, framing.kind === BodyFramingKind.Chunks ? { kind: BodyFramingKind.Length, bodyBytes: heldBytes } : framing)
-      for (const bytes of held) sink.onBody(bytes)
+      sink.onHead(status, headers, framing.kind === BodyFramingKind.Chunks ? { kind: BodyFramingKind.Length, bodyBytes: held.length } : framing)
+      for (const bytes of held.takeParts()) sink.onBody(bytes)
       sink.onComplete()
     },
     onAbort: () => refuse(ResultCode.AnswerLost, undefined),
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,11 +1,11 @@
-import { type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode } from '../core/index.js'
+import { type ByteBuffer, type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { UpstreamCheck } from '../upstreams/index.js'
 import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
-import { deliverEvents, deliverResponse, deliverStreamHead } from './deliverResponse.js'
+import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
 import {
   type Attempt, byUrgency, hasAnswerBegun, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse
 } from './forwardState.js'
@@ -150,11 +150,10 @@
   const onResponseBytes = (inFlight: InFlightRequest, attempt: Attempt, bytes: Uint8Array): ForwardEffect[] => {
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
-      return attempt.splitter.rest.length <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
+      return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
     }
-    attempt.held.push(bytes)
-    attempt.heldBytes += bytes.length
-    return attempt.heldBytes <= HELD_RESPONSE_BYTES_MAX ? [] : endOversized(inFlight, attempt)
+    attempt.held.add(bytes)
+    return attempt.held.length <= HELD_RESPONSE_BYTES_MAX ? [] : endOversized(inFlight, attempt)
   }
 
   /** The pause of a caller that reads slowly is no gap between the events of its worker. */
@@ -165,14 +164,14 @@
 
   const finishStream = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const { requestId } = inFlight.request
-    if (attempt.splitter.rest.length > 0) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
-    const effects: ForwardEffect[] = inFlight.isHeadSent ? [] : [deliverStreamHead(inFlight, attempt.answer!)]
+    if (attempt.splitter.hasPartialEvent) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
+    const effects = deliverStreamEnd(inFlight, attempt)
     endAttempt(inFlight, AttemptEnd.Answered, 'stream ended')
     removeRequest(inFlight, ResultCode.Ok, 'stream ended')
     return [...effects, { kind: ForwardEffectKind.Complete, requestId }]
   }
 
-  const sendResponse = (inFlight: InFlightRequest, response: WorkerResponse, held: readonly Uint8Array[]): ForwardEffect[] => {
+  const sendResponse = (inFlight: InFlightRequest, response: WorkerResponse, held: ByteBuffer): ForwardEffect[] => {
     removeRequest(inFlight, ResultCode.Ok, `status ${response.status}`)
     return deliverResponse(inFlight.request.requestId, response, held)
   }
--- a/src/requests/deliverResponse.ts
+++ b/src/requests/deliverResponse.ts
@@ -1,23 +1,22 @@
-import type { TimestampMs } from '../core/index.js'
+import type { ByteBuffer, TimestampMs } from '../core/index.js'
 import { WRITTEN_AT_ONCE_BYTES_MAX } from './constants.js'
 import type { Attempt, InFlightRequest } from './forwardState.js'
 import {
   type BodyFraming, BodyFramingKind, type ForwardEffect, ForwardEffectKind, type ForwardPorts, type WorkerResponse
 } from './forwardTypes.js'
 
-/**
- * Returns the head of a stream for the caller, and records that it was sent.
- *
- * @example
- * const effects = [deliverStreamHead(inFlight, attempt.answer)]
- */
-export const deliverStreamHead = (inFlight: InFlightRequest, { status, headers }: WorkerResponse): ForwardEffect => {
+const deliverStreamHead = (inFlight: InFlightRequest, { status, headers }: WorkerResponse): ForwardEffect => {
   inFlight.isHeadSent = true
   return { kind: ForwardEffectKind.SendHead, requestId: inFlight.request.requestId, status, headers, framing: { kind: BodyFramingKind.Chunks } }
 }
 
+/** A stream resumed from an earlier event replays events that the caller already has. */
+const isReplayed = (id: string | undefined, lastEventId: string | undefined): boolean =>
+  id !== undefined && lastEventId !== undefined && Number(id) <= Number(lastEventId)
+
 /**
- * Returns the events for the caller that further bytes of a stream complete, with the head before the first one.
+ * Returns the events for the caller that further bytes of a stream complete, with the head before the first one. Events that
+ * follow each other are one effect, as the cost of a write doesn't depend on its size.
  *
  * @example
  * deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
@@ -27,20 +26,47 @@
   { nowMs, onEventGap }: { nowMs: TimestampMs, onEventGap: ForwardPorts['onEventGap'] }
 ): ForwardEffect[] => {
   const { request } = inFlight
+  const batch = attempt.splitter.push(bytes)
   const effects: ForwardEffect[] = []
-  for (const { id, bytes: eventBytes } of attempt.splitter.push(bytes)) {
+  let runStart: number | undefined
+  let runEnd = 0
+
+  const deliverRun = () => {
+    if (runStart === undefined) return
+    if (!inFlight.isHeadSent) effects.push(deliverStreamHead(inFlight, attempt.answer!))
+    effects.push({ kind: ForwardEffectKind.SendBody, requestId: request.requestId, bytes: batch.bytes.subarray(runStart, runEnd) })
+    runStart = undefined
+  }
+
+  for (const { start, end, id } of batch.events) {
     onEventGap(request, attempt.worker, nowMs - attempt.lastEventAtMs, !attempt.hasEvents)
     attempt.lastEventAtMs = nowMs
     attempt.hasEvents = true
-    // A stream resumed from an earlier event replays events that the caller already has.
-    if (id !== undefined && inFlight.lastEventId !== undefined && Number(id) <= Number(inFlight.lastEventId)) continue
-    if (!inFlight.isHeadSent) effects.push(deliverStreamHead(inFlight, attempt.answer!))
+    if (isReplayed(id, inFlight.lastEventId)) {
+      deliverRun()
+      continue
+    }
     if (id !== undefined) inFlight.lastEventId = id
-    effects.push({ kind: ForwardEffectKind.SendBody, requestId: request.requestId, bytes: eventBytes })
+    runStart ??= start
+    runEnd = end
   }
+  deliverRun()
   return effects
 }
 
+/**
+ * Returns what is left of a stream that has ended after its last event: its head if it had no event, and blank lines.
+ *
+ * @example
+ * const effects = deliverStreamEnd(inFlight, attempt)
+ */
+export const deliverStreamEnd = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
+  const { requestId } = inFlight.request
+  const head = inFlight.isHeadSent ? [] : [deliverStreamHead(inFlight, attempt.answer!)]
+  const blankLines = attempt.splitter.takeRest()
+  return blankLines.length === 0 ? head : [...head, { kind: ForwardEffectKind.SendBody, requestId, bytes: blankLines }]
+}
+
 /**
  * Returns a response that is no stream, whole, as effects that are performed in one turn.
  *
@@ -48,12 +74,12 @@
  * deliverResponse(request.requestId, response, attempt.held)
  */
 export const deliverResponse = (
-  requestId: string, { status, headers, isUnframed }: WorkerResponse, held: readonly Uint8Array[]
+  requestId: string, { status, headers, isUnframed }: WorkerResponse, held: ByteBuffer
 ): ForwardEffect[] => {
-  const bodyBytes = held.reduce((sum, { length }) => sum + length, 0)
+  const bodyBytes = held.length
   const isWrittenAtOnce = bodyBytes <= WRITTEN_AT_ONCE_BYTES_MAX
   // Large bodies are not copied.
-  const parts = isWrittenAtOnce ? [Buffer.concat(held)] : held
+  const parts = isWrittenAtOnce ? [held.join()] : held.takeParts()
   // A worker may break off a response without framing and stay up, so a length would claim more than is known.
   const framing: BodyFraming = isUnframed && isWrittenAtOnce
     ? { kind: BodyFramingKind.ConnectionEnd }
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -1,5 +1,5 @@
 import { RepeatPolicy } from '../configuration/index.js'
-import { ResultCode, type TimestampMs } from '../core/index.js'
+import { type ByteBuffer, createByteBuffer, ResultCode, type TimestampMs } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { RETRY_TIME_MIN_MS } from './constants.js'
 import { createEventSplitter, type EventSplitter } from './createEventSplitter.js'
@@ -14,8 +14,8 @@
   sentAtMs: TimestampMs
   answer: WorkerResponse | undefined
   splitter: EventSplitter
-  held: Uint8Array[]
-  heldBytes: number
+  /** Body of a response that is no stream, until it is complete. */
+  held: ByteBuffer
   lastEventAtMs: TimestampMs
   hasEvents: boolean
 }
@@ -42,8 +42,7 @@
   sentAtMs: nowMs,
   answer: undefined,
   splitter: createEventSplitter(),
-  held: [],
-  heldBytes: 0,
+  held: createByteBuffer(),
   lastEventAtMs: nowMs,
   hasEvents: false
 })
@@ -75,7 +74,7 @@
 export const hasSuccessHead = ({ answer }: Attempt): boolean => answer?.verdict === ResponseVerdict.Success
 
 /** Whether the worker has begun to write its answer; a head alone is sent before the request runs. */
-export const hasAnswerBegun = ({ hasEvents, heldBytes }: Attempt): boolean => hasEvents || heldBytes > 0
+export const hasAnswerBegun = ({ hasEvents, held }: Attempt): boolean => hasEvents || held.length > 0
 
 export const isStreamingResponse = ({ answer }: Attempt): boolean =>
   answer !== undefined && answer.isEventStream && answer.verdict === ResponseVerdict.Success
--- a/src/upstreams/httpCall.ts
+++ b/src/upstreams/httpCall.ts
@@ -1,4 +1,4 @@
-import { BaobabdriftError, type Clock, ResultCode } from '../core/index.js'
+import { BaobabdriftError, type Clock, createByteBuffer, ResultCode } from '../core/index.js'
 import { type ConnectionPool, createConnectionPool } from './connectionPool.js'
 import { ConnectionUse, ExchangeEventKind, type HeaderField } from './types.js'
 
@@ -52,17 +52,17 @@
     const length: HeaderField[] = method === 'POST' ? [['content-length', String(body.length)]] : []
     let abort = () => {}
     const answer = new Promise<HttpResponse>((resolve, reject) => {
-      const chunks: Uint8Array[] = []
+      const received = createByteBuffer()
       let status = 0
       let responseHeaders: readonly HeaderField[] = []
       const cancel = pool.send({ method, path, headers: [['host', address], ...headers, ...length], body }, use, event => {
         if (event.kind === ExchangeEventKind.Head) {
           status = event.head.status
           responseHeaders = event.head.headers
-        } else if (event.kind === ExchangeEventKind.Body) chunks.push(event.bytes)
+        } else if (event.kind === ExchangeEventKind.Body) received.add(event.bytes)
         else {
           clearTimeout(timer)
-          if (event.kind === ExchangeEventKind.Finished) resolve({ status, headers: responseHeaders, body: Buffer.concat(chunks) })
+          if (event.kind === ExchangeEventKind.Finished) resolve({ status, headers: responseHeaders, body: received.join() })
           else reject(new Error(event.fault))
         }
       })
