Hold a worker back before its parts fill the mailbox, and never drop a part of a response

Cause: each chunk was a message, some 10,900 for a read of 64 KiB, to a task that handles 256 in a turn; once 65,536 waited, parts of any response were dropped, and ticks and cancellations with them. Ruled out: resumed streams (each worker wrote all events in one run).

Change: one message for what a read holds of a body; 16 KiB parsed a turn; an exchange with four unhandled parts is not read; ticks, cancellations and new requests have a lane of their own; a part that cannot be queued ends its exchange, so that its caller sees it.

--- a/src/core/task.test.ts
+++ b/src/core/task.test.ts
@@ -1,5 +1,5 @@
-import { expect, it } from 'vitest'
-import { createTask, type TaskFailure } from './task.js'
+import { describe, expect, it } from 'vitest'
+import { createTask, Lane, type TaskFailure } from './task.js'
 
 const start = (handle: (message: string) => string[]) => {
   const performed: string[] = []
@@ -38,3 +38,35 @@
   expect(performed).toEqual(['a'])
   expect(failures).toMatchObject([{ message: 'bad', effect: undefined }])
 })
+
+describe('lanes', () => {
+  const CAPACITY = 4
+
+  const startLanes = () => {
+    const handled: string[] = []
+    const task = createTask<string, never>({
+      name: 'test',
+      core: {
+        handle: message => {
+          handled.push(message)
+          return []
+        }
+      },
+      perform: () => {},
+      capacity: CAPACITY,
+      laneOf: message => message.startsWith('part') ? Lane.Bulk : Lane.Control
+    })
+    return { task, handled }
+  }
+
+  // Guards against ticks and cancellations that get lost, or wait, behind a flood of other messages.
+  it('keep messages of the other lane from being rejected or delayed when one is full', async () => {
+    const { task, handled } = startLanes()
+    const accepted = Array.from({ length: CAPACITY + 2 }, (_, at) => task.post(`part ${at}`))
+    expect(accepted).toEqual([true, true, true, true, false, false])
+    expect(task.post('cancel')).toBe(true)
+    expect([task.queuedCount, task.overflowCount]).toEqual([CAPACITY + 1, 2])
+    await settled()
+    expect(handled).toEqual(['cancel', 'part 0', 'part 1', 'part 2', 'part 3'])
+  })
+})
--- a/src/core/task.ts
+++ b/src/core/task.ts
@@ -1,10 +1,18 @@
 import type { Core } from './core.js'
-import { createMailbox, OverflowPolicy } from './mailbox.js'
+import { createMailbox, type Mailbox, OverflowPolicy } from './mailbox.js'
 import { createLog } from './log.js'
 
 /** Maximum number of messages that a task handles before it yields to the event loop. */
 const MESSAGES_PER_TURN = 256
 
+/** Queue of a task in which a message waits. */
+export enum Lane {
+  /** Handled before all messages of the other lane, such as ticks and cancellations. */
+  Control = 'control',
+  /** What arrives in amounts that others determine, such as parts of responses. */
+  Bulk = 'bulk'
+}
+
 /** A running task; other tasks communicate with it only by posting messages. */
 export interface Task<Message> {
   /** Returns false if the mailbox rejected the message or the task has stopped. */
@@ -13,6 +21,8 @@
   tickEvery (intervalMs: number, createTick: () => Message): void
   stop (): void
   readonly queuedCount: number
+  /** Number of messages that a full mailbox has rejected or dropped. */
+  readonly overflowCount: number
 }
 
 /** An exception while a message was handled: in the core, or in one of its effects. */
@@ -30,8 +40,12 @@
   perform: (effect: Effect) => void
   /** Called after each exception; the other effects of the message are performed all the same. */
   onFailure?: (failure: TaskFailure<Message, Effect>) => void
+  /** Messages that each lane holds, unless it has a capacity of its own. */
   capacity?: number
+  bulkCapacity?: number
   overflow?: OverflowPolicy
+  /** Returns the lane of a message; a full lane leaves the other one usable. All messages share one if it is not set. */
+  laneOf?: (message: Message) => Lane
 }
 
 /**
@@ -44,10 +58,13 @@
  * task.post({ kind: GossipMessageKind.Tick })
  */
 export const createTask = <Message, Effect>(
-  { name, core, perform, onFailure = () => {}, capacity = 4096, overflow = OverflowPolicy.RejectNew }: TaskOptions<Message, Effect>
+  { name, core, perform, onFailure = () => {}, capacity = 4096, bulkCapacity = capacity, overflow = OverflowPolicy.RejectNew, laneOf = () => Lane.Bulk }: TaskOptions<Message, Effect>
 ): Task<Message> => {
   const log = createLog(name)
-  const mailbox = createMailbox<Message>({ capacity, overflow })
+  const lanes: Record<Lane, Mailbox<Message>> = {
+    [Lane.Control]: createMailbox({ capacity, overflow }),
+    [Lane.Bulk]: createMailbox({ capacity: bulkCapacity, overflow })
+  }
   const timers: NodeJS.Timeout[] = []
   let scheduled = false
   let stopped = false
@@ -67,14 +84,18 @@
     for (const effect of effects) attempt(message, effect, () => perform(effect))
   }
 
+  const countQueued = () => lanes[Lane.Control].length + lanes[Lane.Bulk].length
+
+  const takeNext = (): Message | undefined => lanes[Lane.Control].shift() ?? lanes[Lane.Bulk].shift()
+
   const drain = () => {
     scheduled = false
     for (let i = 0; i < MESSAGES_PER_TURN; i++) {
-      const message = stopped ? undefined : mailbox.shift()
+      const message = stopped ? undefined : takeNext()
       if (message === undefined) return
       handleOne(message)
     }
-    if (mailbox.length > 0) schedule(setImmediate)
+    if (countQueued() > 0) schedule(setImmediate)
   }
 
   const schedule = (defer: (callback: () => void) => unknown) => {
@@ -85,7 +106,7 @@
 
   const post = (message: Message) => {
     if (stopped) return false
-    const accepted = mailbox.push(message)
+    const accepted = lanes[laneOf(message)].push(message)
     schedule(queueMicrotask)
     return accepted
   }
@@ -101,6 +122,7 @@
       stopped = true
       timers.forEach(clearInterval)
     },
-    get queuedCount () { return mailbox.length }
+    get queuedCount () { return countQueued() },
+    get overflowCount () { return lanes[Lane.Control].overflowCount + lanes[Lane.Bulk].overflowCount }
   }
 }
--- a/src/nodes/forward/forwardTask.test.ts
+++ b/src/nodes/forward/forwardTask.test.ts
@@ -57,13 +57,14 @@
     decode: ({ status }) => ({ verdict: ResponseVerdict.Success, status, isPromiseNotRun: false, headers: [], isEventStream: false, isUnframed: false, notice: undefined })
   }
 
-  const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec> }) => {
+  const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec>, mailboxCapacity?: number }) => {
     task = startForwardTask({
       clock: createMonotonicClock(),
       ports: { ...ports, ...overrides.ports },
       codec: { ...codec, ...overrides.codec },
       workers: { all: () => [worker] } as unknown as WorkerTable,
-      log: event => { events.push(event) }
+      log: event => { events.push(event) },
+      ...(overrides.mailboxCapacity === undefined ? {} : { responsePartsMax: overrides.mailboxCapacity })
     })
   }
 
@@ -134,4 +135,11 @@
     expect(await send()).toBe('Internal')
     expect([sentCount, task.core.liveCount]).toEqual([0, 0])
   })
+
+  // Guards against a response with a gap that looks complete: parts that the mailbox had no room for used to be dropped.
+  it('ends as failed if a part of its response cannot be queued, and other requests go on', async () => {
+    start({ mailboxCapacity: 0 })
+    expect(await send()).toBe('UpstreamDied')
+    expect([task.core.liveCount, task.rejectedMessages > 0]).toEqual([0, true])
+  })
 })
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type TaskFailure } from '../../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, Lane, ResultCode, type TaskFailure } from '../../core/index.js'
 import type { WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import {
@@ -7,8 +7,9 @@
 } from '../../requests/index.js'
 import {
   checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind, ExchangeFault,
-  UnsendableRequestError, UpstreamCheck
+  ReadPause, UnsendableRequestError, UpstreamCheck
 } from '../../upstreams/index.js'
+import { createExchangeBacklog } from './exchangeBacklog.js'
 import type { CallerSink, WorkerCodec } from './types.js'
 
 export interface ForwardTaskOptions {
@@ -19,6 +20,8 @@
   /** Whether the workers of a failure domain get no further requests. */
   isEvacuated?: (zone: string) => boolean
   log: EventLog
+  /** Parts of responses that may wait to be handled. */
+  responsePartsMax?: number
 }
 
 /** The task that owns all requests in flight and the connections to workers. */
@@ -32,9 +35,30 @@
   closeUnused (): void
   readonly core: Pick<ForwardCore, 'liveCount' | 'waitingCount'>
   readonly openedConnections: number
+  /** Messages that the full mailbox of the task has rejected. */
+  readonly rejectedMessages: number
   stop (): void
 }
 
+/** Lane of each message: parts of responses come as fast as upstreams send them, and must not keep back the others. */
+const LANES: Record<ForwardMessageKind, Lane> = {
+  [ForwardMessageKind.Submitted]: Lane.Control,
+  [ForwardMessageKind.ResponseStarted]: Lane.Bulk,
+  [ForwardMessageKind.ResponseBytes]: Lane.Bulk,
+  [ForwardMessageKind.ResponseFinished]: Lane.Bulk,
+  [ForwardMessageKind.ReadingResumed]: Lane.Bulk,
+  [ForwardMessageKind.ExchangeFailed]: Lane.Bulk,
+  [ForwardMessageKind.ExchangeOverflowed]: Lane.Control,
+  [ForwardMessageKind.RequestUnsendable]: Lane.Control,
+  [ForwardMessageKind.WorkerChecked]: Lane.Control,
+  [ForwardMessageKind.CallerGone]: Lane.Control,
+  [ForwardMessageKind.HandlingFailed]: Lane.Control,
+  [ForwardMessageKind.CapacityFreed]: Lane.Control,
+  [ForwardMessageKind.Tick]: Lane.Control
+}
+
+const MAILBOX_CAPACITY = 65_536
+
 /**
  * Starts the forward task.
  *
@@ -42,7 +66,7 @@
  * const task = startForwardTask({ clock, ports, codec, workers, log })
  * task.submit(request, sink)
  */
-export const startForwardTask = ({ clock, ports, codec, workers, isEvacuated = () => false, log }: ForwardTaskOptions): ForwardTask => {
+export const startForwardTask = ({ clock, ports, codec, workers, isEvacuated = () => false, log, responsePartsMax = MAILBOX_CAPACITY }: ForwardTaskOptions): ForwardTask => {
   const core = createForwardCore({ clock, ports })
   const callers = createCallerTable<CallerSink>({
     fail: sink => sink.onRefuse(ResultCode.AnswerLost, undefined),
@@ -53,6 +77,7 @@
   })
   const pools = new Map<string, ConnectionPool>()
   const cancels = new Map<number, () => void>()
+  const backlog = createExchangeBacklog()
   let closedPoolConnections = 0
 
   const poolOf = (address: string): ConnectionPool => {
@@ -70,9 +95,21 @@
       ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, isUnframedEnd: fault === ExchangeFault.UnframedEnd })
   })
 
+  const forgetExchange = (exchangeId: number) => {
+    cancels.delete(exchangeId)
+    backlog.end(exchangeId)
+  }
+
   const cancelExchange = (exchangeId: number) => {
     cancels.get(exchangeId)?.()
-    cancels.delete(exchangeId)
+    forgetExchange(exchangeId)
+  }
+
+  /** Without one of its messages a response would have a gap, so that the exchange ends. */
+  const postOfExchange = (exchangeId: number, message: ForwardMessage) => {
+    if (task.post(message)) return
+    cancelExchange(exchangeId)
+    task.post({ kind: ForwardMessageKind.ExchangeOverflowed, exchangeId })
   }
 
   const performers: HandlerTable<ForwardEffect, void> = {
@@ -81,10 +118,13 @@
       const use = needsFreshConnection ? ConnectionUse.Fresh : ConnectionUse.Reuse
       const outgoing = codec.encode({ request, worker, remainingMs, lastEventId })
       const cancel = poolOf(worker.address).send(outgoing, use, event => {
-        if (event.kind === ExchangeEventKind.Body) callers.deliver(request.requestId, sink => sink.onReceived?.(event.bytes.length))
-        if (event.kind === ExchangeEventKind.Finished || event.kind === ExchangeEventKind.Failed) cancels.delete(exchangeId)
+        if (event.kind === ExchangeEventKind.Body) {
+          callers.deliver(request.requestId, sink => sink.onReceived?.(event.bytes.length))
+          backlog.recordRead(exchangeId)
+        }
+        if (event.kind === ExchangeEventKind.Finished || event.kind === ExchangeEventKind.Failed) forgetExchange(exchangeId)
         try {
-          task.post(dispatch(toMessage, event))
+          postOfExchange(exchangeId, dispatch(toMessage, event))
         } catch (error) {
           // A response that cannot be decoded is lost; its connection is closed.
           logFailure({ error, message: event, effect: undefined })
@@ -93,8 +133,9 @@
         }
       })
       cancels.set(exchangeId, cancel)
+      backlog.begin(exchangeId, isPaused => cancel.setPaused(ReadPause.Unhandled, isPaused))
       callers.deliver(request.requestId, sink => sink.onExchange?.(isPaused => {
-        cancel.setPaused(isPaused)
+        cancel.setPaused(ReadPause.Caller, isPaused)
         if (!isPaused) task.post({ kind: ForwardMessageKind.ReadingResumed, exchangeId })
       }))
     },
@@ -115,7 +156,7 @@
   /** Ends an exchange after an exception; only an error of the encoder proves that nothing was sent. */
   const endFailedSend = (exchangeId: number, error: unknown) => {
     const reason = error instanceof Error ? error.message : String(error)
-    task.post(error instanceof UnsendableRequestError
+    postOfExchange(exchangeId, error instanceof UnsendableRequestError
       ? { kind: ForwardMessageKind.RequestUnsendable, exchangeId, reason }
       : { kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason })
   }
@@ -138,12 +179,15 @@
     core: {
       handle: message => {
         if (message.kind === ForwardMessageKind.Submitted) callers.take(message.request.requestId)
+        if (message.kind === ForwardMessageKind.ResponseBytes) backlog.recordHandled(message.exchangeId)
         return core.handle(message)
       }
     },
     perform: effect => dispatch(performers, effect),
     onFailure,
-    capacity: 65_536
+    capacity: MAILBOX_CAPACITY,
+    bulkCapacity: responsePartsMax,
+    laneOf: ({ kind }) => LANES[kind]
   })
   task.tickEvery(FORWARD_TICK_MS, () => ({ kind: ForwardMessageKind.Tick }))
 
@@ -173,6 +217,7 @@
     get openedConnections () {
       return [...pools.values()].reduce((sum, { openedCount }) => sum + openedCount, closedPoolConnections)
     },
+    get rejectedMessages () { return task.overflowCount },
     stop: () => {
       task.stop()
       for (const pool of pools.values()) pool.close()
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -212,7 +212,7 @@
   }
 
   const onExchangeFailed = (
-    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, isUnframedEnd }: ExchangeFailedMessage
+    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, isUnframedEnd }: Omit<ExchangeFailedMessage, 'kind'>
   ): ForwardEffect[] => {
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
@@ -275,6 +275,8 @@
     [ForwardMessageKind.ResponseFinished]: withAttempt(onResponseFinished),
     [ForwardMessageKind.ReadingResumed]: withAttempt(onReadingResumed),
     [ForwardMessageKind.ExchangeFailed]: withAttempt(onExchangeFailed),
+    [ForwardMessageKind.ExchangeOverflowed]: withAttempt((inFlight, attempt, { exchangeId }) =>
+      onExchangeFailed(inFlight, attempt, { exchangeId, hasLeft: true, reason: 'too many parts of responses wait to be handled' })),
     [ForwardMessageKind.RequestUnsendable]: withAttempt((inFlight, attempt, { reason }) => onRequestUnsendable(inFlight, attempt, reason)),
     [ForwardMessageKind.WorkerChecked]: ({ worker, check }) => onWorkerChecked(worker, check),
     [ForwardMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -135,6 +135,8 @@
   /** Reading of the response was paused for its caller, and goes on. */
   ReadingResumed = 'reading-resumed',
   ExchangeFailed = 'exchange-failed',
+  /** A part of the response could not be queued, and the exchange was cancelled. */
+  ExchangeOverflowed = 'exchange-overflowed',
   /** The head of the request cannot be encoded; nothing was sent. */
   RequestUnsendable = 'request-unsendable',
   WorkerChecked = 'worker-checked',
@@ -154,6 +156,7 @@
   | { kind: ForwardMessageKind.ReadingResumed, exchangeId: number }
   /** `isUnframedEnd` is set if a response with neither a length nor chunks ended with its connection. */
   | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, isUnframedEnd?: boolean }
+  | { kind: ForwardMessageKind.ExchangeOverflowed, exchangeId: number }
   | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
   | { kind: ForwardMessageKind.WorkerChecked, worker: Worker, check: UpstreamCheck }
   | { kind: ForwardMessageKind.CallerGone, requestId: string }
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -1,8 +1,9 @@
 import { connect, type Socket } from 'node:net'
 import type { Clock, TimestampMs } from '../core/index.js'
 import {
-  CONNECT_TIMEOUT_MS, ConnectionState, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS
+  CONNECT_TIMEOUT_MS, ConnectionState, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS, type ReadPause
 } from './constants.js'
+import { createPacedReading } from './createPacedReading.js'
 import { createResponseReader, type ResponseReader } from './createResponseReader.js'
 import { type EncodedRequest, type ExchangeEvent, ExchangeEventKind, type HeaderField, type ResponseHeadRaw } from './types.js'
 
@@ -15,8 +16,8 @@
   readonly reusableUntilMs: TimestampMs
   /** Starts an exchange; allowed while the connection is new or idle. */
   send (request: EncodedRequest, emit: (event: ExchangeEvent) => void): void
-  /** Stops or continues reading, so that the upstream is held back by flow control. */
-  setPaused (isPaused: boolean): void
+  /** Stops reading, so that the upstream is held back by flow control, or continues once nobody holds it back any more. */
+  setPaused (pause: ReadPause, isPaused: boolean): void
   /** Closes the connection at once; an exchange in flight emits no further events. */
   destroy (): void
 }
@@ -64,6 +65,7 @@
     if (state === ConnectionState.Closed) return
     state = ConnectionState.Closed
     clearTimeout(connectTimer)
+    reading.reset()
     socket.destroy()
     onClosed()
   }
@@ -81,8 +83,9 @@
     const { reader, emit } = exchange!
     exchange = undefined
     // If the response completed before the request was fully sent, the rest of the request is still in the buffer.
-    if (!reader.keepsAlive || socket.writableLength > 0 || socket.readableEnded) close()
+    if (!reader.keepsAlive || reading.hasUnparsed || socket.writableLength > 0 || socket.readableEnded) close()
     else {
+      reading.reset()
       state = ConnectionState.Idle
       reusableUntilMs = clock.nowMs() + idleLimitMs
       onIdle()
@@ -112,7 +115,7 @@
     state = ConnectionState.Busy
     write()
   })
-  socket.on('data', bytes => {
+  const parse = (bytes: Buffer) => {
     // Bytes on an idle connection belong to no request.
     if (exchange === undefined) return close()
     const running = exchange
@@ -120,14 +123,20 @@
     if (exchange !== running) return
     if (fault !== undefined) fail(fault)
     else if (running.reader.isComplete) finish()
-  })
+  }
+  const reading = createPacedReading({ socket, parse })
+
   socket.on('end', () => {
     if (exchange === undefined) return close()
     const fault = exchange.reader.end()
     if (fault === undefined) finish()
     else fail(fault)
   })
-  const onLost = () => fail(exchange?.hasLeft === true ? ExchangeFault.ConnectionLost : ExchangeFault.NotConnected)
+  const onLost = () => {
+    // What was read before may complete the response.
+    if (exchange !== undefined) reading.flush()
+    fail(exchange?.hasLeft === true ? ExchangeFault.ConnectionLost : ExchangeFault.NotConnected)
+  }
   socket.on('error', onLost)
   socket.on('close', onLost)
 
@@ -150,10 +159,7 @@
       state = ConnectionState.Busy
       write()
     },
-    setPaused: isPaused => {
-      if (isPaused) socket.pause()
-      else socket.resume()
-    },
+    setPaused: reading.setPaused,
     destroy: () => {
       exchange = undefined
       close()
--- a/src/upstreams/connectionPool.ts
+++ b/src/upstreams/connectionPool.ts
@@ -1,13 +1,13 @@
 import type { Clock } from '../core/index.js'
-import { ConnectionState, IDLE_CONNECTIONS_MAX } from './constants.js'
+import { ConnectionState, IDLE_CONNECTIONS_MAX, type ReadPause } from './constants.js'
 import { type Connection, openConnection } from './connection.js'
 import { encodeRequest } from './encodeRequest.js'
 import { ConnectionUse, type ExchangeEvent, type OutgoingRequest } from './types.js'
 
 /** Cancels an exchange and closes its connection when called. */
 export type ExchangeControl = (() => void) & {
-  /** Stops or continues reading the response; does nothing once the exchange has ended. */
-  setPaused (isPaused: boolean): void
+  /** Stops reading the response, or continues once nobody holds it back; does nothing once the exchange has ended. */
+  setPaused (pause: ReadPause, isPaused: boolean): void
 }
 
 /** Manages the connections of this process to one address. */
@@ -87,7 +87,7 @@
         emit(event)
       })
       return Object.assign(() => { if (!hasEnded) connection.destroy() }, {
-        setPaused: (isPaused: boolean) => { if (!hasEnded) connection.setPaused(isPaused) }
+        setPaused: (pause: ReadPause, isPaused: boolean) => { if (!hasEnded) connection.setPaused(pause, isPaused) }
       })
     },
     get openedCount () { return openedCount },
--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -6,6 +6,16 @@
   Closed = 'closed'
 }
 
+/** Who holds back the reading of a response. */
+export enum ReadPause {
+  /** Its caller has bytes of it left to read. */
+  Caller = 'caller',
+  /** What was read has not been handled yet. */
+  Unhandled = 'unhandled',
+  /** The rest of the last read is parsed in later turns of the event loop. */
+  Unparsed = 'unparsed'
+}
+
 /** Why an exchange ended without a complete response. */
 export enum ExchangeFault {
   /** The connection was never established; the upstream received nothing. */
@@ -29,6 +39,11 @@
 /** Longest time for which an idle connection may be reused, also if the upstream announces no timeout. */
 export const IDLE_REUSE_MAX_MS = 4_000
 export const IDLE_CONNECTIONS_MAX = 8
+/**
+ * Bytes of one connection that are parsed in one turn of the event loop. The work that they cause depends on how small the
+ * parts of the response are, and the other connections wait for it.
+ */
+export const PARSED_BYTES_PER_TURN = 16 * 1024
 /** Bytes of a response that are not its body, such as headers or chunk sizes, before the next byte of the body. */
 export const RESPONSE_FRAMING_BYTES_MAX = 65_536
 export const RESPONSE_BODY_BYTES_MAX = 16 * 1024 * 1024
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -10,6 +10,7 @@
   /** A response to HEAD has no body, regardless of its headers. */
   isHeadRequest: boolean
   onHead: (head: ResponseHeadRaw) => void
+  /** Called at most once for each read, with all parts of the body that it holds. */
   onBody: (bytes: Uint8Array) => void
 }
 
@@ -96,6 +97,16 @@
   return lengths.size > 0 && valuesOf(fields, 'transfer-encoding').length > 0
 }
 
+/**
+ * Joins the parts of the body in one read. They are copied if they are less than half of what was read, as they would keep the
+ * rest of it in memory.
+ */
+const joinParts = (parts: readonly Uint8Array[], readBytes: number): Uint8Array | undefined => {
+  const [first, ...others] = parts
+  if (first === undefined) return undefined
+  return others.length === 0 && 2 * first.length >= readBytes ? first : Buffer.concat(parts)
+}
+
 /**
  * Creates a reader for one response, based on the HTTP parser library.
  *
@@ -117,6 +128,7 @@
   let bodyBytes = 0
   let framingBytes = 0
   let fault: ExchangeFault | undefined
+  let bodyParts: Uint8Array[] = []
 
   parser[HTTPParser.kOnHeadersComplete] = info => {
     const { statusCode, headers, shouldKeepAlive } = info
@@ -140,7 +152,7 @@
     if (isComplete || fault !== undefined) return
     bodyBytes += length
     if (bodyBytes > RESPONSE_BODY_BYTES_MAX) fault = ExchangeFault.ResponseTooLarge
-    else onBody(bytes.subarray(offset, offset + length))
+    else bodyParts.push(bytes.subarray(offset, offset + length))
   }
   parser[HTTPParser.kOnMessageComplete] = () => {
     // An interim response (1xx) completes before the final head.
@@ -149,6 +161,12 @@
     hasExtraBytes = internals.offset < internals.end
   }
 
+  const deliverBody = (readBytes: number) => {
+    const joined = joinParts(bodyParts, readBytes)
+    bodyParts = []
+    if (joined !== undefined) onBody(joined)
+  }
+
   const read = (bytes: Buffer): ExchangeFault | undefined => {
     if (isComplete) {
       hasExtraBytes = true
@@ -156,6 +174,7 @@
     }
     const bodyBytesBefore = bodyBytes
     const consumed = parser.execute(bytes)
+    deliverBody(bytes.length)
     if (isComplete) return fault
     const received = bodyBytes - bodyBytesBefore
     framingBytes = bytes.length - received + (received > 0 ? 0 : framingBytes)
