Take only a whole answer of a worker that lives on as proof that a prompt part is sound

Cause: the first event of an answer cleared the part, so that each of its crashes did; requests whose answers were under way were no suspects, and they were resumed before the crash was known. Ruled out: reports of other entries (the case has one entry).

The path through agents uses the same evidence.

--- a/src/nodes/entry/partQuarantine.ts
+++ b/src/nodes/entry/partQuarantine.ts
@@ -1,7 +1,7 @@
 import { type Clock, dispatch, fingerprint, type HandlerTable, type TimestampMs } from '../../core/index.js'
 import {
-  CRASH_CONFIRM_MS, CRASH_KEEP_MS, type CrashReport, createCrashRecord, type LostRequest, NOTICE_PARTS_MAX, parsePartNotice, type PartNotice, PartNoticeKind,
-  partTraits, type Trait
+  CRASH_CONFIRM_MS, CRASH_KEEP_MS, type CrashReport, createCrashRecord, createRecentAnswers, type LostRequest, NOTICE_PARTS_MAX, parsePartNotice,
+  type PartNotice, PartNoticeKind, partTraits, REPORTED_SURVIVAL_MS, type Trait
 } from '../../quarantine/index.js'
 import { AttemptResult, type SubmittedRequest } from '../../requests/index.js'
 
@@ -17,7 +17,6 @@
 export interface PartQuarantine {
   isBlocked (request: SubmittedRequest): boolean
   recordDispatch (request: SubmittedRequest, agentId: string): void
-  recordFirstBytes (request: SubmittedRequest, agentId: string): void
   recordEnd (request: SubmittedRequest, agentId: string, result: AttemptResult): void
   /** Handles the crash of an upstream; the same crash may be reported by several agents. */
   onUpstreamDied (agentId: string, crashId: string): void
@@ -26,7 +25,7 @@
 
 const KNOWN_CRASHES_MAX = 1_024
 
-/** An attempt at an upstream that has not answered yet. */
+/** An attempt that its upstream has not answered to the end. */
 interface UnansweredAttempt {
   agentId: string
   traits: readonly Trait[]
@@ -35,13 +34,21 @@
   endedAtMs: TimestampMs | undefined
 }
 
-/** Ends after which the upstream may turn out to have crashed. */
-const MAY_HAVE_CRASHED: Record<AttemptResult, boolean> = {
-  [AttemptResult.Finished]: false,
-  [AttemptResult.Refused]: false,
-  [AttemptResult.UpstreamDied]: true,
-  [AttemptResult.Lost]: true,
-  [AttemptResult.Cancelled]: false
+/** What the end of an attempt says about its upstream. */
+enum EndEvidence {
+  /** The upstream may turn out to have crashed. */
+  MayHaveCrashed = 'may-have-crashed',
+  /** The upstream has answered to the end, and may have crashed right after it. */
+  Answered = 'answered',
+  None = 'none'
+}
+
+const EVIDENCE: Record<AttemptResult, EndEvidence> = {
+  [AttemptResult.Finished]: EndEvidence.Answered,
+  [AttemptResult.Refused]: EndEvidence.None,
+  [AttemptResult.UpstreamDied]: EndEvidence.MayHaveCrashed,
+  [AttemptResult.Lost]: EndEvidence.MayHaveCrashed,
+  [AttemptResult.Cancelled]: EndEvidence.None
 }
 
 const chunk = <Item>(items: readonly Item[]): Item[][] => {
@@ -51,8 +58,8 @@
 }
 
 /**
- * Creates the quarantine of prompt parts at one entry. The agents report crashes; which requests waited for their first
- * bytes then is known to the entries that sent them.
+ * Creates the quarantine of prompt parts at one entry. The agents report crashes; which requests had not been answered to the
+ * end then is known to the entries that sent them.
  *
  * @example
  * const parts = createPartQuarantine({ clock, broadcast })
@@ -61,6 +68,7 @@
 export const createPartQuarantine = ({ clock, broadcast }: PartQuarantineOptions): PartQuarantine => {
   const record = createCrashRecord({ clock })
   const unanswered = new Map<string, UnansweredAttempt>()
+  const recentAnswers = createRecentAnswers({ clock, survivalMs: REPORTED_SURVIVAL_MS })
   const knownCrashIds = new Set<string>()
 
   const attemptKey = ({ requestId }: SubmittedRequest, agentId: string) => `${requestId}/${agentId}`
@@ -76,12 +84,13 @@
     }
   }
 
-  /** Takes the requests that waited at an upstream when it crashed. */
-  const takeWaiting = (agentId: string): LostRequest[] => {
+  /** Takes the requests that an upstream had not answered to the end when it crashed, or only just. */
+  const takeSuspects = (agentId: string): LostRequest[] => {
     expireEnded()
     const waiting = [...unanswered].filter(([, attempt]) => attempt.agentId === agentId)
     for (const [key] of waiting) unanswered.delete(key)
-    return waiting.map(([, { traits, sentAtMs }]) => ({ traits, sentAtMs, hasHead: false }))
+    const answered = recentAnswers.takeOf(agentId).map(({ parts, sentAtMs }) => ({ traits: parts, sentAtMs, hasHead: false }))
+    return [...waiting.map(([, { traits, sentAtMs }]) => ({ traits, sentAtMs, hasHead: false })), ...answered]
   }
 
   const announceCrash = (crashId: string, traits: readonly Trait[], lost: readonly LostRequest[]) => {
@@ -94,6 +103,10 @@
 
   const announceAnswers = (traits: readonly Trait[]) => chunk(traits).forEach(parts => send({ kind: PartNoticeKind.Answered, parts }))
 
+  const countProvenAnswers = () => {
+    for (const { parts, answeredAtMs } of recentAnswers.takeProven()) announceAnswers(record.recordAnswer(parts, answeredAtMs))
+  }
+
   const noticeHandlers: HandlerTable<PartNotice, void> = {
     [PartNoticeKind.Crashed]: ({ crashId, waitedMs }) => {
       const crashes: CrashReport['crashes'] = {}
@@ -104,25 +117,27 @@
   }
 
   return {
-    isBlocked: request => !record.isEmpty && record.findBlocked(traitsOf(request)) !== undefined,
+    isBlocked: request => {
+      countProvenAnswers()
+      return !record.isEmpty && record.findBlocked(traitsOf(request)) !== undefined
+    },
     recordDispatch: (request, agentId) => {
       const traits = traitsOf(request)
       if (traits.length > 0) unanswered.set(attemptKey(request, agentId), { agentId, traits, sentAtMs: clock.nowMs(), endedAtMs: undefined })
     },
-    recordFirstBytes: (request, agentId) => {
-      unanswered.delete(attemptKey(request, agentId))
-      announceAnswers(record.recordAnswer(traitsOf(request)))
-    },
     recordEnd: (request, agentId, result) => {
       const key = attemptKey(request, agentId)
       const attempt = unanswered.get(key)
       if (attempt === undefined) return
-      if (!MAY_HAVE_CRASHED[result]) {
-        unanswered.delete(key)
+      const evidence = EVIDENCE[result]
+      if (evidence === EndEvidence.MayHaveCrashed) {
+        expireEnded()
+        attempt.endedAtMs = clock.nowMs()
         return
       }
-      expireEnded()
-      attempt.endedAtMs = clock.nowMs()
+      unanswered.delete(key)
+      if (evidence === EndEvidence.Answered) recentAnswers.add(agentId, { parts: attempt.traits, sentAtMs: attempt.sentAtMs })
+      countProvenAnswers()
     },
     onUpstreamDied: (agentId, crashId) => {
       if (knownCrashIds.has(crashId)) return
@@ -130,7 +145,7 @@
       const [oldest] = knownCrashIds
       if (knownCrashIds.size > KNOWN_CRASHES_MAX && oldest !== undefined) knownCrashIds.delete(oldest)
       const run = { workerId: crashId, startedAtUnixMs: 0 }
-      const lost = takeWaiting(agentId)
+      const lost = takeSuspects(agentId)
       for (const request of lost) record.recordLost(run, request)
       announceCrash(crashId, [...new Set(record.recordDown(run))], lost)
     },
--- a/src/nodes/entry/quarantineGate.ts
+++ b/src/nodes/entry/quarantineGate.ts
@@ -44,7 +44,6 @@
 export interface QuarantineGate {
   place (request: SubmittedRequest): SuspectPlacement
   recordDispatch (request: SubmittedRequest, agentId: string): void
-  recordFirstBytes (request: SubmittedRequest, agentId: string): void
   recordEnd (request: SubmittedRequest, agentId: string, result: AttemptResult): void
   onStartedAlone (peer: PeerIdentity, frame: Frame): void
   /** Handles a notice that an agent sent over its link. */
@@ -134,7 +133,6 @@
       parts.recordDispatch(request, upstreamId)
       sendToCore(pool, { kind: QuarantineMessageKind.Dispatched, requestId, fingerprint, upstreamId })
     },
-    recordFirstBytes: parts.recordFirstBytes,
     recordEnd: (request, agentId, result) => {
       parts.recordEnd(request, agentId, result)
       sendToCore(request.pool, { kind: QuarantineMessageKind.Ended, requestId: request.requestId })
--- a/src/nodes/entry/requestPorts.ts
+++ b/src/nodes/entry/requestPorts.ts
@@ -78,7 +78,6 @@
     },
     onResumed: (request, _agent, attempt) => spans.recordResume(request, attempt),
     onFirstBytes: (request, agent) => {
-      quarantine.recordFirstBytes(request, agent.agentId)
       routers.recordFirstBytes(request, agent.agentId)
       admission.recordFirstBytes(request)
       metrics.record(MetricName.FirstTokenMs, ageMs(request), { route: request.route })
--- a/src/nodes/forward/crashMonitor.ts
+++ b/src/nodes/forward/crashMonitor.ts
@@ -1,8 +1,9 @@
-import type { Clock } from '../../core/index.js'
+import type { Clock, TimestampMs } from '../../core/index.js'
 import type { WorkerRun } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import {
-  type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits, requestTrait, type Trait, traitsOf
+  type AnsweredRequest, type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits, requestTrait,
+  type Trait, traitsOf
 } from '../../quarantine/index.js'
 
 export interface CrashMonitorOptions {
@@ -22,10 +23,10 @@
   readonly blockedCount: number
   recordLost (worker: WorkerRun, request: RequestContent, attempt: LostAttempt): void
   recordWorkerDown (worker: WorkerRun): void
-  /** Records that a worker began to answer the request. */
-  recordAnswerBegun (request: RequestContent): void
-  /** Records a response of any status, which shows that the request as a whole crashes no worker. */
-  recordResponse (request: RequestContent): void
+  /** Records that a worker has answered the request to the end. */
+  recordAnswered (worker: WorkerRun, request: RequestContent, sentAtMs: TimestampMs): void
+  /** Records a whole response that reports a failure, which shows that the request as a whole crashes no worker. */
+  recordFailed (worker: WorkerRun, request: RequestContent, sentAtMs: TimestampMs): void
   adoptPeerReport (report: CrashReport): void
   createReport (): CrashReport
 }
@@ -48,32 +49,42 @@
     log(LogEvent.BlockedTraitsChanged, { blocked })
   }
 
-  const recordAnswer = (traits: readonly Trait[]) => {
-    const cleared = record.recordAnswer(traits)
+  const countProvenAnswers = () => {
+    const cleared: readonly Trait[] = record.countProvenAnswers()
     if (cleared.length === 0) return
     log(LogEvent.TraitsCleared, { traits: cleared })
     logBlocked()
     onChanged()
   }
 
+  const recordAnswered = (worker: WorkerRun, answered: AnsweredRequest) => {
+    record.recordAnswered(worker, answered)
+    countProvenAnswers()
+  }
+
   return {
-    findBlocked: request => record.isEmpty ? undefined : record.findBlocked(traitsOf(request)),
+    findBlocked: request => {
+      countProvenAnswers()
+      return record.isEmpty ? undefined : record.findBlocked(traitsOf(request))
+    },
     get blockedCount () { return record.blocked().length },
     recordLost: (worker, request, { sentAtMs, hasHead, hasAnswerBegun }) => record.recordLost(worker, {
-      traits: hasAnswerBegun ? [requestTrait(request)] : traitsOf(request), sentAtMs, hasHead
+      traits: traitsOf(request), sentAtMs, hasHead: hasHead && !hasAnswerBegun
     }),
     recordWorkerDown: ({ workerId, startedAtUnixMs }) => {
       const traits = record.recordDown({ workerId, startedAtUnixMs })
+      countProvenAnswers()
       if (traits.length === 0) return
       log(LogEvent.WorkerCrashed, { workerId, startedAtUnixMs, traits })
       logBlocked()
       onChanged()
     },
-    recordAnswerBegun: request => recordAnswer(partTraits(request)),
-    recordResponse: request => {
-      if (!record.isEmpty) recordAnswer([requestTrait(request)])
-    },
+    recordAnswered: (worker, request, sentAtMs) =>
+      recordAnswered(worker, { parts: partTraits(request), requestTrait: () => requestTrait(request), sentAtMs }),
+    recordFailed: (worker, request, sentAtMs) =>
+      recordAnswered(worker, { parts: [], requestTrait: () => requestTrait(request), sentAtMs }),
     adoptPeerReport: report => {
+      countProvenAnswers()
       // The other entries must learn at once of an answer to what one of them suspects.
       if (record.mergePeerReport(report)) onChanged()
       logBlocked()
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,6 +1,7 @@
 import { createUpstreamBytes } from '../../callerLimits/index.js'
 import { createIncarnation, createRequestIds, dispatch } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget } from '../../limits/index.js'
+import { type Worker, WorkerState } from '../../membership/index.js'
 import { LogEvent } from '../../observe/index.js'
 import { PeerMessageKind, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask } from '../../peers/index.js'
 import { createWorkerPlacement, type WorkerPlacement } from '../../routing/index.js'
@@ -82,7 +83,9 @@
       options.onConfiguration(storeView)
     },
     onWorkersChanged: changes => {
-      for (const { workerId, startedAtUnixMs, isRunOver } of changes) if (isRunOver) crashes.recordWorkerDown({ workerId, startedAtUnixMs })
+      for (const { workerId, startedAtUnixMs, before, isRunOver } of changes) {
+        if (isRunOver && before !== WorkerState.Draining) crashes.recordWorkerDown({ workerId, startedAtUnixMs })
+      }
       forward.closeUnused()
     },
     onWorkerRead: registration => workerLimits.post({ kind: WorkerLimitsMessageKind.WorkerRead, registration }),
@@ -94,6 +97,10 @@
 
   const usableWorkers = (service: string) => storeView.workers.usable(service)
   const otherEntries = () => peers.reports.entries()
+  const isLeaving = ({ workerId, startedAtUnixMs, zone: workerZone }: Worker) => {
+    const known = storeView.workers.get(workerId)
+    return storeView.evacuations.isEvacuated(workerZone) || known?.startedAtUnixMs !== startedAtUnixMs || known.state !== WorkerState.Serving
+  }
 
   const workerLimits: WorkerLimitsTask = startWorkerLimitsTask({
     clock,
@@ -152,6 +159,7 @@
       streamLimitOf: streamLimits.of,
       usableWorkers,
       crashes,
+      isLeaving,
       workerLimits: workerLimits.limits,
       postWorkerLimits: workerLimits.post,
       onWorkerLeaving: storeView.recordLeaving,
--- a/src/nodes/forward/evacuatedRequests.test.ts
+++ b/src/nodes/forward/evacuatedRequests.test.ts
@@ -47,6 +47,7 @@
         upstreamBytes,
         usableWorkers: workers.usable,
         crashes: createCrashMonitor({ clock, log: () => {}, onChanged: () => {} }),
+        isLeaving: () => false,
         workerLimits: { permissionOf, waitMsOf: () => 0, coldLeftMs: () => 0, usePermit: () => {} } as unknown as WorkerLimits,
         postWorkerLimits: () => {},
         onWorkerLeaving: () => {},
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -23,6 +23,8 @@
   streamLimitOf: (service: string) => StreamLimit
   usableWorkers: (service: string) => readonly Worker[]
   crashes: CrashMonitor
+  /** Whether a worker is expected to end, as it drains, is no longer registered, or its failure domain is evacuated. */
+  isLeaving: (worker: Worker) => boolean
   workerLimits: WorkerLimits
   postWorkerLimits: (message: WorkerLimitsMessage) => void
   /** Called for each response in which a worker says that it is leaving. */
@@ -60,7 +62,7 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, placementRequests: { isEngine, toPlacementRequest }, upstreamBytes, placement, budget, streamLimitOf, usableWorkers, crashes, workerLimits, postWorkerLimits, onWorkerLeaving, counters, log, capacityRecorder, now, onRunningChanged
+  random, placementRequests: { isEngine, toPlacementRequest }, upstreamBytes, placement, budget, streamLimitOf, usableWorkers, crashes, isLeaving, workerLimits, postWorkerLimits, onWorkerLeaving, counters, log, capacityRecorder, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isAsked = (service: string) => usableWorkers(service).some(worker => workerLimits.permissionOf(worker) === WorkerPermission.Asked)
 
@@ -102,17 +104,15 @@
 
   const ignoreAttempt = () => {}
 
-  const recordAnswered = (request: ForwardRequest) => {
-    crashes.recordAnswerBegun(request)
-    crashes.recordResponse(request)
-  }
-
   /** Records whether the outcome of an attempt points to a crash of its worker or rules one out. */
   const recordCrashEvidence: Record<AttemptEnd, (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome) => void> = {
-    [AttemptEnd.Answered]: recordAnswered,
-    [AttemptEnd.Failed]: request => crashes.recordResponse(request),
+    [AttemptEnd.Answered]: (request, worker, { sentAtMs }) => crashes.recordAnswered(worker, request, sentAtMs),
+    [AttemptEnd.Failed]: (request, worker, { sentAtMs }) => crashes.recordFailed(worker, request, sentAtMs),
     [AttemptEnd.NotRun]: ignoreAttempt,
-    [AttemptEnd.Lost]: (request, worker, outcome) => crashes.recordLost(worker, request, outcome),
+    [AttemptEnd.Lost]: (request, worker, outcome) => {
+      // The requests that a planned end cuts off have not caused it.
+      if (!isLeaving(worker)) crashes.recordLost(worker, request, outcome)
+    },
     [AttemptEnd.Cancelled]: ignoreAttempt,
     [AttemptEnd.NotConnected]: (_request, worker) => crashes.recordWorkerDown(worker)
   }
@@ -153,15 +153,12 @@
       if (IS_LOST_ATTEMPT[end]) placement.recordLost(workerId)
       counters.countAttempt(service, end)
       onRunningChanged(SelfChange.LoadFell)
-      const isUnanswered = end === AttemptEnd.Lost && !hasAnswerBegun
-      log(LogEvent.AttemptEnded, { requestId, workerId, end, detail, hasAnswerBegun, ...(isUnanswered ? { promptParts } : {}) })
+      log(LogEvent.AttemptEnded, { requestId, workerId, end, detail, hasAnswerBegun, ...(end === AttemptEnd.Lost ? { promptParts } : {}) })
     },
     onEventGap: (request, _worker, gapMs, isFirst) => {
       const { route, service } = request
-      if (isFirst) {
-        counters.firstEventMs.observe(gapMs)
-        crashes.recordAnswerBegun(request)
-      } else if (route.eventGapTargetMs > 0) streamLimitOf(service).recordEventGap(gapMs, route.eventGapTargetMs)
+      if (isFirst) counters.firstEventMs.observe(gapMs)
+      else if (route.eventGapTargetMs > 0) streamLimitOf(service).recordEventGap(gapMs, route.eventGapTargetMs)
     },
     onRequestEnded: ({ requestId, callerAttemptId, route, arrivedAtMs }, code, detail) => {
       const tookMs = now() - arrivedAtMs
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -50,6 +50,7 @@
   [ForwardMessageKind.ExchangeFailed]: Lane.Bulk,
   [ForwardMessageKind.ExchangeOverflowed]: Lane.Control,
   [ForwardMessageKind.RequestUnsendable]: Lane.Control,
+  [ForwardMessageKind.ConnectionClosedEarly]: Lane.Control,
   [ForwardMessageKind.WorkerChecked]: Lane.Control,
   [ForwardMessageKind.CallerGone]: Lane.Control,
   [ForwardMessageKind.HandlingFailed]: Lane.Control,
@@ -80,8 +81,13 @@
   const backlog = createExchangeBacklog()
   let closedPoolConnections = 0
 
+  const reportClosedEarly = (address: string) => {
+    const worker = workers.all().find(candidate => candidate.address === address)
+    if (worker !== undefined) task.post({ kind: ForwardMessageKind.ConnectionClosedEarly, worker })
+  }
+
   const poolOf = (address: string): ConnectionPool => {
-    const pool = pools.get(address) ?? createConnectionPool({ address, clock })
+    const pool = pools.get(address) ?? createConnectionPool({ address, clock, onClosedEarly: () => reportClosedEarly(address) })
     pools.set(address, pool)
     return pool
   }
--- a/src/quarantine/attributeCrashes.ts
+++ b/src/quarantine/attributeCrashes.ts
@@ -1,14 +1,14 @@
 import type { TimestampMs } from '../core/index.js'
 import { isRequestTrait, type Trait } from './requestTraits.js'
 
-/** Crash of one worker run during which a request with a trait waited for its answer. */
+/** Crash of one worker run during which a request with a trait had not been answered to the end. */
 export interface TraitCrash {
   runId: string
   /** When the last such request was sent to the run, on the clock of this process. */
   sentAtMs: TimestampMs
   /** When its response was lost. */
   lostAtMs: TimestampMs
-  /** Whether the worker had sent the head of its response, so that it crashed while it began the answer. */
+  /** Whether the worker had sent the head of its response and nothing more, so that it crashed while it began the answer. */
   hasHead: boolean
 }
 
@@ -16,7 +16,7 @@
 export interface TraitHistory {
   /** Crashes since the last answer, by run. */
   crashes: ReadonlyMap<string, TraitCrash>
-  /** When a worker last began to answer a request with the trait. */
+  /** When a worker last answered a request with the trait to the end, and lived on. */
   answeredAtMs: TimestampMs | undefined
 }
 
@@ -32,7 +32,7 @@
 
 /**
  * Weight of a crash right after the head of a response, as evidence against a prompt part; others have the weight 1.
- * Requests that only wait beside have no head yet, and those whose answers are under way are no candidates.
+ * Requests that only wait beside have no head yet, and of those whose answers are under way any may have caused the crash.
  */
 export const HEAD_CRASH_WEIGHT = 3
 /** A trait that is blocked for a single crash may run again after this time, in case the crash was a coincidence. */
@@ -83,7 +83,7 @@
 export type BlockedTraits = readonly Trait[]
 
 /**
- * Attributes crashes to the traits of the requests that waited at them. The trait that fits most crashes is blocked
+ * Attributes crashes to the traits of the requests that were not answered to the end. The trait that fits most crashes is blocked
  * first, and its crashes then count against no other one, so that a request which only waited beside is not suspected.
  * If several traits fit the same crashes, only requests that have all of them are blocked.
  *
--- a/src/quarantine/createCrashRecord.ts
+++ b/src/quarantine/createCrashRecord.ts
@@ -1,6 +1,7 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 import type { WorkerRun } from '../membership/index.js'
 import { attributeCrashes, type BlockedTraits, type TraitCrash } from './attributeCrashes.js'
+import { type AnsweredRequest, createRecentAnswers, type RecentAnswer, SURVIVAL_MS } from './recentAnswers.js'
 import type { Trait } from './requestTraits.js'
 
 /** A crash in a report; times are relative to the report, as entries share no clock. */
@@ -9,7 +10,7 @@
 /** What an entry tells the other entries about crashes. */
 export interface CrashReport {
   crashes: Record<Trait, ReportedCrash[]>
-  /** Time since a worker last began to answer a request, by trait; only traits of which some entry reported a crash. */
+  /** Time since a worker last answered a request and lived on, by trait; only traits of which some entry reported a crash. */
   answeredAgoMs: Record<Trait, number>
 }
 
@@ -22,11 +23,11 @@
   return describe(a) === describe(b)
 }
 
-/** A request whose worker was lost before it began to answer. */
+/** A request whose worker was lost before it had answered to the end. */
 export interface LostRequest {
   traits: readonly Trait[]
   sentAtMs: TimestampMs
-  /** Whether the head of the response had arrived. */
+  /** Whether the head of the response had arrived, and nothing of its body. */
   hasHead: boolean
 }
 
@@ -51,15 +52,19 @@
 export interface CrashRecord {
   /** True while no crashes are recorded; whole requests need not be hashed then. */
   readonly isEmpty: boolean
-  /** Records that a request was sent and its worker was lost before it began to answer. */
+  /** Records that a request was sent and its worker was lost before it had answered to the end. */
   recordLost (run: WorkerRun, request: LostRequest): void
   /** Records that a run ended or its worker is unreachable. Returns the traits to which a crash was added. */
   recordDown (run: WorkerRun): Trait[]
+  /** Records that a run has answered a request to the end; the answer counts once the run has lived on for some time. */
+  recordAnswered (run: WorkerRun, answered: AnsweredRequest): void
+  /** Counts the answers whose runs have lived on. Returns the traits that are cleared of a crash by them. */
+  countProvenAnswers (): Trait[]
   /**
-   * Records that a worker began to answer a request, so none of its traits crashes workers.
+   * Records that a worker has answered a request and lived on, so none of its traits crashes workers.
    * Returns the traits that are cleared of a crash by it.
    */
-  recordAnswer (traits: readonly Trait[]): Trait[]
+  recordAnswer (traits: readonly Trait[], answeredAtMs?: TimestampMs): Trait[]
   /** Adds what a peer reported. Returns whether this entry knows of an answer that clears a reported crash, or makes it less suspect. */
   mergePeerReport (report: CrashReport): boolean
   /** Returns the blocked traits that a request has, if there are any. */
@@ -86,7 +91,8 @@
 
 /**
  * Creates the crash record of one entry. A crash also fails requests that did not cause it; their traits are cleared
- * once a worker begins to answer any request that has them.
+ * once a worker answers any request that has them to the end and lives on. That an answer has begun clears nothing, as a worker
+ * may crash at any point of it.
  *
  * @example
  * const crashes = createCrashRecord({ clock })
@@ -97,6 +103,7 @@
   const crashesByTrait = new Map<Trait, Map<string, TraitCrash>>()
   /** Ordered by the time of the last answer. */
   const answeredAtMs = new Map<Trait, TimestampMs>()
+  const recentAnswers = createRecentAnswers({ clock, survivalMs: SURVIVAL_MS })
   const lostByRun = new Map<string, { request: LostRequest, lostAtMs: TimestampMs }[]>()
   /** When an entry last reported a crash of a trait; the answers to these traits are reported to the peers. */
   const reportedAtMs = new Map<Trait, TimestampMs>()
@@ -200,18 +207,27 @@
     return [runId, roundAge(nowMs - sentAtMs), roundAge(nowMs - lostAtMs), hasHead]
   }
 
+  const addLost = (runId: string, request: LostRequest) => {
+    const traits = [...request.traits.filter(trait => !answeredAtMs.has(trait)), ...request.traits.filter(trait => answeredAtMs.has(trait))]
+    const lost = { request: { ...request, traits: traits.slice(0, CRASHED_TRAITS_PER_REQUEST_MAX) }, lostAtMs: clock.nowMs() }
+    lostByRun.set(runId, [...lostByRun.get(runId) ?? [], lost])
+  }
+
+  const traitsOfAnswer = ({ parts, requestTrait }: RecentAnswer): readonly Trait[] =>
+    requestTrait === undefined ? parts : [requestTrait(), ...parts]
+
+  const recordAnswerAt = (traits: readonly Trait[], atMs: TimestampMs): Trait[] => traits.filter(trait => recordAnsweredAt(trait, atMs))
+
   return {
     get isEmpty () { return crashesByTrait.size === 0 },
     recordLost: (run, request) => {
       expireLost()
-      const runId = runIdOf(run)
-      const traits = [...request.traits.filter(trait => !answeredAtMs.has(trait)), ...request.traits.filter(trait => answeredAtMs.has(trait))]
-      const lost = { request: { ...request, traits: traits.slice(0, CRASHED_TRAITS_PER_REQUEST_MAX) }, lostAtMs: clock.nowMs() }
-      lostByRun.set(runId, [...lostByRun.get(runId) ?? [], lost])
+      addLost(runIdOf(run), request)
     },
     recordDown: run => {
       expireLost()
       const runId = runIdOf(run)
+      for (const answer of recentAnswers.takeOf(runId)) addLost(runId, { traits: traitsOfAnswer(answer), sentAtMs: answer.sentAtMs, hasHead: false })
       const lost = (lostByRun.get(runId) ?? []).sort((a, b) => compareEvidence(a.request, b.request))
       lostByRun.delete(runId)
       return lost.flatMap(({ request: { traits, sentAtMs, hasHead }, lostAtMs }) => traits.filter(trait => {
@@ -219,7 +235,12 @@
         return addCrash(trait, { runId, sentAtMs, lostAtMs, hasHead })
       }))
     },
-    recordAnswer: traits => traits.filter(trait => recordAnsweredAt(trait, clock.nowMs())),
+    recordAnswered: (run, answered) => recentAnswers.add(runIdOf(run), answered),
+    countProvenAnswers: () => recentAnswers.takeProven().flatMap(answer => {
+      const traits = crashesByTrait.size === 0 ? answer.parts : traitsOfAnswer(answer)
+      return recordAnswerAt(traits, answer.answeredAtMs)
+    }),
+    recordAnswer: (traits, answeredAtMs = clock.nowMs()) => recordAnswerAt(traits, answeredAtMs),
     mergePeerReport: ({ crashes, answeredAgoMs }) => {
       const nowMs = clock.nowMs()
       let knowsAnswer = false
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -176,11 +176,13 @@
       expect(finishCheck(UpstreamCheck.Down)).toEqual([])
     })
 
-    it('need no check once an event has arrived', () => {
+    // Guards against a request that crashes one worker after the other, as it is resumed before the crash is known.
+    it('are resumed only after a check, too, once an event has arrived', () => {
       submit(streamRoute)
       startResponse(1, createResponse(ResponseVerdict.Success, 200, true))
       bytes(1, 'id: 1\ndata: a\n\n')
-      expect(kinds(failUnchecked(1))).toEqual([ForwardEffectKind.SendToWorker])
+      expect(kinds(failUnchecked(1))).toEqual([ForwardEffectKind.CheckWorker])
+      expect(kinds(finishCheck(UpstreamCheck.Down))).toEqual([ForwardEffectKind.SendToWorker])
     })
   })
 
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -99,12 +99,11 @@
   }
 
   /**
-   * A request that is lost before its answer began may have crashed its worker, and would crash the next one too. It is
-   * retried only after a check of the worker, so that the crash is known by then.
+   * A request that is lost may have crashed its worker, and would crash the next one too. It is retried only after a check of
+   * the worker, so that the crash is known by then.
    */
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Lost, detail)
-    if (hasAnswerBegun(attempt)) return retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
     if (isRetryAllowed(inFlight, clock.nowMs())) return checkWorker(attempt.worker, inFlight)
     return [...checkWorker(attempt.worker), ...failRequest(inFlight, ResultCode.UpstreamDied, detail)]
   }
@@ -278,6 +277,7 @@
     [ForwardMessageKind.ExchangeOverflowed]: withAttempt((inFlight, attempt, { exchangeId }) =>
       onExchangeFailed(inFlight, attempt, { exchangeId, hasLeft: true, reason: 'too many parts of responses wait to be handled' })),
     [ForwardMessageKind.RequestUnsendable]: withAttempt((inFlight, attempt, { reason }) => onRequestUnsendable(inFlight, attempt, reason)),
+    [ForwardMessageKind.ConnectionClosedEarly]: ({ worker }) => checkWorker(worker),
     [ForwardMessageKind.WorkerChecked]: ({ worker, check }) => onWorkerChecked(worker, check),
     [ForwardMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
     [ForwardMessageKind.HandlingFailed]: failStuck,
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -117,7 +117,7 @@
   onSent (request: ForwardRequest, worker: Worker, attempt: number): void
   /** Called with what a worker says about itself in the head of its response to a request that was sent at `sentAtMs`. */
   onWorkerNotice (worker: Worker, notice: WorkerNotice, sentAtMs: TimestampMs): void
-  /** Called with the result of a check that followed an attempt which was lost before its answer began. */
+  /** Called with the result of a check that followed a lost attempt, or the early end of an idle connection. */
   onWorkerChecked (worker: Worker, check: UpstreamCheck): void
   onAttemptEnded (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome): void
   /** Called with the time between two events of a stream, or from the send to the first event. */
@@ -139,6 +139,8 @@
   ExchangeOverflowed = 'exchange-overflowed',
   /** The head of the request cannot be encoded; nothing was sent. */
   RequestUnsendable = 'request-unsendable',
+  /** A worker closed an idle connection right after a response, which may be the sign of a crash. */
+  ConnectionClosedEarly = 'connection-closed-early',
   WorkerChecked = 'worker-checked',
   CallerGone = 'caller-gone',
   /** An exception has cut the handling of a message short. */
@@ -158,6 +160,7 @@
   | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, isUnframedEnd?: boolean }
   | { kind: ForwardMessageKind.ExchangeOverflowed, exchangeId: number }
   | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
+  | { kind: ForwardMessageKind.ConnectionClosedEarly, worker: Worker }
   | { kind: ForwardMessageKind.WorkerChecked, worker: Worker, check: UpstreamCheck }
   | { kind: ForwardMessageKind.CallerGone, requestId: string }
   | { kind: ForwardMessageKind.HandlingFailed }
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import type { Clock, TimestampMs } from '../core/index.js'
 import {
-  CONNECT_TIMEOUT_MS, ConnectionState, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS, type ReadPause
+  CONNECT_TIMEOUT_MS, ConnectionState, EARLY_CLOSE_MS, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS, type ReadPause
 } from './constants.js'
 import { createPacedReading } from './createPacedReading.js'
 import { createResponseReader, type ResponseReader } from './createResponseReader.js'
@@ -29,6 +29,8 @@
   connectTimeoutMs?: number
   onIdle: () => void
   onClosed: () => void
+  /** Called when the upstream closes the idle connection within EARLY_CLOSE_MS of a response, although it said it would keep it. */
+  onClosedEarly: () => void
 }
 
 interface Exchange {
@@ -53,11 +55,12 @@
  * connection.send(request, event => { ... })
  */
 export const openConnection = (
-  { host, port, clock, connectTimeoutMs = CONNECT_TIMEOUT_MS, onIdle, onClosed }: ConnectionOptions
+  { host, port, clock, connectTimeoutMs = CONNECT_TIMEOUT_MS, onIdle, onClosed, onClosedEarly }: ConnectionOptions
 ): Connection => {
   let state = ConnectionState.Connecting
   let exchange: Exchange | undefined
   let reusableUntilMs = 0
+  let idleSinceMs = 0
   let idleLimitMs = IDLE_REUSE_MAX_MS
   const socket: Socket = connect({ host, port, noDelay: true })
 
@@ -87,7 +90,8 @@
     else {
       reading.reset()
       state = ConnectionState.Idle
-      reusableUntilMs = clock.nowMs() + idleLimitMs
+      idleSinceMs = clock.nowMs()
+      reusableUntilMs = idleSinceMs + idleLimitMs
       onIdle()
     }
     emit({ kind: ExchangeEventKind.Finished })
@@ -126,15 +130,21 @@
   }
   const reading = createPacedReading({ socket, parse })
 
+  const onIdleClosed = () => {
+    const isEarly = state === ConnectionState.Idle && clock.nowMs() - idleSinceMs < EARLY_CLOSE_MS
+    close()
+    if (isEarly) onClosedEarly()
+  }
   socket.on('end', () => {
-    if (exchange === undefined) return close()
+    if (exchange === undefined) return onIdleClosed()
     const fault = exchange.reader.end()
     if (fault === undefined) finish()
     else fail(fault)
   })
   const onLost = () => {
+    if (exchange === undefined) return onIdleClosed()
     // What was read before may complete the response.
-    if (exchange !== undefined) reading.flush()
+    reading.flush()
     fail(exchange?.hasLeft === true ? ExchangeFault.ConnectionLost : ExchangeFault.NotConnected)
   }
   socket.on('error', onLost)
--- a/src/upstreams/connectionPool.ts
+++ b/src/upstreams/connectionPool.ts
@@ -31,6 +31,8 @@
   address: string
   clock: Clock
   connectTimeoutMs?: number
+  /** Called when the upstream has closed an idle connection right after a response. */
+  onClosedEarly?: () => void
 }
 
 /**
@@ -40,7 +42,7 @@
  * const pool = createConnectionPool({ address: '10.0.0.1:80', clock })
  * const cancel = pool.send(request, ConnectionUse.Reuse, event => { ... })
  */
-export const createConnectionPool = ({ address, clock, connectTimeoutMs }: ConnectionPoolOptions): ConnectionPool => {
+export const createConnectionPool = ({ address, clock, connectTimeoutMs, onClosedEarly = () => {} }: ConnectionPoolOptions): ConnectionPool => {
   const separatorAt = address.lastIndexOf(':')
   const host = address.slice(0, separatorAt)
   const port = Number(address.slice(separatorAt + 1))
@@ -60,7 +62,8 @@
       onIdle: () => {
         if (isRetired || idleConnections().length > IDLE_CONNECTIONS_MAX) connection.destroy()
       },
-      onClosed: () => { connections.delete(connection) }
+      onClosed: () => { connections.delete(connection) },
+      onClosedEarly
     })
     connections.add(connection)
     return connection
--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -38,6 +38,8 @@
 export const IDLE_MARGIN_MS = 1_000
 /** Longest time for which an idle connection may be reused, also if the upstream announces no timeout. */
 export const IDLE_REUSE_MAX_MS = 4_000
+/** An upstream that closes a connection this soon after a response, although it said it would keep it, may have crashed. */
+export const EARLY_CLOSE_MS = 200
 export const IDLE_CONNECTIONS_MAX = 8
 /**
  * Bytes of one connection that are parsed in one turn of the event loop. The work that they cause depends on how small the
