Take a request during a planned stop only if it can end before the exit

Cause: for the first 3.5 s every request was taken, whatever time it needs. Ruled out: an early exit and the close of idle connections, as the process ends 0.4 s before the kill and all streams with it.

Change: a request must most likely end before the exit, by its deadline or by the longest requests of its route lately; once callers no longer keep the address, it must end by its deadline. What has no room is refused at once as not run. A lost request is sent again only if that attempt can end. At the exit, callers without a response get one.

--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,5 +1,5 @@
 import { createUpstreamBytes } from '../../callerLimits/index.js'
-import { createIncarnation, createRequestIds, dispatch } from '../../core/index.js'
+import { createIncarnation, createRequestIds, dispatch, type TimestampMs } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget } from '../../limits/index.js'
 import { type Worker, WorkerState } from '../../membership/index.js'
 import { LogEvent } from '../../observe/index.js'
@@ -19,6 +19,7 @@
 import { createPlacementRequests } from './placementRequest.js'
 import { createPlannedStop } from './plannedStop.js'
 import { createRequestOpener } from './createRequestOpener.js'
+import { createRouteDurations } from './routeDurations.js'
 import { createRecordSources } from './recordSources.js'
 import { createLearnedCapacity } from './learnedCapacity.js'
 import { createSlowdownTracker } from './slowdownTracker.js'
@@ -29,6 +30,8 @@
 /** A gap this long between two housekeeping ticks means that the process was paused. */
 const PROCESS_PAUSE_MS = 1_200
 const HOUSEKEEPING_MS = 200
+/** A request may take this much longer than the longest ones of its route lately. */
+const DURATION_MARGIN = 1.5
 const FEED_TICK_MS = 100
 
 /**
@@ -45,12 +48,18 @@
   const incarnation = createIncarnation(random)
   const counters = createForwardCounters()
   const plannedStop = createPlannedStop({ clock })
+  const durations = createRouteDurations({ clock })
   let lastHousekeepingMs = clock.nowMs()
   let lastAdjustMs = clock.nowMs()
 
   const expectsOthers = options.seedAddresses.some(address => address !== peerAddress)
   const weighing = createEntryWeighing({ clock, capacity: options.capacity, otherEntries: () => otherEntries(), expectsOthers, log })
 
+  const expectedEndAtMs = (route: string, deadlineAtMs: TimestampMs): TimestampMs => {
+    const longestMs = durations.longestMs(route)
+    return longestMs === undefined ? deadlineAtMs : clock.nowMs() + longestMs * DURATION_MARGIN
+  }
+
   const reportStateChange = () => peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
 
   const crashes = createCrashMonitor({ clock, log, onChanged: reportStateChange })
@@ -160,6 +169,8 @@
       usableWorkers,
       crashes,
       isLeaving,
+      mayRetry: ({ route, deadlineAtMs }) => plannedStop.mayRetry({ deadlineAtMs, expectedEndAtMs: expectedEndAtMs(route.name, deadlineAtMs) }),
+      recordDuration: durations.record,
       workerLimits: workerLimits.limits,
       postWorkerLimits: workerLimits.post,
       onWorkerLeaving: storeView.recordLeaving,
@@ -246,7 +257,9 @@
     }
   }, HOUSEKEEPING_MS)
 
-  const open = createRequestOpener({ configuration: storeView.configuration, plannedStop, clock, random, budget, submit: forward.submit, log })
+  const open = createRequestOpener({
+    admission: { configuration: storeView.configuration, plannedStop, expectedEndAtMs, clock, random }, budget, submit: forward.submit, log
+  })
 
   return {
     nextRequestId: createRequestIds(incarnation),
@@ -260,6 +273,7 @@
       plannedStop.start(schedule)
       peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
     },
+    endRequests: forward.endRequests,
     get inFlightCount () { return forward.core.liveCount },
     counters,
     storeView,
--- a/src/nodes/forward/createRequestOpener.ts
+++ b/src/nodes/forward/createRequestOpener.ts
@@ -1,10 +1,8 @@
-import type { ConfigurationHolder } from '../../configuration/index.js'
-import { type Clock, describeResult, type Random } from '../../core/index.js'
+import { describeResult } from '../../core/index.js'
 import type { FleetRetryBudget } from '../../limits/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
-import { admitCaller } from './admitCaller.js'
+import { type AdmissionOptions, admitCaller } from './admitCaller.js'
 import type { ForwardTask } from './forwardTask.js'
-import type { PlannedStop } from './plannedStop.js'
 import type { CallerRequest, CallerSink } from './types.js'
 
 /** A request whose head was admitted and whose body has not arrived yet. */
@@ -15,10 +13,7 @@
 }
 
 export interface RequestOpenerOptions {
-  configuration: ConfigurationHolder
-  plannedStop: PlannedStop
-  clock: Clock
-  random: Random
+  admission: AdmissionOptions
   budget: FleetRetryBudget
   submit: ForwardTask['submit']
   log: EventLog
@@ -31,12 +26,13 @@
  * Returns the function that admits a request by its head, or refuses it through the sink and returns undefined.
  *
  * @example
- * createRequestOpener({ configuration, plannedStop, clock, random, budget, submit, log })(caller, sink)?.submit(body)
+ * createRequestOpener({ admission, budget, submit, log })(caller, sink)?.submit(body)
  */
 export const createRequestOpener = (
-  { configuration, plannedStop, clock, random, budget, submit, log }: RequestOpenerOptions
+  { admission, budget, submit, log }: RequestOpenerOptions
 ) => (caller: CallerRequest, sink: CallerSink): OpenRequest | undefined => {
-  const admitted = admitCaller(caller, { configuration, plannedStop, clock, random })
+  const { configuration } = admission
+  const admitted = admitCaller(caller, admission)
   if (typeof admitted === 'number') {
     log(LogEvent.RequestRefused, {
       requestId: caller.requestId,
--- a/src/nodes/forward/evacuatedRequests.test.ts
+++ b/src/nodes/forward/evacuatedRequests.test.ts
@@ -48,6 +48,8 @@
         usableWorkers: workers.usable,
         crashes: createCrashMonitor({ clock, log: () => {}, onChanged: () => {} }),
         isLeaving: () => false,
+        mayRetry: () => true,
+        recordDuration: () => {},
         workerLimits: { permissionOf, waitMsOf: () => 0, coldLeftMs: () => 0, usePermit: () => {} } as unknown as WorkerLimits,
         postWorkerLimits: () => {},
         onWorkerLeaving: () => {},
--- a/src/nodes/forward/forwardNodeTypes.ts
+++ b/src/nodes/forward/forwardNodeTypes.ts
@@ -50,6 +50,8 @@
   readonly isStopping: boolean
   /** Removes this entry from the addresses given to callers; it still serves requests that can end in time. */
   startStopping (schedule: StopSchedule): void
+  /** Ends all requests in flight, as the process exits: callers whose responses have not begun are told so. */
+  endRequests (): void
   readonly inFlightCount: number
   readonly counters: ForwardCounters
   readonly storeView: StoreView
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -25,6 +25,9 @@
   crashes: CrashMonitor
   /** Whether a worker is expected to end, as it drains, is no longer registered, or its failure domain is evacuated. */
   isLeaving: (worker: Worker) => boolean
+  /** Whether a request that was lost at one worker may still end at another one before this process exits. */
+  mayRetry: (request: ForwardRequest) => boolean
+  recordDuration: (route: string, tookMs: number) => void
   workerLimits: WorkerLimits
   postWorkerLimits: (message: WorkerLimitsMessage) => void
   /** Called for each response in which a worker says that it is leaving. */
@@ -62,7 +65,7 @@
  * startForwardTask({ ports: createForwardPorts({ ... }), ... })
  */
 export const createForwardPorts = ({
-  random, placementRequests: { isEngine, toPlacementRequest }, upstreamBytes, placement, budget, streamLimitOf, usableWorkers, crashes, isLeaving, workerLimits, postWorkerLimits, onWorkerLeaving, counters, log, capacityRecorder, now, onRunningChanged
+  random, placementRequests: { isEngine, toPlacementRequest }, upstreamBytes, placement, budget, streamLimitOf, usableWorkers, crashes, isLeaving, mayRetry, recordDuration, workerLimits, postWorkerLimits, onWorkerLeaving, counters, log, capacityRecorder, now, onRunningChanged
 }: ForwardPortsOptions): ForwardPorts => {
   const isAsked = (service: string) => usableWorkers(service).some(worker => workerLimits.permissionOf(worker) === WorkerPermission.Asked)
 
@@ -119,6 +122,7 @@
 
   return {
     place,
+    mayRetry,
     takeRetry: service => {
       const isTaken = budget.take(service)
       counters.retries[isTaken ? 'taken' : 'denied'] += 1
@@ -163,6 +167,7 @@
     onRequestEnded: ({ requestId, callerAttemptId, route, arrivedAtMs }, code, detail) => {
       const tookMs = now() - arrivedAtMs
       counters.countRequest(route.name, code, tookMs)
+      if (code === ResultCode.Ok) recordDuration(route.name, tookMs)
       log(LogEvent.RequestEnded, { requestId, callerAttemptId, route: route.name, code, detail, tookMs: Math.round(tookMs) })
     },
     retryAfterMs: ({ service }) => coldRetryAfterMs(service) ?? random.int(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
--- a/src/nodes/forward/forwardTask.test.ts
+++ b/src/nodes/forward/forwardTask.test.ts
@@ -43,6 +43,7 @@
 
   const ports: ForwardPorts = {
     place: () => ({ kind: PlacementKind.Placed, worker }),
+    mayRetry: () => true,
     takeRetry: () => false,
     onSent: () => {},
     onWorkerNotice: () => {},
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -29,6 +29,8 @@
   submit (request: ForwardRequest, sink: CallerSink): void
   cancel (requestId: string): void
   retryWaitingRequests (): void
+  /** Ends all requests, as the process exits. */
+  endRequests (): void
   /** Closes all idle connections, which may have fallen silent. */
   discardIdle (): void
   /** Closes idle connections to addresses that no longer belong to a worker, or to one in an evacuated failure domain. */
@@ -55,6 +57,7 @@
   [ForwardMessageKind.CallerGone]: Lane.Control,
   [ForwardMessageKind.HandlingFailed]: Lane.Control,
   [ForwardMessageKind.CapacityFreed]: Lane.Control,
+  [ForwardMessageKind.ProcessExits]: Lane.Control,
   [ForwardMessageKind.Tick]: Lane.Control
 }
 
@@ -209,6 +212,7 @@
       task.post({ kind: ForwardMessageKind.CallerGone, requestId })
     },
     retryWaitingRequests: () => { if (core.waitingCount > 0) task.post({ kind: ForwardMessageKind.CapacityFreed }) },
+    endRequests: () => { task.post({ kind: ForwardMessageKind.ProcessExits }) },
     discardIdle: () => { for (const pool of pools.values()) pool.discardIdle() },
     closeUnused: () => {
       const used = new Set(workers.all().filter(({ zone }) => !isEvacuated(zone)).map(({ address }) => address))
--- a/src/nodes/forward/plannedStop.ts
+++ b/src/nodes/forward/plannedStop.ts
@@ -2,18 +2,31 @@
 
 /** Times of a planned stop, from its start. */
 export interface StopSchedule {
-  /** Callers may still know this entry from an earlier directory response for this time. */
-  directoryExpiryMs: number
+  /** Callers may use this entry's address from an earlier directory response for this time, and cannot know that it stops. */
+  addressKeptMs: number
   /** The process exits after this time at the latest, whatever is still in flight. */
   exitMs: number
 }
 
+/** When a request will end. */
+export interface RequestEnd {
+  /** It has ended by then: its response is complete, or refused as late. */
+  deadlineAtMs: TimestampMs
+  /** It has most likely ended by then, going by recent requests of its route; the deadline if there were none. */
+  expectedEndAtMs: TimestampMs
+}
+
 /** Which requests an entry takes while it stops. */
 export interface PlannedStop {
   readonly isStarted: boolean
   start (schedule: StopSchedule): void
-  /** Whether a request with this deadline may be taken: a late one only if it ends before the process exits. */
-  mayTake (deadlineAtMs: TimestampMs): boolean
+  /**
+   * Whether a request may be taken. It must most likely end before the process exits; once no caller should use the entry any
+   * more, it must do so for certain.
+   */
+  mayTake (end: RequestEnd): boolean
+  /** Whether a request that was taken may be sent once more, as it most likely ends before the process exits. */
+  mayRetry (end: RequestEnd): boolean
 }
 
 /**
@@ -21,20 +34,25 @@
  *
  * @example
  * const stop = createPlannedStop({ clock })
- * stop.start({ directoryExpiryMs: 3_000, exitMs: 7_600 })
- * stop.mayTake(request.deadlineAtMs)
+ * stop.start({ addressKeptMs: 3_000, exitMs: 7_600 })
+ * stop.mayTake({ deadlineAtMs, expectedEndAtMs })
  */
 export const createPlannedStop = ({ clock }: { clock: Clock }): PlannedStop => {
-  let takesAllUntilMs = Infinity
+  let addressKeptUntilMs = Infinity
   let exitAtMs = Infinity
   let isStarted = false
+
+  const endsForCertain = ({ deadlineAtMs }: RequestEnd) => deadlineAtMs < exitAtMs
+  const endsMostLikely = ({ deadlineAtMs, expectedEndAtMs }: RequestEnd) => Math.min(deadlineAtMs, expectedEndAtMs) < exitAtMs
+
   return {
     get isStarted () { return isStarted },
-    start: ({ directoryExpiryMs, exitMs }) => {
+    start: ({ addressKeptMs, exitMs }) => {
       isStarted = true
-      takesAllUntilMs = clock.nowMs() + directoryExpiryMs
+      addressKeptUntilMs = clock.nowMs() + Math.min(addressKeptMs, exitMs / 2)
       exitAtMs = clock.nowMs() + exitMs
     },
-    mayTake: deadlineAtMs => clock.nowMs() < takesAllUntilMs || deadlineAtMs < exitAtMs
+    mayTake: end => clock.nowMs() < addressKeptUntilMs ? endsMostLikely(end) : endsForCertain(end),
+    mayRetry: endsMostLikely
   }
 }
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -58,6 +58,7 @@
         if (refusedForMs !== undefined) return { kind: PlacementKind.Refused, code: ResultCode.Overloaded, retryAfterMs: refusedForMs }
         return hasFreeWorker ? { kind: PlacementKind.Placed, worker: createWorker(`w${tried.length + 1}`) } : { kind: PlacementKind.Wait, code: waitCode }
       },
+      mayRetry: () => true,
       takeRetry: () => hasRetryBudget,
       onSent: () => {},
       onWorkerNotice: () => {},
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,8 +1,9 @@
-import { type ByteBuffer, type Clock, type Core, describeResult, dispatch, type HandlerTable, Outcome, ResultCode } from '../core/index.js'
+import { type ByteBuffer, type Clock, type Core, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { UpstreamCheck } from '../upstreams/index.js'
 import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
+import { createRequestEnds } from './createRequestEnds.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
 import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
@@ -39,24 +40,7 @@
   const table = createInFlightTable({ clock, ports })
   const { waiting, remove: removeRequest, endAttempt, endNotRun } = table
   const checks = createWorkerChecks<InFlightRequest>()
-
-  const cancelAttempt = (inFlight: InFlightRequest, detail: string): ForwardEffect[] => {
-    const exchangeId = inFlight.attempt?.exchangeId
-    endAttempt(inFlight, AttemptEnd.Cancelled, detail)
-    return exchangeId === undefined ? [] : [{ kind: ForwardEffectKind.CancelExchange, exchangeId }]
-  }
-
-  /** Ends a request for which no worker response can be delivered. */
-  const failRequest = (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs = 0): ForwardEffect[] => {
-    const { request: { requestId }, isHeadSent, mayHaveRun } = inFlight
-    const claimsNotRun = describeResult(code).outcome === Outcome.NotRun
-    const finalCode = claimsNotRun && mayHaveRun ? ResultCode.UpstreamDied : code
-    removeRequest(inFlight, finalCode, detail)
-    if (isHeadSent) return [{ kind: ForwardEffectKind.AbortConnection, requestId }]
-    const isRetryable = describeResult(finalCode).outcome === Outcome.NotRun && describeResult(finalCode).retryable
-    const retryAfterMs = isRetryable ? Math.max(retryAfterMinMs, ports.retryAfterMs(inFlight.request)) : undefined
-    return [{ kind: ForwardEffectKind.Refuse, requestId, code: finalCode, retryAfterMs }]
-  }
+  const { failRequest, expireIfDue, cancelIfGone, endAll, failStuck } = createRequestEnds({ clock, ports, table, checks })
 
   const sendToWorker = (inFlight: InFlightRequest, worker: Worker): ForwardEffect[] => {
     const { request } = inFlight
@@ -94,6 +78,8 @@
   const retryOrFail = (inFlight: InFlightRequest, code: ResultCode, detail: string): ForwardEffect[] => {
     const { request, mayHaveRun } = inFlight
     if (!isRetryAllowed(inFlight, clock.nowMs())) return failRequest(inFlight, code, detail)
+    // A stream that has begun is continued as far as the time allows.
+    if (!inFlight.isHeadSent && !ports.mayRetry(request)) return failRequest(inFlight, mayHaveRun ? code : ResultCode.Draining, detail)
     if (!ports.takeRetry(request.service)) return failRequest(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
     return placeOrQueue(inFlight)
   }
@@ -228,38 +214,12 @@
     return failRequest(inFlight, ResultCode.Unsendable, reason)
   }
 
-  const onCallerGone = (requestId: string): ForwardEffect[] => {
-    const inFlight = table.get(requestId)
-    if (inFlight === undefined) return []
-    const effects = cancelAttempt(inFlight, 'caller disconnected')
-    removeRequest(inFlight, ResultCode.CallerGone, 'caller disconnected')
-    return effects
-  }
-
   const placeWaiting = (): ForwardEffect[] =>
     forEachRequest([...waiting].sort(byUrgency), inFlight => {
       waiting.delete(inFlight)
       return placeOrQueue(inFlight)
     })
 
-  /** Whether something will happen to the request before its deadline. */
-  const isPending = (inFlight: InFlightRequest) => inFlight.attempt !== undefined || waiting.has(inFlight) || checks.isHeld(inFlight)
-
-  /** Ends the requests that an exception has left without a next step. */
-  const failStuck = (): ForwardEffect[] =>
-    forEachRequest(table.all(), inFlight => isPending(inFlight) ? [] : failRequest(inFlight, ResultCode.Internal, 'an exception occurred'))
-
-  const expireIfDue = (inFlight: InFlightRequest): ForwardEffect[] => {
-    const nowMs = clock.nowMs()
-    if (nowMs >= inFlight.request.deadlineAtMs) {
-      const effects = cancelAttempt(inFlight, 'deadline exceeded')
-      const code = inFlight.mayHaveRun ? ResultCode.DeadlineExceeded : ResultCode.DeadlineUnreachable
-      return [...effects, ...failRequest(inFlight, code, 'deadline exceeded')]
-    }
-    const hasQueueTimedOut = inFlight.queueDeadlineMs !== undefined && nowMs >= inFlight.queueDeadlineMs
-    return hasQueueTimedOut ? failRequest(inFlight, inFlight.waitCode, 'no worker became available in time') : []
-  }
-
   const withAttempt = <Message extends { exchangeId: number }>(
     handle: (inFlight: InFlightRequest, attempt: Attempt, message: Message) => ForwardEffect[]
   ) => (message: Message): ForwardEffect[] => {
@@ -279,9 +239,10 @@
     [ForwardMessageKind.RequestUnsendable]: withAttempt((inFlight, attempt, { reason }) => onRequestUnsendable(inFlight, attempt, reason)),
     [ForwardMessageKind.ConnectionClosedEarly]: ({ worker }) => checkWorker(worker),
     [ForwardMessageKind.WorkerChecked]: ({ worker, check }) => onWorkerChecked(worker, check),
-    [ForwardMessageKind.CallerGone]: ({ requestId }) => onCallerGone(requestId),
+    [ForwardMessageKind.CallerGone]: ({ requestId }) => cancelIfGone(requestId),
     [ForwardMessageKind.HandlingFailed]: failStuck,
     [ForwardMessageKind.CapacityFreed]: placeWaiting,
+    [ForwardMessageKind.ProcessExits]: endAll,
     [ForwardMessageKind.Tick]: () => forEachRequest(table.all(), expireIfDue)
   }
 
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -112,6 +112,8 @@
 /** Decisions and observations delegated to other slices. */
 export interface ForwardPorts {
   place (request: ForwardRequest, triedWorkerIds: readonly string[]): Placement
+  /** Whether a further attempt may end before this process exits. */
+  mayRetry (request: ForwardRequest): boolean
   /** Takes one retry from the budget of the service. */
   takeRetry (service: string): boolean
   onSent (request: ForwardRequest, worker: Worker, attempt: number): void
@@ -147,6 +149,8 @@
   HandlingFailed = 'handling-failed',
   /** Some worker may have free capacity. */
   CapacityFreed = 'capacity-freed',
+  /** The process exits now. */
+  ProcessExits = 'process-exits',
   Tick = 'tick'
 }
 
@@ -165,6 +169,7 @@
   | { kind: ForwardMessageKind.CallerGone, requestId: string }
   | { kind: ForwardMessageKind.HandlingFailed }
   | { kind: ForwardMessageKind.CapacityFreed }
+  | { kind: ForwardMessageKind.ProcessExits }
   | { kind: ForwardMessageKind.Tick }
 
 export type ExchangeFailedMessage = Extract<ForwardMessage, { kind: ForwardMessageKind.ExchangeFailed }>
