Log in how many parts a response came, and count the messages that a full mailbox rejects

attempt-ended has receivedBytes and receivedParts, and its prompt parts for every lost attempt; baobabdrift_messages_rejected counts rejections.

--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -278,6 +278,7 @@
     counters,
     storeView,
     get openedConnections () { return forward.openedConnections },
+    get rejectedMessages () { return forward.rejectedMessages },
     get livePeers () { return otherEntries().length },
     get weight () { return weighing.weight() },
     get limitedWorkers () { return workerLimits.limits.limitedCount },
--- a/src/nodes/forward/forwardNodeTypes.ts
+++ b/src/nodes/forward/forwardNodeTypes.ts
@@ -57,6 +57,8 @@
   readonly storeView: StoreView
   readonly openedConnections: number
   readonly livePeers: number
+  /** Messages that the full mailbox of the requests has rejected. */
+  readonly rejectedMessages: number
   /** Number of traits, or groups of them, that requests are refused for. */
   readonly blockedTraits: number
   /** Number of workers that name a limit of requests per second. */
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -147,7 +147,7 @@
       if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
     },
     onAttemptEnded: (request, worker, outcome) => {
-      const { end, detail, hasAnswerBegun } = outcome
+      const { end, detail, hasAnswerBegun, receivedBytes, receivedParts } = outcome
       const { requestId, service, promptParts } = request
       const { workerId } = worker
       placement.recordEnded(workerId)
@@ -157,7 +157,9 @@
       if (IS_LOST_ATTEMPT[end]) placement.recordLost(workerId)
       counters.countAttempt(service, end)
       onRunningChanged(SelfChange.LoadFell)
-      log(LogEvent.AttemptEnded, { requestId, workerId, end, detail, hasAnswerBegun, ...(end === AttemptEnd.Lost ? { promptParts } : {}) })
+      log(LogEvent.AttemptEnded, {
+        requestId, workerId, end, detail, hasAnswerBegun, receivedBytes, receivedParts, ...(end === AttemptEnd.Lost ? { promptParts } : {})
+      })
     },
     onEventGap: (request, _worker, gapMs, isFirst) => {
       const { route, service } = request
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -133,6 +133,8 @@
   }
 
   const onResponseBytes = (inFlight: InFlightRequest, attempt: Attempt, bytes: Uint8Array): ForwardEffect[] => {
+    attempt.receivedBytes += bytes.length
+    attempt.receivedParts += 1
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
       return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
--- a/src/requests/createInFlightTable.ts
+++ b/src/requests/createInFlightTable.ts
@@ -45,7 +45,10 @@
     if (attempt === undefined) return
     byExchangeId.delete(attempt.exchangeId)
     inFlight.attempt = undefined
-    ports.onAttemptEnded(inFlight.request, attempt.worker, { end, detail, sentAtMs: attempt.sentAtMs, hasHead: hasSuccessHead(attempt), hasAnswerBegun: hasAnswerBegun(attempt) })
+    const { sentAtMs, receivedBytes, receivedParts } = attempt
+    ports.onAttemptEnded(inFlight.request, attempt.worker, {
+      end, detail, sentAtMs, receivedBytes, receivedParts, hasHead: hasSuccessHead(attempt), hasAnswerBegun: hasAnswerBegun(attempt)
+    })
   }
 
   return {
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -18,6 +18,9 @@
   held: ByteBuffer
   lastEventAtMs: TimestampMs
   hasEvents: boolean
+  /** Bytes of the response's body so far, and the parts in which they were read. */
+  receivedBytes: number
+  receivedParts: number
 }
 
 /** State of a request from its submission to its result. */
@@ -44,7 +47,9 @@
   splitter: createEventSplitter(),
   held: createByteBuffer(),
   lastEventAtMs: nowMs,
-  hasEvents: false
+  hasEvents: false,
+  receivedBytes: 0,
+  receivedParts: 0
 })
 
 export const getDefaultInFlightRequest = (request: ForwardRequest): InFlightRequest => ({
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -107,6 +107,9 @@
   hasHead: boolean
   /** Whether a part of the worker's answer had arrived: an event of a stream, or bytes of another body. */
   hasAnswerBegun: boolean
+  /** Bytes of the response's body, and the parts in which they were read. */
+  receivedBytes: number
+  receivedParts: number
 }
 
 /** Decisions and observations delegated to other slices. */
