Reject status lines that the standard does not allow

Here 000, 099, 600 and 999 were rejected before on the path to workers, the store and ranks, and gave 502 on the path through agents (its client library fails at the first two, and the client rejects the others). A status of four digits was not: the library took "2000 X" and "200X" for 200, on a first response, after an interim one and on a kept connection.

The reader now checks the whole status line, three digits from 100 to 599 and a space, like the line of a chunk's size.

--- a/src/nodes/brokenUpstreamResponses.test.ts
+++ b/src/nodes/brokenUpstreamResponses.test.ts
@@ -48,7 +48,12 @@
   it.each([
     ['a control byte in a value', OK, 'text/plain; area=1\x12'],
     ['a status that is none', 'HTTP/1.1 099 X', 'text/plain'],
-    ['a status above all others', 'HTTP/1.1 700 X', 'text/plain']
+    ['a status of zeros', 'HTTP/1.1 000 X', 'text/plain'],
+    ['a status just above all others', 'HTTP/1.1 600 X', 'text/plain'],
+    ['a status above all others', 'HTTP/1.1 700 X', 'text/plain'],
+    ['the largest status of three digits', 'HTTP/1.1 999 X', 'text/plain'],
+    ['a status of four digits', 'HTTP/1.1 2000 X', 'text/plain'],
+    ['a status of zeros after an interim response', 'HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 X', 'text/plain']
   ])('are failures if the head is broken: %s', async (_what, statusLine, contentType) => {
     service.script = respond(statusLine, contentType)
     for (const call of [look, order]) expect(await call()).toMatchObject({ status: 502, outcome: 'unknown' })
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -27,12 +27,9 @@
   readonly keepsAlive: boolean
 }
 
-const FIRST_INTERIM_STATUS = 100
 /** Never asked for, so that the bytes behind it belong to no protocol that is spoken here. */
 const SWITCHING_PROTOCOLS = 101
 const FIRST_FINAL_STATUS = 200
-const LAST_STATUS = 599
-const HTTP_MAJOR_VERSION = 1
 /** Returned to the parser to indicate that the response has no body. */
 const SKIP_BODY = 1
 
@@ -41,6 +38,8 @@
   /** Position in the current bytes. */
   offset: number
   end: number
+  /** Handler of the status line. */
+  RESPONSE_LINE: () => void
   /** Handler of the line with the size of a chunk. */
   BODY_CHUNKHEAD: () => void
   /** Returns the next complete line, or undefined if there is none. */
@@ -50,21 +49,30 @@
   parseHeader (line: string, headers: string[]): void
 }
 
-const CHUNK_SIZE_LINE = /^[0-9a-f]+[ \t]*(;.*)?$/i
-
-/** The library takes a line without a size for the last chunk, so that a broken response would look complete. */
-const rejectInvalidChunkSizes = (parser: ParserInternals) => {
-  const readSize = parser.BODY_CHUNKHEAD
-  parser.BODY_CHUNKHEAD = () => {
+/** Lines that are stricter here than in the library, by the handler that reads them. */
+const LINE_PATTERNS = {
+  // The library takes the first three digits of a longer status.
+  RESPONSE_LINE: /^HTTP\/1\.\d [1-5]\d\d(?: .*)?$/,
+  // The library takes a line without a size for the last chunk, so that a broken response would look complete.
+  BODY_CHUNKHEAD: /^[0-9a-f]+[ \t]*(;.*)?$/i
+} as const
+
+/** Empty lines before a status line are skipped. */
+const isSkipped = (handlerName: keyof typeof LINE_PATTERNS, line: string) => handlerName === 'RESPONSE_LINE' && line === ''
+
+/** Rejects the lines of one kind that are not of their form, before the library reads them. */
+const rejectInvalidLines = (parser: ParserInternals, handlerName: keyof typeof LINE_PATTERNS) => {
+  const readLine = parser[handlerName]
+  parser[handlerName] = () => {
     const line = parser.consumeLine()
     if (line === undefined) return
-    if (!CHUNK_SIZE_LINE.test(line)) throw new SyntaxError('invalid chunk size')
-    // Hands the line back, for the library to take its size.
+    if (!isSkipped(handlerName, line) && !LINE_PATTERNS[handlerName].test(line)) throw new SyntaxError(`invalid line: ${handlerName}`)
+    // Hands the line back to the library.
     parser.consumeLine = () => {
       Reflect.deleteProperty(parser, 'consumeLine')
       return line
     }
-    readSize.call(parser)
+    readLine.call(parser)
   }
 }
 
@@ -78,8 +86,7 @@
   }
 }
 
-const isStatusLineValid = ({ versionMajor, statusCode, statusMessage }: { versionMajor: number, statusCode: number, statusMessage: string }) =>
-  versionMajor === HTTP_MAJOR_VERSION && statusCode >= FIRST_INTERIM_STATUS && statusCode <= LAST_STATUS &&
+const isStatusValid = ({ statusCode, statusMessage }: { statusCode: number, statusMessage: string }) =>
   statusCode !== SWITCHING_PROTOCOLS && isFieldValue(statusMessage)
 
 const toFields = (flat: readonly string[]): HeaderField[] => {
@@ -118,7 +125,8 @@
   const parser = new HTTPParser(HTTPParser.RESPONSE)
   const internals = parser as unknown as ParserInternals
   parser.maxHeaderSize = RESPONSE_FRAMING_BYTES_MAX
-  rejectInvalidChunkSizes(internals)
+  rejectInvalidLines(internals, 'RESPONSE_LINE')
+  rejectInvalidLines(internals, 'BODY_CHUNKHEAD')
   rejectInvalidHeaders(internals)
   let hasFinalHead = false
   let isFramed = false
@@ -134,7 +142,7 @@
     const { statusCode, headers, shouldKeepAlive } = info
     // Bytes after the final response are ignored.
     if (isComplete) return SKIP_BODY
-    if (!isStatusLineValid(info)) {
+    if (!isStatusValid(info)) {
       fault = ExchangeFault.MalformedResponse
       return SKIP_BODY
     }
