Let no part of a response be dropped on the path through agents either

A link that many parts filled was closed at 16 MiB, with the responses of all others on it. Seen in the code; a run that fills these mailboxes was not found, as the client library joins the pieces of one read.

A part that cannot be queued ends its run as lost; parts wait in a lane of their own, behind ticks, cancellations and ends; a link that cannot queue a frame closes, as it did for frames that it receives, and its streams resume; an agent reads its upstream only as fast as the link takes the response. Responses held for callers of HTTP/1.0 lie in compact memory.

What an agent keeps for a resume and for keyed calls still counts its bytes only.

--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -22,6 +22,8 @@
   onNotice? (notice: WorkerNotice): void
   onHead (status: number, contentType: string): void
   onBytes (bytes: Uint8Array): void
+  /** Resolves when more bytes may be read; undefined if that is now. */
+  whenReady? (): Promise<void> | undefined
   /** `hasStarted` is false only if the upstream provably received nothing. */
   onEnd (code: ResultCode, hasStarted: boolean): void
 }
@@ -127,6 +129,8 @@
         totalBytes += bytes.length
         if (totalBytes > RESPONSE_BYTES_MAX) throw new BaobabdriftError(ResultCode.UpstreamRefused, 'response is too large')
         listener.onBytes(bytes)
+        const ready = listener.whenReady?.()
+        if (ready !== undefined) await ready
         if (call.isEventStream) tail = (tail + bytes.subarray(-TAIL_BYTES).toString('latin1')).slice(-TAIL_BYTES)
       }
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
--- a/src/links/constants.ts
+++ b/src/links/constants.ts
@@ -67,6 +67,8 @@
 export const HANDSHAKE_TIMEOUT_MS = 2_000
 export const NONCE_BYTES = 16
 export const LINK_TICK_MS = 250
+/** Bytes that wait to be sent from which on responses are read from their upstream only as fast as the peer takes them. */
+export const LINK_PAUSE_BYTES = 1024 * 1024
 export const LINK_SEND_BUFFER_MAX_BYTES = 16 * 1024 * 1024
 export const LINK_CONNECT_TIMEOUT_MS = 2_000
 export const REDIAL_DELAY_MIN_MS = 50
--- a/src/links/linkTask.ts
+++ b/src/links/linkTask.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import type { Socket } from 'node:net'
 import { type Clock, createLog, createTask, dispatch, FrameError, type HandlerTable, type ResultCode, type Task } from '../core/index.js'
-import { LINK_SEND_BUFFER_MAX_BYTES, LINK_TICK_MS, NONCE_BYTES } from './constants.js'
+import { LINK_PAUSE_BYTES, LINK_SEND_BUFFER_MAX_BYTES, LINK_TICK_MS, NONCE_BYTES } from './constants.js'
 import { createLink } from './createLink.js'
 import { createFrameDecoder, encodeFrame } from './framing.js'
 import type { LinkSide } from './handshake.js'
@@ -25,6 +25,8 @@
 export interface LinkHandle {
   readonly linkId: string
   send (frame: Frame): void
+  /** Resolves once the peer has taken most of what waits to be sent; undefined if that is little now. */
+  whenWritable (): Promise<void> | undefined
   close (): void
 }
 
@@ -108,7 +110,22 @@
 
   const handle: LinkHandle = {
     linkId,
-    send: frame => { task.post({ kind: LinkMessageKind.SendRequested, frame }) },
+    send: frame => {
+      // As for frames that are received, no frame is lost unnoticed.
+      if (!task.post({ kind: LinkMessageKind.SendRequested, frame })) socket.destroy()
+    },
+    whenWritable: () => {
+      if (socket.destroyed || socket.writableLength + unsentBytes < LINK_PAUSE_BYTES) return undefined
+      return new Promise(resolve => {
+        const onWritable = () => {
+          socket.off('drain', onWritable)
+          socket.off('close', onWritable)
+          resolve()
+        }
+        socket.on('drain', onWritable)
+        socket.on('close', onWritable)
+      })
+    },
     close: () => { socket.destroy() }
   }
 
--- a/src/nodes/agent/createAgentNode.ts
+++ b/src/nodes/agent/createAgentNode.ts
@@ -72,12 +72,13 @@
     for (const { link } of openLinks.values()) link.send(frame)
   }
   const sendTo = (linkId: string, frame: Frame) => openLinks.get(linkId)?.link.send(frame)
+  const whenWritable = (linkId: string) => openLinks.get(linkId)?.link.whenWritable()
 
   const guard = createGuardTask({ clock, agentId: settings.nodeId, incarnation, broadcast })
   const upstream = createUpstreamTask({
     client: createUpstreamClient(settings.upstreamUrl), clock, broadcast, onDied: guard.onUpstreamDied, onStarted: guard.onUpstreamStarted
   })
-  const runs = createRunsTask({ clock, agentId: settings.nodeId, upstream, guard, tracing, sendTo })
+  const runs = createRunsTask({ clock, agentId: settings.nodeId, upstream, guard, tracing, sendTo, whenWritable })
   const keyedRuns = createKeyedRunsTask({ clock, incarnation, upstream, guard, tracing, sendTo })
   const orderClient = createOrderClient(settings.upstreamUrl)
   const pickEntryLink = () => [...openLinks.values()].find(({ peer }) => peer.role === NodeRole.Entry)?.link.linkId
--- a/src/nodes/agent/keyedRunsTask.ts
+++ b/src/nodes/agent/keyedRunsTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createTask, dispatch, type HandlerTable, type Incarnation, ResultCode, type Task } from '../../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, type Incarnation, Lane, ResultCode, type Task } from '../../core/index.js'
 import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import { type HopSpan, SpanName, type Tracing } from '../../observe/index.js'
 import {
@@ -66,6 +66,13 @@
     })
   }
 
+  /** Without one of its parts a response would have a gap, so that the run ends. */
+  const postPart = (runId: string, message: RunsMessage) => {
+    if (task.post(message)) return
+    upstream.cancel(runId)
+    task.post({ kind: RunsMessageKind.UpstreamFailed, runId, code: ResultCode.AnswerLost, hasStarted: true })
+  }
+
   const startRun = (runId: string, { request, traceparent }: KeyedRequest) => {
     const agentSpan = tracing.startSpan(SpanName.Agent, traceparent, { runId })
     const engineSpan = tracing.startSpan(SpanName.Engine, agentSpan.traceparent, { path: request.path })
@@ -74,14 +81,14 @@
     upstream.start(runId, call, 0, {
       onHead: (status, contentType) => {
         httpStatus = status
-        task.post({ kind: RunsMessageKind.UpstreamChunk, runId, bytes: encodeHead({ status, contentType }) })
+        postPart(runId, { kind: RunsMessageKind.UpstreamChunk, runId, bytes: encodeHead({ status, contentType }) })
       },
-      onBytes: bytes => task.post({ kind: RunsMessageKind.UpstreamChunk, runId, bytes }),
+      onBytes: bytes => postPart(runId, { kind: RunsMessageKind.UpstreamChunk, runId, bytes }),
       onEnd: (code, hasStarted) => {
         activeRunIds.delete(runId)
         guard.recordEnd(runId, code === ResultCode.Ok)
         endSpans([engineSpan, agentSpan], code)
-        task.post(code === ResultCode.Ok
+        postPart(runId, code === ResultCode.Ok
           ? { kind: RunsMessageKind.UpstreamEnded, runId, httpStatus }
           : { kind: RunsMessageKind.UpstreamFailed, runId, code, hasStarted })
       }
@@ -101,7 +108,8 @@
     onFailure: ({ effect }) => {
       if (effect?.kind === RunsEffectKind.StartRun) task.post({ kind: RunsMessageKind.UpstreamFailed, runId: effect.runId, code: ResultCode.UpstreamDied, hasStarted: true })
     },
-    capacity: TASK_CAPACITY
+    capacity: TASK_CAPACITY,
+    laneOf: ({ kind }) => kind === RunsMessageKind.UpstreamChunk || kind === RunsMessageKind.UpstreamEnded ? Lane.Bulk : Lane.Control
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RunsMessageKind.Tick }))
 
--- a/src/nodes/agent/runsTask.ts
+++ b/src/nodes/agent/runsTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
+import { type Clock, createTask, dispatch, type HandlerTable, Lane, ResultCode, type Task } from '../../core/index.js'
 import { type Frame, FrameKind, parseFrame } from '../../links/index.js'
 import { SpanName, type Tracing } from '../../observe/index.js'
 import { type AgentRunEffect, AgentRunEffectKind, type AgentRunMessage, AgentRunMessageKind, cancelFrameSchema, createAgentRuns, REQUEST_TICK_MS, resumeFrameSchema, type RunFrame, runFrameSchema } from '../../requests/index.js'
@@ -14,6 +14,8 @@
   guard: GuardTask
   tracing: Tracing
   sendTo: (linkId: string, frame: Frame) => void
+  /** Resolves when a link can take more; undefined if that is now, or the link is lost. */
+  whenWritable: (linkId: string) => Promise<void> | undefined
 }
 
 /** The runs of one agent whose requests have no idempotency key. */
@@ -27,15 +29,29 @@
   stop (): void
 }
 
+/** Parts of responses, and the ends that follow them, leave room for the other messages; a failure needs no part before it. */
+const laneOf = (message: AgentRunMessage): Lane => {
+  const isPart = message.kind === AgentRunMessageKind.UpstreamHead || message.kind === AgentRunMessageKind.UpstreamBytes
+  const isWholeEnd = message.kind === AgentRunMessageKind.UpstreamEnded && message.code === ResultCode.Ok
+  return isPart || isWholeEnd ? Lane.Bulk : Lane.Control
+}
+
 /**
  * Creates the task that runs unkeyed requests on the agent's upstream.
  *
  * @example
- * const runs = createRunsTask({ clock, agentId, upstream, guard, tracing, sendTo })
+ * const runs = createRunsTask({ clock, agentId, upstream, guard, tracing, sendTo, whenWritable })
  */
-export const createRunsTask = ({ clock, agentId, upstream, guard, tracing, sendTo }: RunsTaskOptions): RunsTask => {
+export const createRunsTask = ({ clock, agentId, upstream, guard, tracing, sendTo, whenWritable }: RunsTaskOptions): RunsTask => {
   const core = createAgentRuns({ clock })
 
+  /** Without one of its parts a response would have a gap, so that the run ends. */
+  const postPart = (runId: string, message: AgentRunMessage) => {
+    if (task.post(message)) return
+    upstream.cancel(runId)
+    task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId, code: ResultCode.AnswerLost })
+  }
+
   const startUpstream = (runId: string, frame: RunFrame, linkId: string, isAlone: boolean) => {
     const { request, requestId, remainingMs, estimatedTokens } = frame
     if (isAlone) sendTo(linkId, { kind: FrameKind.StartedAlone, requestId })
@@ -44,13 +60,14 @@
     const call = toUpstreamCall(request, { requestId, timeoutMs: remainingMs, traceparent: engineSpan.traceparent })
     upstream.start(runId, call, estimatedTokens, {
       onHead: (status, contentType) =>
-        task.post({ kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
-      onBytes: bytes => task.post({ kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
+        postPart(runId, { kind: AgentRunMessageKind.UpstreamHead, runId, head: { status, contentType } }),
+      onBytes: bytes => postPart(runId, { kind: AgentRunMessageKind.UpstreamBytes, runId, bytes }),
+      whenReady: () => whenWritable(linkId),
       onEnd: (code, hasStarted) => {
         engineSpan.end(code)
         agentSpan.end(code)
         guard.recordEnd(runId, code === ResultCode.Ok)
-        task.post(hasStarted
+        postPart(runId, hasStarted
           ? { kind: AgentRunMessageKind.UpstreamEnded, runId, code }
           : { kind: AgentRunMessageKind.UpstreamRefused, runId, code: code === ResultCode.Overloaded ? code : ResultCode.NoUpstream })
       }
@@ -89,7 +106,8 @@
     onFailure: ({ effect }) => {
       if (effect?.kind === AgentRunEffectKind.StartUpstream) task.post({ kind: AgentRunMessageKind.UpstreamEnded, runId: effect.runId, code: ResultCode.UpstreamDied })
     },
-    capacity: TASK_CAPACITY
+    capacity: TASK_CAPACITY,
+    laneOf
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: AgentRunMessageKind.Tick }))
 
--- a/src/nodes/entry/createResponseSink.ts
+++ b/src/nodes/entry/createResponseSink.ts
@@ -1,6 +1,6 @@
 import type { FastifyReply } from 'fastify'
 import type { BodyRefusal, RequestGuard } from '../../callerLimits/index.js'
-import { type Clock, createLog, describeResult, ResultCode } from '../../core/index.js'
+import { type Clock, createByteBuffer, createLog, describeResult, ResultCode } from '../../core/index.js'
 import { COMMENT_INTERVAL_MS, type ResponseHead, type SubmittedRequest } from '../../requests/index.js'
 import type { RequestGateway, ResponseSink } from './types.js'
 
@@ -36,9 +36,8 @@
 export const createResponseSink = ({ reply, submitted, live, clock, gateway, errorBodyOf }: ResponseSinkOptions): ResponseSink => {
   const { raw } = reply
   // Responses of HTTP/1.0 have no chunks: the whole response is held, so that its length shows whether it is complete.
-  const held: Uint8Array[] | undefined = reply.request.raw.httpVersion === OLD_HTTP_VERSION ? [] : undefined
+  const held = reply.request.raw.httpVersion === OLD_HTTP_VERSION ? createByteBuffer() : undefined
   let heldHead: ResponseHead | undefined
-  let heldBytes = 0
   const { requestId, customer } = submitted
   let isStarted = false
   let isEnded = false
@@ -94,18 +93,18 @@
       lastWriteMs = clock.nowMs()
       if (held === undefined) guard.write(bytes)
       else {
-        held.push(bytes)
+        held.add(bytes)
         guard.holdResponse(bytes.length)
       }
-      heldBytes += held === undefined ? 0 : bytes.length
       // Limits the memory that a caller holds when it stops reading its response.
-      if (raw.writableLength + heldBytes > CALLER_BUFFER_MAX_BYTES) raw.destroy()
+      if (raw.writableLength + (held?.length ?? 0) > CALLER_BUFFER_MAX_BYTES) raw.destroy()
     },
     onComplete: () => {
-      if (held !== undefined && heldHead !== undefined) start(heldHead, { 'content-length': heldBytes })
+      const heldBytes = held?.length ?? 0
+      if (heldHead !== undefined) start(heldHead, { 'content-length': heldBytes })
       guard.releaseBody()
       guard.releaseResponse(heldBytes)
-      held?.forEach(bytes => guard.write(bytes))
+      held?.takeParts().forEach(bytes => guard.write(bytes))
       finish()
       raw.end()
     },
--- a/src/nodes/entry/requestsTask.ts
+++ b/src/nodes/entry/requestsTask.ts
@@ -1,4 +1,4 @@
-import { type Clock, createLog, createTask, dispatch, type HandlerTable, ResultCode, type Task } from '../../core/index.js'
+import { type Clock, createLog, createTask, dispatch, type HandlerTable, Lane, ResultCode, type Task } from '../../core/index.js'
 import { type Frame, FrameKind, parseFrame, type PeerIdentity } from '../../links/index.js'
 import { createCallerTable, createRequestCore, endFrameSchema, parseChunkFrame, refusedFrameSchema, REQUEST_TICK_MS, type RequestEffect, RequestEffectKind, type RequestMessage, RequestMessageKind, type RequestPorts, type ResponseFrame, type SubmittedRequest } from '../../requests/index.js'
 import type { ResponseSink } from './types.js'
@@ -26,6 +26,10 @@
   stop (): void
 }
 
+/** A chunk that is lost is asked for again; all other messages, also the end of a response, must not be lost behind chunks. */
+const laneOf = (message: RequestMessage): Lane =>
+  message.kind === RequestMessageKind.FrameReceived && message.frame.kind === FrameKind.Chunk ? Lane.Bulk : Lane.Control
+
 /**
  * Creates the task that runs the request core and owns the response sinks.
  *
@@ -61,7 +65,8 @@
     },
     perform: effect => dispatch(performers, effect),
     onFailure: () => callers.failOrphans(core.isLive),
-    capacity: TASK_CAPACITY
+    capacity: TASK_CAPACITY,
+    laneOf
   })
   task.tickEvery(REQUEST_TICK_MS, () => ({ kind: RequestMessageKind.Tick }))
 
