--- a/src/upstreams/endlessResponses.test.ts
+++ b/src/upstreams/endlessResponses.test.ts
@@ -5,6 +5,7 @@
 import { createConnectionPool } from './connectionPool.js'
 import { RESPONSE_BODY_BYTES_MAX, RESPONSE_FRAMING_BYTES_MAX } from './constants.js'
 import { createResponseReader } from './createResponseReader.js'
+import { createHttpCaller } from './httpCall.js'
 import { ConnectionUse, type ExchangeEvent, ExchangeEventKind } from './types.js'
 
 const HEAD = 'HTTP/1.1 200 OK\r\n'
@@ -13,6 +14,8 @@
 /** What sockets on both sides may buffer beyond what the reader accepts. */
 const SOCKET_BUFFER_BYTES = 16 * 1024 * 1024
 
+const CALL_TIMEOUT_MS = 5_000
+
 const filled = (text: string) => text.repeat(Math.ceil(PIECE_BYTES / text.length))
 
 /** Beginning of a response, and what then follows without end. */
@@ -75,6 +78,15 @@
     pool.close()
   })
 
+  // Guards against a store, or a rank, whose bytes without end take the memory of the process that called it.
+  it.each(Object.entries(ENDLESS))('end a whole call within bounds: %s', async (_name, { start, piece, bytesMax }) => {
+    const { address, closed } = await serveEndlessly(start, piece)
+    const caller = createHttpCaller({ address, clock: createMonotonicClock(), connectTimeoutMs: CALL_TIMEOUT_MS })
+    const answered = await caller.call({ method: 'GET', path: '/', timeoutMs: CALL_TIMEOUT_MS }).answer.then(({ body }) => body.length, () => 0)
+    expect(answered).toBeLessThanOrEqual(RESPONSE_BODY_BYTES_MAX)
+    expect(await closed).toBeLessThan(bytesMax + SOCKET_BUFFER_BYTES)
+  })
+
   it('are refused by the reader as soon as their framing exceeds the limit', () => {
     for (const { start, piece, bytesMax } of Object.values(ENDLESS)) {
       const reader = createResponseReader({ isHeadRequest: false, onHead: () => {}, onBody: () => {} })
