Do not keep whole requests until the workers that answered them have lived on

An answer waits 0.4 s, and until the next request at the latest, before it counts. It held its request with the body meanwhile, up to 4,096 bodies of 4 MiB outside the budget of the callers.

--- a/src/nodes/forward/crashMonitor.ts
+++ b/src/nodes/forward/crashMonitor.ts
@@ -80,9 +80,9 @@
       onChanged()
     },
     recordAnswered: (worker, request, sentAtMs) =>
-      recordAnswered(worker, { parts: partTraits(request), requestTrait: () => requestTrait(request), sentAtMs }),
+      recordAnswered(worker, { parts: partTraits(request), requestTrait: requestTrait(request), sentAtMs }),
     recordFailed: (worker, request, sentAtMs) =>
-      recordAnswered(worker, { parts: [], requestTrait: () => requestTrait(request), sentAtMs }),
+      recordAnswered(worker, { parts: [], requestTrait: requestTrait(request), sentAtMs }),
     adoptPeerReport: report => {
       countProvenAnswers()
       // The other entries must learn at once of an answer to what one of them suspects.
--- a/src/quarantine/createCrashRecord.ts
+++ b/src/quarantine/createCrashRecord.ts
@@ -214,7 +214,7 @@
   }
 
   const traitsOfAnswer = ({ parts, requestTrait }: RecentAnswer): readonly Trait[] =>
-    requestTrait === undefined ? parts : [requestTrait(), ...parts]
+    requestTrait === undefined ? parts : [requestTrait, ...parts]
 
   const recordAnswerAt = (traits: readonly Trait[], atMs: TimestampMs): Trait[] => traits.filter(trait => recordAnsweredAt(trait, atMs))
 
--- a/src/quarantine/recentAnswers.ts
+++ b/src/quarantine/recentAnswers.ts
@@ -4,8 +4,8 @@
 /** A request whose answer a worker has completed. */
 export interface AnsweredRequest {
   parts: readonly Trait[]
-  /** Computes the trait of the whole request, which is needed only while crashes are recorded. */
-  requestTrait?: () => Trait
+  /** The trait of the whole request, where whole requests are watched; the request itself, with its body, is not kept. */
+  requestTrait?: Trait
   sentAtMs: TimestampMs
 }
 
