Parse all of the last read before the end of a connection ends its response

Cause: Node reports the end of a paused socket as soon as its own buffer is empty, while our rest of the last read still waits for its turn. Ruled out: the compact memory of held bytes, as the same bytes are missing with a length.

--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -130,6 +130,12 @@
   }
   const reading = createPacedReading({ socket, parse })
 
+  const endResponse = ({ reader }: Exchange) => {
+    const fault = reader.end()
+    if (fault === undefined) finish()
+    else fail(fault)
+  }
+
   const onIdleClosed = () => {
     const isEarly = state === ConnectionState.Idle && clock.nowMs() - idleSinceMs < EARLY_CLOSE_MS
     close()
@@ -137,9 +143,9 @@
   }
   socket.on('end', () => {
     if (exchange === undefined) return onIdleClosed()
-    const fault = exchange.reader.end()
-    if (fault === undefined) finish()
-    else fail(fault)
+    // The end is reported even while a part of the last read waits to be parsed.
+    reading.flush()
+    if (exchange !== undefined) endResponse(exchange)
   })
   const onLost = () => {
     if (exchange === undefined) return onIdleClosed()
