Give the event loop a turn after each test of the capacity world

The 11 tests of this file compute for 60 to 64 s there without a turn of the event loop (measured with a timer in each process), and the runner gives up on a process that handles no messages for 60 s. crashSchedules.test.ts takes a turn for the same reason.

--- a/bench/routing/capacityWorld.test.ts
+++ b/bench/routing/capacityWorld.test.ts
@@ -1,7 +1,11 @@
-import { describe, expect, it } from 'vitest'
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import { afterEach, describe, expect, it } from 'vitest'
 import type { Random } from '../../src/core/index.js'
 import { type CapacityFigures, type CapacityWorldOptions, playCapacityWorld, type WorldUpstream } from './capacityWorld.js'
 
+// The test runner gives up on a worker process that handles no messages for 60 s.
+afterEach(async () => { await nextTurn() })
+
 const SEEDS = [1, 2, 3]
 const ZONES = ['a', 'b', 'c'] as const
 const DURATION_MS = 40_000
