--- a/src/peers/createZoneRelay.ts
+++ b/src/peers/createZoneRelay.ts
@@ -1,5 +1,6 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 import { packWeights, toWeight } from '../entryWeights/index.js'
+import { ReportAudience } from '../quarantine/index.js'
 import { ZONE_LOAD_INTERVAL_MS, ZONE_SUMMARY_INTERVAL_MS } from './constants.js'
 import { mergeReports, sumLoads } from './summarizeZone.js'
 import { DatagramContent, type PeerDatagram, type PeerEffect, PeerEffectKind, type PeerReport, type SelfDescription, type ZoneEntry } from './types.js'
@@ -13,7 +14,7 @@
 export interface ZoneRelayOptions {
   clock: Clock
   ownAddress: string
-  describeSelf: () => SelfDescription
+  describeSelf: (audience: ReportAudience) => SelfDescription
   /** Undefined while this entry is not a relay. */
   relayRole: () => RelayRole | undefined
   /** Live peers of this zone. */
@@ -56,7 +57,7 @@
   }
 
   const createSummary = (): PeerDatagram => {
-    const self = describeSelf()
+    const self = describeSelf(ReportAudience.OtherZones)
     const reports = peers().map(({ report }) => report)
     const merged = mergeReports(self, reports)
     const weights = packWeights([self, ...reports].map(toWeight))
@@ -65,7 +66,7 @@
   }
 
   const createLoad = (): PeerDatagram => {
-    const self = describeSelf()
+    const self = describeSelf(ReportAudience.OtherZones)
     return { content: DatagramContent.ZoneLoad, load: { ...head(self), ...sumLoads([self, ...peers().map(({ report }) => report)]) } }
   }
 
