--- a/src/nodes/forward/crashMonitor.ts
+++ b/src/nodes/forward/crashMonitor.ts
@@ -2,8 +2,8 @@
 import type { WorkerRun } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import {
-  type AnsweredRequest, type AnswerOrigin, type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits,
-  type ReportAudience, requestTrait, type Trait, traitsOf
+  type AnsweredRequest, type BlockedTraits, createCrashRecord, type CrashReport, type LostRequest, type RequestContent, partTraits, requestTrait,
+  type Trait, traitsOf
 } from '../../quarantine/index.js'
 
 export interface CrashMonitorOptions {
@@ -27,8 +27,8 @@
   recordAnswered (worker: WorkerRun, request: RequestContent, sentAtMs: TimestampMs): void
   /** Records a whole response that reports a failure, which shows that the request as a whole crashes no worker. */
   recordFailed (worker: WorkerRun, request: RequestContent, sentAtMs: TimestampMs): void
-  adoptPeerReport (report: CrashReport, origin: AnswerOrigin): void
-  createReport (audience: ReportAudience): CrashReport
+  adoptPeerReport (report: CrashReport): void
+  createReport (): CrashReport
 }
 
 /**
@@ -83,10 +83,10 @@
       recordAnswered(worker, { parts: partTraits(request), requestTrait: requestTrait(request), sentAtMs }),
     recordFailed: (worker, request, sentAtMs) =>
       recordAnswered(worker, { parts: [], requestTrait: requestTrait(request), sentAtMs }),
-    adoptPeerReport: (report, origin) => {
+    adoptPeerReport: report => {
       countProvenAnswers()
       // The other entries must learn at once of an answer to what one of them suspects.
-      if (record.mergePeerReport(report, origin)) onChanged()
+      if (record.mergePeerReport(report)) onChanged()
       logBlocked()
     },
     createReport: record.createReport
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -4,7 +4,6 @@
 import { type Worker, WorkerState } from '../../membership/index.js'
 import { LogEvent } from '../../observe/index.js'
 import { PeerMessageKind, type PeerReportTask, SelfChange, type SelfDescription, startPeerReportTask } from '../../peers/index.js'
-import type { ReportAudience } from '../../quarantine/index.js'
 import { createWorkerPlacement, type WorkerPlacement } from '../../routing/index.js'
 import { type FeedServer, startFeedServer } from '../../storeFeed/index.js'
 import { createStoreView, type StoreView } from '../storeView/index.js'
@@ -185,7 +184,7 @@
 
   const isReady = () => storeView.isComplete && !plannedStop.isStarted
 
-  const describeSelf = (audience: ReportAudience): SelfDescription => ({
+  const describeSelf = (): SelfDescription => ({
     nodeId,
     incarnation,
     zone,
@@ -196,7 +195,7 @@
     storePositions: storeView.storePositions(),
     running: placement.ownRunning(),
     pauses: streamLimits.ownEventGaps(),
-    crashes: crashes.createReport(audience),
+    crashes: crashes.createReport(),
     paces: slowdowns.slowWorkers(),
     workerLimits: workerLimits.limits.report(),
     ...learned.describe(),
--- a/src/nodes/forward/peerEventHandlers.ts
+++ b/src/nodes/forward/peerEventHandlers.ts
@@ -1,13 +1,13 @@
 import type { HandlerTable, LogPosition } from '../../core/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { type FleetReport, PeerEffectKind, type PeerEvent } from '../../peers/index.js'
-import { AnswerOrigin, type CrashReport } from '../../quarantine/index.js'
+import type { CrashReport } from '../../quarantine/index.js'
 import { type WorkerLimitsMessage, WorkerLimitsMessageKind } from '../../workerLimits/index.js'
 
 export interface PeerEventOptions {
   log: EventLog
   observePositions: (positions: Record<string, LogPosition>) => void
-  adoptCrashes: (report: CrashReport, origin: AnswerOrigin) => void
+  adoptCrashes: (report: CrashReport) => void
   postWorkerLimits: (message: WorkerLimitsMessage) => void
   recordSlowdown: (workerId: string, pace: number) => void
   /** Called when waiting requests may be placed, as the load of the other entries has changed. */
@@ -24,10 +24,10 @@
   { log, observePositions, adoptCrashes, postWorkerLimits, recordSlowdown, retryWaitingRequests }: PeerEventOptions
 ): HandlerTable<PeerEvent, void> => {
   /** Ages in a report hold only when it arrives, so they are not adopted again with later reports of load. */
-  const adoptReport = ({ storePositions, crashes, workerLimits }: FleetReport, origin: AnswerOrigin, isComplete: boolean) => {
+  const adoptReport = ({ storePositions, crashes, workerLimits }: FleetReport, isComplete: boolean) => {
     observePositions(storePositions)
     if (isComplete) {
-      adoptCrashes(crashes, origin)
+      adoptCrashes(crashes)
       postWorkerLimits({ kind: WorkerLimitsMessageKind.LimitsReported, limits: workerLimits })
     }
     retryWaitingRequests()
@@ -40,11 +40,11 @@
     },
     [PeerEffectKind.PeerUpdated]: ({ report, isNew, isComplete }) => {
       if (isNew) log(LogEvent.PeerFound, { nodeId: report.nodeId, incarnation: report.incarnation })
-      adoptReport(report, AnswerOrigin.OwnZone, isComplete)
+      adoptReport(report, isComplete)
     },
     [PeerEffectKind.ZoneUpdated]: ({ summary, isNew, isComplete }) => {
       if (isNew) log(LogEvent.ZoneFound, { zone: summary.zone, entries: summary.entries.length, relay: summary.relayAddress })
-      adoptReport(summary, AnswerOrigin.OtherZone, isComplete)
+      adoptReport(summary, isComplete)
     },
     [PeerEffectKind.ZoneLost]: ({ zone }) => {
       log(LogEvent.ZoneLost, { zone })
--- a/src/peers/createPeerReports.ts
+++ b/src/peers/createPeerReports.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Random, rankByRendezvous, type TimestampMs } from '../core/index.js'
-import { isSameCrashReport, ReportAudience } from '../quarantine/index.js'
+import { isSameCrashReport } from '../quarantine/index.js'
 import { haveSameLimits } from '../workerLimits/index.js'
 import {
   PEER_CHANGE_DELAY_MS, PEER_HEARTBEAT_MS, PEER_LIST_INTERVAL_MS, RELAYS_PER_ZONE, SelfChange
@@ -25,7 +25,7 @@
   ownZone: string
   ownAddress: string
   seeds: readonly string[]
-  describeSelf: (audience: ReportAudience) => SelfDescription
+  describeSelf: () => SelfDescription
 }
 
 /** State of the other entries, including the requests that they have in flight. */
@@ -112,11 +112,11 @@
       ...peers.all().flatMap(({ address, zone, isAlive }) => isAlive ? [{ address, zone: zone! }] : []),
       ...zones.live().flatMap(({ zone, entries: listed }) => listed.map(({ address }) => ({ address, zone })))
     ]
-    return { content: DatagramContent.Report, report: { ...describeSelf(ReportAudience.OwnZone), sequence, ...(withEntries ? { knownEntries: knownEntries() } : {}) } }
+    return { content: DatagramContent.Report, report: { ...describeSelf(), sequence, ...(withEntries ? { knownEntries: knownEntries() } : {}) } }
   }
 
   const createLoad = (): PeerDatagram => {
-    const { incarnation, running, pauses, loadStep, upstreamTimes } = describeSelf(ReportAudience.OwnZone)
+    const { incarnation, running, pauses, loadStep, upstreamTimes } = describeSelf()
     sequence += 1
     const optional = { ...(loadStep === undefined ? {} : { loadStep }), ...(upstreamTimes === undefined ? {} : { upstreamTimes }) }
     return { content: DatagramContent.Load, load: { incarnation, sequence, running, pauses, ...optional } }
--- a/src/peers/createZoneRelay.ts
+++ b/src/peers/createZoneRelay.ts
@@ -1,6 +1,5 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 import { packWeights, toWeight } from '../entryWeights/index.js'
-import { ReportAudience } from '../quarantine/index.js'
 import { ZONE_LOAD_INTERVAL_MS, ZONE_SUMMARY_INTERVAL_MS } from './constants.js'
 import { mergeReports, sumLoads } from './summarizeZone.js'
 import { DatagramContent, type PeerDatagram, type PeerEffect, PeerEffectKind, type PeerReport, type SelfDescription, type ZoneEntry } from './types.js'
@@ -14,7 +13,7 @@
 export interface ZoneRelayOptions {
   clock: Clock
   ownAddress: string
-  describeSelf: (audience: ReportAudience) => SelfDescription
+  describeSelf: () => SelfDescription
   /** Undefined while this entry is not a relay. */
   relayRole: () => RelayRole | undefined
   /** Live peers of this zone. */
@@ -57,7 +56,7 @@
   }
 
   const createSummary = (): PeerDatagram => {
-    const self = describeSelf(ReportAudience.OtherZones)
+    const self = describeSelf()
     const reports = peers().map(({ report }) => report)
     const merged = mergeReports(self, reports)
     const weights = packWeights([self, ...reports].map(toWeight))
@@ -66,7 +65,7 @@
   }
 
   const createLoad = (): PeerDatagram => {
-    const self = describeSelf(ReportAudience.OtherZones)
+    const self = describeSelf()
     return { content: DatagramContent.ZoneLoad, load: { ...head(self), ...sumLoads([self, ...peers().map(({ report }) => report)]) } }
   }
 
--- a/src/quarantine/createCrashRecord.ts
+++ b/src/quarantine/createCrashRecord.ts
@@ -1,8 +1,6 @@
 import type { Clock, TimestampMs } from '../core/index.js'
 import type { WorkerRun } from '../membership/index.js'
-import { AnswerOrigin, createAnswerTimes, ReportAudience } from './answerTimes.js'
 import { attributeCrashes, type BlockedTraits, type TraitCrash } from './attributeCrashes.js'
-import { createClearedCrashes } from './clearedCrashes.js'
 import { type AnsweredRequest, createRecentAnswers, type RecentAnswer, SURVIVAL_MS } from './recentAnswers.js'
 import type { Trait } from './requestTraits.js'
 
@@ -12,10 +10,7 @@
 /** What an entry tells the other entries about crashes. */
 export interface CrashReport {
   crashes: Record<Trait, ReportedCrash[]>
-  /**
-   * Time since a worker last answered a request and lived on, by trait; only traits of which some entry reported a crash, and
-   * only answers that no entry has passed on within the zone of the receiver.
-   */
+  /** Time since a worker last answered a request and lived on, by trait; only traits of which some entry reported a crash. */
   answeredAgoMs: Record<Trait, number>
 }
 
@@ -50,6 +45,8 @@
 export const CRASH_REPORT_MAX = 24
 /** Blocked traits are determined again after this time, as some are blocked for a time only. */
 export const EVALUATION_KEEP_MS = 500
+/** Maximum number of traits whose last answer is remembered. */
+export const ANSWERED_TRAITS_MAX = 8_192
 
 /** Records which traits requests had in common when they crashed workers, as observed by one entry and its peers. */
 export interface CrashRecord {
@@ -68,17 +65,14 @@
    * Returns the traits that are cleared of a crash by it.
    */
   recordAnswer (traits: readonly Trait[], answeredAtMs?: TimestampMs): Trait[]
-  /**
-   * Adds what a peer reported, of this zone unless another origin is given. Returns whether this entry saw an answer that clears
-   * a reported crash, or makes it less suspect.
-   */
-  mergePeerReport (report: CrashReport, origin?: AnswerOrigin): boolean
+  /** Adds what a peer reported. Returns whether this entry knows of an answer that clears a reported crash, or makes it less suspect. */
+  mergePeerReport (report: CrashReport): boolean
   /** Returns the blocked traits that a request has, if there are any. */
   findBlocked (traits: readonly Trait[]): BlockedTraits | undefined
   /** All blocked traits. */
   blocked (): readonly BlockedTraits[]
-  /** Returns what peers need to know, those of this zone unless others are given: blocked traits first, then those with the newest crashes. */
-  createReport (audience?: ReportAudience): CrashReport
+  /** Returns what peers need to know: blocked traits first, then those with the newest crashes. */
+  createReport (): CrashReport
 }
 
 const runIdOf = ({ workerId, startedAtUnixMs }: WorkerRun) => `${workerId}/${startedAtUnixMs}`
@@ -107,8 +101,8 @@
  */
 export const createCrashRecord = ({ clock }: { clock: Clock }): CrashRecord => {
   const crashesByTrait = new Map<Trait, Map<string, TraitCrash>>()
-  const answers = createAnswerTimes()
-  const clearedCrashes = createClearedCrashes({ clock, keepMs: CRASH_KEEP_MS })
+  /** Ordered by the time of the last answer. */
+  const answeredAtMs = new Map<Trait, TimestampMs>()
   const recentAnswers = createRecentAnswers({ clock, survivalMs: SURVIVAL_MS })
   const lostByRun = new Map<string, { request: LostRequest, lostAtMs: TimestampMs }[]>()
   /** When an entry last reported a crash of a trait; the answers to these traits are reported to the peers. */
@@ -142,13 +136,7 @@
     if (reportedAtMs.size > CRASHED_TRAITS_MAX && oldest !== undefined) reportedAtMs.delete(oldest)
   }
 
-  const isCleared = (trait: Trait, lostAtMs: TimestampMs) => lostAtMs <= (answers.latest(trait) ?? -Infinity)
-
-  /** Whether this entry saw an answer that peers should know when they suspect a trait. */
-  const isAnswerToTell = (trait: Trait, lostAtMs: TimestampMs, isNewCrash: boolean) => {
-    const ownAtMs = answers.latestOwn(trait)
-    return ownAtMs !== undefined && (isNewCrash || lostAtMs <= ownAtMs)
-  }
+  const isCleared = (trait: Trait, lostAtMs: TimestampMs) => lostAtMs <= (answeredAtMs.get(trait) ?? -Infinity)
 
   const evictOldest = () => {
     const traits = [...crashesByTrait].sort(([, a], [, b]) => newestCrashMs(a) - newestCrashMs(b))
@@ -158,7 +146,6 @@
   /** Adds a crash unless an answer clears it; returns whether it was not known. */
   const addCrash = (trait: Trait, crash: TraitCrash): boolean => {
     if (isCleared(trait, crash.lostAtMs) || clock.nowMs() - crash.lostAtMs > CRASH_KEEP_MS) return false
-    if (clearedCrashes.has(trait, crash.runId, crash.lostAtMs)) return false
     const crashes = crashesByTrait.get(trait) ?? new Map<string, TraitCrash>()
     const known = crashes.get(crash.runId)
     if (known !== undefined && (known.hasHead || !crash.hasHead)) return false
@@ -171,16 +158,18 @@
     return true
   }
 
-  const recordAnsweredAt = (trait: Trait, origin: AnswerOrigin, atMs: TimestampMs): boolean => {
-    if (!answers.record(trait, origin, atMs)) return false
+  const recordAnsweredAt = (trait: Trait, atMs: TimestampMs): boolean => {
+    if (atMs <= (answeredAtMs.get(trait) ?? -Infinity)) return false
+    // Reinserted, so that the map stays ordered.
+    answeredAtMs.delete(trait)
+    answeredAtMs.set(trait, atMs)
+    const [oldest] = answeredAtMs.keys()
+    if (answeredAtMs.size > ANSWERED_TRAITS_MAX && oldest !== undefined) answeredAtMs.delete(oldest)
     const crashes = crashesByTrait.get(trait)
     if (crashes === undefined) return false
     evaluated = undefined
     const cleared = [...crashes.values()].filter(({ lostAtMs }) => lostAtMs <= atMs)
-    for (const { runId, lostAtMs } of cleared) {
-      crashes.delete(runId)
-      clearedCrashes.add(trait, runId, lostAtMs)
-    }
+    for (const { runId } of cleared) crashes.delete(runId)
     if (crashes.size === 0) crashesByTrait.delete(trait)
     return cleared.length > 0
   }
@@ -189,7 +178,7 @@
     expireCrashes()
     const nowMs = clock.nowMs()
     if (evaluated !== undefined && nowMs - evaluated.atMs < EVALUATION_KEEP_MS) return evaluated.blocked
-    const histories = [...crashesByTrait].map(([trait, crashes]) => [trait, { crashes, answeredAtMs: answers.latest(trait) }] as const)
+    const histories = [...crashesByTrait].map(([trait, crashes]) => [trait, { crashes, answeredAtMs: answeredAtMs.get(trait) }] as const)
     evaluated = { blocked: attributeCrashes(new Map(histories), nowMs), atMs: nowMs }
     return evaluated.blocked
   }
@@ -219,7 +208,7 @@
   }
 
   const addLost = (runId: string, request: LostRequest) => {
-    const traits = [...request.traits.filter(trait => answers.latest(trait) === undefined), ...request.traits.filter(trait => answers.latest(trait) !== undefined)]
+    const traits = [...request.traits.filter(trait => !answeredAtMs.has(trait)), ...request.traits.filter(trait => answeredAtMs.has(trait))]
     const lost = { request: { ...request, traits: traits.slice(0, CRASHED_TRAITS_PER_REQUEST_MAX) }, lostAtMs: clock.nowMs() }
     lostByRun.set(runId, [...lostByRun.get(runId) ?? [], lost])
   }
@@ -227,8 +216,7 @@
   const traitsOfAnswer = ({ parts, requestTrait }: RecentAnswer): readonly Trait[] =>
     requestTrait === undefined ? parts : [requestTrait, ...parts]
 
-  const recordAnswerAt = (traits: readonly Trait[], atMs: TimestampMs): Trait[] =>
-    traits.filter(trait => recordAnsweredAt(trait, AnswerOrigin.Self, atMs))
+  const recordAnswerAt = (traits: readonly Trait[], atMs: TimestampMs): Trait[] => traits.filter(trait => recordAnsweredAt(trait, atMs))
 
   return {
     get isEmpty () { return crashesByTrait.size === 0 },
@@ -253,31 +241,27 @@
       return recordAnswerAt(traits, answer.answeredAtMs)
     }),
     recordAnswer: (traits, answeredAtMs = clock.nowMs()) => recordAnswerAt(traits, answeredAtMs),
-    mergePeerReport: ({ crashes, answeredAgoMs }, origin = AnswerOrigin.OwnZone) => {
+    mergePeerReport: ({ crashes, answeredAgoMs }) => {
       const nowMs = clock.nowMs()
-      let hasAnswerToTell = false
-      for (const [trait, agoMs] of Object.entries(answeredAgoMs)) recordAnsweredAt(trait as Trait, origin, nowMs - agoMs)
+      let knowsAnswer = false
+      for (const [trait, agoMs] of Object.entries(answeredAgoMs)) recordAnsweredAt(trait as Trait, nowMs - agoMs)
       for (const [trait, reported] of Object.entries(crashes)) {
         recordReported(trait as Trait)
         const writtenAtMs = nowMs + findDelayMs(trait as Trait, reported)
         for (const [runId, sentAgoMs, lostAgoMs, hasHead] of reported) {
           const isNew = addCrash(trait as Trait, { runId, sentAtMs: writtenAtMs - sentAgoMs, lostAtMs: writtenAtMs - lostAgoMs, hasHead })
-          hasAnswerToTell ||= isAnswerToTell(trait as Trait, writtenAtMs - lostAgoMs, isNew)
+          knowsAnswer ||= isCleared(trait as Trait, writtenAtMs - lostAgoMs) || (isNew && answeredAtMs.has(trait as Trait))
         }
       }
-      return hasAnswerToTell
+      return knowsAnswer
     },
     findBlocked: traits => crashesByTrait.size === 0 ? undefined : evaluate().find(blocked => blocked.every(trait => traits.includes(trait))),
     blocked: evaluate,
-    createReport: (audience = ReportAudience.OwnZone) => {
-      const nowMs = clock.nowMs()
-      const answered = [...reportedAtMs.keys()].flatMap(trait => {
-        const atMs = answers.latestFor(trait, audience)
-        return atMs === undefined ? [] : [[trait, roundAge(nowMs - atMs)]]
-      })
+    createReport: () => {
+      const answered = [...reportedAtMs.keys()].filter(trait => answeredAtMs.has(trait)).slice(-CRASH_REPORT_MAX)
       return {
         crashes: Object.fromEntries(rankForReport().map(trait => [trait, [...crashesByTrait.get(trait)!.values()].map(reportCrash)])),
-        answeredAgoMs: Object.fromEntries(answered.slice(-CRASH_REPORT_MAX))
+        answeredAgoMs: Object.fromEntries(answered.map(trait => [trait, roundAge(clock.nowMs() - answeredAtMs.get(trait)!)]))
       }
     }
   }
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -1,5 +1,4 @@
 /** Isolation and quarantine of requests that crash upstreams, and the crash guard of the agent. */
-export * from './answerTimes.js'
 export * from './attributeCrashes.js'
 export * from './constants.js'
 export * from './createCrashGuard.js'
