--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -280,6 +280,7 @@
     get openedConnections () { return forward.openedConnections },
     get rejectedMessages () { return forward.rejectedMessages },
     get livePeers () { return otherEntries().length },
+    get readyPeers () { return peers.reports.callerEntries().filter(entry => entry.isReady).length },
     get weight () { return weighing.weight() },
     get limitedWorkers () { return workerLimits.limits.limitedCount },
     get coldWorkers () { return workerLimits.limits.coldCount },
--- a/src/nodes/forward/forwardNodeTypes.ts
+++ b/src/nodes/forward/forwardNodeTypes.ts
@@ -57,6 +57,8 @@
   readonly storeView: StoreView
   readonly openedConnections: number
   readonly livePeers: number
+  /** Number of other entries that callers are sent to: they have reported recently that they are ready. */
+  readonly readyPeers: number
   /** Messages that the full mailbox of the requests has rejected. */
   readonly rejectedMessages: number
   /** Number of traits, or groups of them, that requests are refused for. */
