Take over removals when an entry that starts after a drill asks another one

Cause: a process that starts from a restored store compares its records with another entry. What that entry's list lacks was handled like what a restored store lacks, which may come back, so the worker went on serving for the time it has to register again.

A list now says what it means: current, restored or confirmed.

--- a/src/nodes/storeView/createStoreView.ts
+++ b/src/nodes/storeView/createStoreView.ts
@@ -3,7 +3,7 @@
 import { createEvacuations, type EvacuationChange, type EvacuationRecord, type Evacuations } from '../../evacuation/index.js'
 import { createWorkerTable, type WorkerChange, type WorkerRegistration, type WorkerRun, type WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
-import { createFeedClient, type FeedClient, FeedMessageKind, type KeyedRecord, type RecordSource, startTopicTask, type StoreCallListener, type StoreTopics, Topic, type TopicTask, type TopicTaskOptions, type WriterOrder } from '../../storeFeed/index.js'
+import { createFeedClient, type FeedClient, FeedMessageKind, type KeyedRecord, ListedState, type RecordSource, startTopicTask, type StoreCallListener, type StoreTopics, Topic, type TopicTask, type TopicTaskOptions, type WriterOrder } from '../../storeFeed/index.js'
 
 /** The topics of the store, and the decoders of their records. */
 export interface StorePort extends StoreTopics {
@@ -189,9 +189,9 @@
       keepsLostKeys: true
     }),
     [Topic.Workers]: startTopic(Topic.Workers, {
-      onReplaceAll: (records, isRestored) => {
+      onReplaceAll: (records, state) => {
         const registrations = decodeWorkers(records)
-        publishChanges(isRestored ? workers.restore(registrations) : workers.replaceAll(registrations))
+        publishChanges(state === ListedState.Restored ? workers.restore(registrations) : workers.replaceAll(registrations))
       },
       onRecords: records => publishChanges(records.flatMap(applyWorker)),
       orderOf: orderIfValid(store.decodeWorker, ({ startedAtUnixMs, heartbeat }) => [startedAtUnixMs, heartbeat]),
--- a/src/storeFeed/createTopicFollower.test.ts
+++ b/src/storeFeed/createTopicFollower.test.ts
@@ -4,7 +4,7 @@
   ENTRY_FAILURES_MAX, PEER_AHEAD_JITTER_MS, PEER_AHEAD_LIMIT_MS, READ_BATCH_DELAY_MS, READ_WAIT_MAX_MS, RETRY_DELAY_MAX_MS, SourceKind, STORE_DISTRUST_MS, StoreCallReason
 } from './constants.js'
 import { createTopicFollower } from './createTopicFollower.js'
-import { type FeedEffect, FeedEffectKind, FeedMessageKind, type TopicFollower } from './followerTypes.js'
+import { type FeedEffect, FeedEffectKind, FeedMessageKind, ListedState, type TopicFollower } from './followerTypes.js'
 import type { KeyedRecord, RecordSource } from './types.js'
 
 const STORE: RecordSource = { kind: SourceKind.Store }
@@ -259,7 +259,7 @@
         const effects = follower.handle({ kind: FeedMessageKind.RecordsRead, callId, records: [record('a', 5, 2)], end: at(end, 2) })
         expect(effects).toMatchObject([{ kind: FeedEffectKind.List }])
         const restored = follower.handle({ kind: FeedMessageKind.Listed, callId: callOf(effects).callId, records: [], end: at(end, 2) })
-        expect(restored).toMatchObject([{ kind: FeedEffectKind.ReplaceAll, isRestored: true }, { kind: FeedEffectKind.Read, from: at(end, 2) }])
+        expect(restored).toMatchObject([{ kind: FeedEffectKind.ReplaceAll, state: ListedState.Restored }, { kind: FeedEffectKind.Read, from: at(end, 2) }])
         follower = createTopicFollower({ clock, random: createRandom(1), source: () => source })
       }
     })
--- a/src/storeFeed/createTopicFollower.ts
+++ b/src/storeFeed/createTopicFollower.ts
@@ -4,7 +4,7 @@
 } from './constants.js'
 import { createReadTimes } from './createReadTimes.js'
 import {
-  type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type FeedPage, type TopicFollower, type TopicFollowerOptions
+  type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type FeedPage, ListedState, type TopicFollower, type TopicFollowerOptions
 } from './followerTypes.js'
 import type { RecordSource } from './types.js'
 
@@ -150,7 +150,9 @@
     if (isConfirmed) confirmUntilMs = undefined
     mustList = false
     recordPosition(page.end)
-    return [...effects, { kind: FeedEffectKind.ReplaceAll, records: page.records, end: page.end, isRestored: isRestored || isConfirmed }, ...startCall()]
+    const otherwise = isConfirmed ? ListedState.Confirmed : ListedState.Current
+    const state = isRestored ? ListedState.Restored : otherwise
+    return [...effects, { kind: FeedEffectKind.ReplaceAll, records: page.records, end: page.end, state }, ...startCall()]
   }
 
   /** Whether the records of a page may lack some that have an offset below its start: its offsets were given out anew. */
--- a/src/storeFeed/followerTypes.ts
+++ b/src/storeFeed/followerTypes.ts
@@ -52,6 +52,19 @@
   StoreRecovered = 'store-regained'
 }
 
+/** What a list says about the records that this process knows besides. */
+export enum ListedState {
+  /** The list is the state. */
+  Current = 'current',
+  /** The store came back from an older copy: the list may be older than what is known, and lack some of it. */
+  Restored = 'restored',
+  /**
+   * This process started from a restored store and has asked an entry that has read as much: what is known may be older than
+   * the list, and what the list lacks has been removed.
+   */
+  Confirmed = 'confirmed'
+}
+
 interface Call {
   callId: number
   source: RecordSource
@@ -66,8 +79,7 @@
   | { kind: FeedEffectKind.List } & Call
   | { kind: FeedEffectKind.Read, from: LogPosition, waitMs: number } & Call
   | { kind: FeedEffectKind.Abort, callId: number }
-  /** `isRestored` is set if the store came back from an older copy, so that the records may be older than what is known. */
-  | { kind: FeedEffectKind.ReplaceAll, records: readonly KeyedRecord[], end: LogPosition, isRestored: boolean }
+  | { kind: FeedEffectKind.ReplaceAll, records: readonly KeyedRecord[], end: LogPosition, state: ListedState }
   | { kind: FeedEffectKind.Apply, records: readonly KeyedRecord[], end: LogPosition }
   | { kind: FeedEffectKind.ConnectionSilent, source: RecordSource }
   | { kind: FeedEffectKind.ConnectionReplaced }
--- a/src/storeFeed/topicTask.ts
+++ b/src/storeFeed/topicTask.ts
@@ -5,7 +5,7 @@
 import { createRecordLog, type RecordLog } from './createRecordLog.js'
 import { createRestoreMerge, type RestoreMergeOptions } from './createRestoreMerge.js'
 import { createTopicFollower } from './createTopicFollower.js'
-import { type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, type TopicFollower } from './followerTypes.js'
+import { type FeedEffect, FeedEffectKind, type FeedMessage, FeedMessageKind, ListedState, type TopicFollower } from './followerTypes.js'
 import { readHistory } from './readHistory.js'
 import type { KeyedRecord, RecordCall, RecordPage, RecordSource, TopicPort } from './types.js'
 
@@ -23,8 +23,8 @@
   /** Port to an entry that passes on the topic. */
   entryPortOf: (address: string) => TopicPort
   tickIntervalMs: number
-  /** `isRestored` is set if the store came back from an older copy; the records include newer ones that it has lost. */
-  onReplaceAll: (records: readonly KeyedRecord[], isRestored: boolean) => void
+  /** The records include newer ones that a restored store has lost. */
+  onReplaceAll: (records: readonly KeyedRecord[], state: ListedState) => void
   onRecords: (records: readonly KeyedRecord[]) => void
   /** Whether a record tells no order, and its key keeps what was last written or removed when the store loses that. */
   isOrderedByPosition?: ((record: KeyedRecord) => boolean) | undefined
@@ -73,7 +73,8 @@
   const stateOf = (): KeyedRecord[] => [...records.state().filter(isOrderedByWriter), ...positions?.state() ?? []]
 
   /** Takes over a list and returns the state that is in force with it. */
-  const takeListed = (listed: readonly KeyedRecord[], end: LogPosition, isRestored: boolean): KeyedRecord[] => {
+  const takeListed = (listed: readonly KeyedRecord[], end: LogPosition, state: ListedState): KeyedRecord[] => {
+    const isRestored = state !== ListedState.Current
     positions?.list({ records: listed, end, isFromStore: true, ...origins.get(listed) }, isRestored)
     const ordered = listed.filter(isOrderedByWriter)
     const merged = isRestored ? memory.merge(ordered) : ordered
@@ -127,11 +128,11 @@
       startCall(callId, port, port.read(from, waitMs, timeoutMs, useOf(call)), page => ({ kind: FeedMessageKind.RecordsRead, callId, ...page }))
     },
     [FeedEffectKind.Abort]: ({ callId }) => calls.get(callId)?.abort(),
-    [FeedEffectKind.ReplaceAll]: ({ records: listed, end, isRestored }) => {
-      if (isRestored && end.era > records.end!.era) listeners.onRestored({ before: records.end!, end })
-      const state = takeListed(listed, end, isRestored)
-      records.replaceAll(state, end)
-      listeners.onReplaceAll(state, isRestored)
+    [FeedEffectKind.ReplaceAll]: ({ records: listed, end, state }) => {
+      if (state === ListedState.Restored) listeners.onRestored({ before: records.end!, end })
+      const merged = takeListed(listed, end, state)
+      records.replaceAll(merged, end)
+      listeners.onReplaceAll(merged, state)
       listeners.onAdvanced()
     },
     [FeedEffectKind.Apply]: ({ records: read, end }) => {
