Bound the number of chunks that an agent keeps of responses

A response of 1,000,000 chunks of one byte kept 153 MB in the resume buffer, whose limit is 1 MiB, and four such keyed answers 298 MB, of 32 that the limit of 32 MiB allows (measured on the two modules alone; no agent was brought to its end by it).

At most 8,192 chunks of one response are kept, and 131,072 of all keyed calls. Both new tests fail without the limits.

--- a/src/once/constants.ts
+++ b/src/once/constants.ts
@@ -39,6 +39,9 @@
 export const AGENT_KEYS_MAX = 20_000
 export const ANSWER_BYTES_MAX = 1024 * 1024
 export const ANSWERS_BYTES_MAX = 32 * 1024 * 1024
+/** Chunks of one response, and of all, as each takes about 75 bytes besides its own. */
+export const ANSWER_CHUNKS_MAX = 8_192
+export const ANSWERS_CHUNKS_MAX = 131_072
 
 /** Kind of an item in a binding record. */
 export enum BindingKind {
--- a/src/once/createKeyedRuns.test.ts
+++ b/src/once/createKeyedRuns.test.ts
@@ -170,6 +170,19 @@
     expect(agent.started).toHaveLength(3)
   })
 
+  // Guards against an agent that runs out of memory by the objects of chunks of one byte.
+  it('keeps a bounded number of chunks of one response and of all, and keeps the keys', () => {
+    const agent = createAgent({ answerChunksMax: 3, answersChunksMax: 5 })
+    for (const [i, [key, count]] of ([['a', 3], ['b', 4], ['c', 2], ['d', 2]] as const).entries()) {
+      agent.dispatch(key)
+      for (let at = 0; at < count; at++) agent.chunk('x', i)
+      agent.end(i)
+    }
+    expect(['a', 'b'].map(key => codeOf(agent.dispatch(key)))).toEqual([ResultCode.AnswerNotKept, ResultCode.AnswerNotKept])
+    expect(['c', 'd'].map(key => textOf(agent.dispatch(key)))).toEqual(['xx', 'xx'])
+    expect(agent.started).toHaveLength(4)
+  })
+
   it('distinguishes a run that did not start from one that failed', () => {
     const agent = createAgent()
     agent.dispatch('a')
--- a/src/once/createKeyedRuns.ts
+++ b/src/once/createKeyedRuns.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Core, dispatch, type HandlerTable, type Incarnation, ResultCode } from '../core/index.js'
-import { AGENT_KEYS_MAX, ANSWER_BYTES_MAX, ANSWERS_BYTES_MAX, KeyState } from './constants.js'
+import { AGENT_KEYS_MAX, ANSWER_BYTES_MAX, ANSWER_CHUNKS_MAX, ANSWERS_BYTES_MAX, ANSWERS_CHUNKS_MAX, KeyState } from './constants.js'
 import { createResponseStore } from './createResponseStore.js'
 import {
   addChunk, attach, detach, detachEntry, endRun, type KeyedRun, refusalReply, stateOfRun, stateReply, replyVoided
@@ -21,6 +21,8 @@
   keysMax?: number
   answerBytesMax?: number
   answersBytesMax?: number
+  answerChunksMax?: number
+  answersChunksMax?: number
   rules?: Partial<RunsRules>
 }
 
@@ -35,7 +37,7 @@
  */
 export const createKeyedRuns = ({
   clock, incarnation, windowMs, keysMax = AGENT_KEYS_MAX, answerBytesMax = ANSWER_BYTES_MAX,
-  answersBytesMax = ANSWERS_BYTES_MAX, rules: ruleOverrides
+  answersBytesMax = ANSWERS_BYTES_MAX, answerChunksMax = ANSWER_CHUNKS_MAX, answersChunksMax = ANSWERS_CHUNKS_MAX, rules: ruleOverrides
 }: KeyedRunsOptions): Core<RunsMessage, RunsEffect> => {
   const rules = { ...RUNS_RULES, ...ruleOverrides }
   const runs = new Map<string, KeyedRun>()
@@ -51,7 +53,7 @@
   const index = createKeyTimeIndex()
   const floor = createKeyFloor(clock, windowMs)
   floor.advance()
-  const responses = createResponseStore({ answerBytesMax, answersBytesMax })
+  const responses = createResponseStore({ answerBytesMax, answersBytesMax, answerChunksMax, answersChunksMax })
   let runCount = 0
   let isDraining = false
 
--- a/src/once/createResponseStore.ts
+++ b/src/once/createResponseStore.ts
@@ -14,32 +14,42 @@
   drop (): void
 }
 
-/** Stores responses within a total byte limit. */
+export interface ResponseStoreOptions {
+  answerBytesMax: number
+  answersBytesMax: number
+  answerChunksMax: number
+  answersChunksMax: number
+}
+
+/** Stores responses within limits of their bytes and chunks, each and in total. */
 export interface ResponseStore {
   open (): StoredResponse
   readonly bytes: number
 }
 
 /**
- * Creates the store. When the limit is reached, the oldest ended responses are dropped, because a retry
+ * Creates the store. When a total limit is reached, the oldest ended responses are dropped, because a retry
  * usually follows soon after the first attempt. Only the response is dropped; the run itself is kept.
  *
  * @example
- * const response = createResponseStore({ answerBytesMax: 1_048_576, answersBytesMax: 33_554_432 }).open()
+ * const response = createResponseStore({ answerBytesMax: 1_048_576, answersBytesMax: 33_554_432, answerChunksMax: 8_192, answersChunksMax: 131_072 }).open()
  * response.add(bytes)
  */
 export const createResponseStore = (
-  { answerBytesMax, answersBytesMax }: { answerBytesMax: number, answersBytesMax: number }
+  { answerBytesMax, answersBytesMax, answerChunksMax, answersChunksMax }: ResponseStoreOptions
 ): ResponseStore => {
   const ended = new Set<StoredResponse>()
   let totalBytes = 0
+  let totalChunks = 0
+
+  const hasRoomFor = (bytes: number) => totalBytes + bytes <= answersBytesMax && totalChunks < answersChunksMax
 
   const evictFor = (bytes: number): boolean => {
     for (const response of ended) {
-      if (totalBytes + bytes <= answersBytesMax) break
+      if (hasRoomFor(bytes)) break
       response.drop()
     }
-    return totalBytes + bytes <= answersBytesMax
+    return hasRoomFor(bytes)
   }
 
   const open = (): StoredResponse => {
@@ -58,12 +68,14 @@
         hash?.update(bytes)
         producedCount += 1
         if (!isKept) return
-        if (responseBytes + bytes.length > answerBytesMax || !evictFor(bytes.length)) {
+        const isTooLarge = responseBytes + bytes.length > answerBytesMax || chunks.length >= answerChunksMax
+        if (isTooLarge || !evictFor(bytes.length)) {
           response.drop()
           return
         }
         responseBytes += bytes.length
         totalBytes += bytes.length
+        totalChunks += 1
         chunks.push(bytes)
       },
       digest: () => hash?.digest() ?? digest,
@@ -76,6 +88,7 @@
       drop: () => {
         ended.delete(response)
         totalBytes -= responseBytes
+        totalChunks -= chunks.length
         responseBytes = 0
         chunks = []
         isKept = false
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -2,6 +2,8 @@
 export const REORDER_CHUNKS_MAX = 64
 /** Bytes of one response that an agent buffers for resumes. */
 export const RESUME_BUFFER_MAX_BYTES = 1024 * 1024
+/** Chunks of it, as each takes about 150 bytes besides its own. */
+export const RESUME_BUFFER_CHUNKS_MAX = 8_192
 /** How long an agent keeps a finished response for resumes. */
 export const RESUME_KEEP_MS = 15_000
 /** An attempt whose link is not re-established within this time counts as lost. */
--- a/src/requests/createResponseBuffer.ts
+++ b/src/requests/createResponseBuffer.ts
@@ -1,6 +1,6 @@
 import { ResultCode } from '../core/index.js'
 import { FrameKind } from '../links/index.js'
-import { RESUME_BUFFER_MAX_BYTES } from './constants.js'
+import { RESUME_BUFFER_CHUNKS_MAX, RESUME_BUFFER_MAX_BYTES } from './constants.js'
 import type { ChunkFrame, EndFrame, ResponseHead } from './frames.js'
 import { createResponseHash } from './responseHash.js'
 
@@ -8,7 +8,7 @@
 export type BufferedChunk = Pick<ChunkFrame, 'sequence' | 'head' | 'bytes'>
 export type BufferedEnd = Pick<EndFrame, 'code' | 'chunkCount' | 'hash'>
 
-/** Buffers the chunks of one response for resumes, up to a byte limit. */
+/** Buffers the chunks of one response for resumes, up to a limit of bytes and one of chunks. */
 export interface ResponseBuffer {
   addHead (head: ResponseHead): BufferedChunk
   addBytes (bytes: Uint8Array): BufferedChunk
@@ -22,7 +22,7 @@
 }
 
 /**
- * Creates the buffer of one response. The oldest chunks are dropped beyond the byte limit; a resume
+ * Creates the buffer of one response. The oldest chunks are dropped beyond the limits; a resume
  * that needs them fails rather than skipping them.
  *
  * @example
@@ -41,7 +41,7 @@
   const add = (chunk: BufferedChunk): BufferedChunk => {
     chunks.push(chunk)
     keptBytes += chunk.bytes?.length ?? 0
-    while (keptBytes > bytesMax && chunks.length > 1) {
+    while ((keptBytes > bytesMax && chunks.length > 1) || chunks.length > RESUME_BUFFER_CHUNKS_MAX) {
       keptBytes -= chunks.shift()?.bytes?.length ?? 0
       firstSequence += 1
     }
--- a/src/requests/responseAssembly.test.ts
+++ b/src/requests/responseAssembly.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { FrameError, ResultCode } from '../core/index.js'
 import { FrameKind } from '../links/index.js'
+import { RESUME_BUFFER_CHUNKS_MAX } from './constants.js'
 import { AssemblyKind, createResponseAssembler } from './createResponseAssembler.js'
 import { createResponseBuffer, toChunkFrame, toEndFrame } from './createResponseBuffer.js'
 import { type ChunkFrame, type EndFrame, parseChunkFrame } from './frames.js'
@@ -64,6 +65,16 @@
     expect(buffer.readFrom(4)).toHaveLength(1)
     expect(buffer.keptBytes).toBeLessThanOrEqual(10)
   })
+
+  // Guards against an agent that runs out of memory by the objects of chunks of one byte.
+  it('keeps a bounded number of chunks for resumes, however small they are', () => {
+    const CHUNKS = 3 * RESUME_BUFFER_CHUNKS_MAX
+    const buffer = createResponseBuffer('e-1')
+    for (let i = 0; i < CHUNKS; i++) buffer.addBytes(Buffer.alloc(1))
+    expect(buffer.readFrom(CHUNKS - RESUME_BUFFER_CHUNKS_MAX)).toHaveLength(RESUME_BUFFER_CHUNKS_MAX)
+    expect(buffer.readFrom(CHUNKS - RESUME_BUFFER_CHUNKS_MAX - 1)).toBeUndefined()
+    expect(buffer.keptBytes).toBe(RESUME_BUFFER_CHUNKS_MAX)
+  })
 })
 
 describe('chunk frames', () => {
