Wait until both entries have the configuration before upstreams name limits

One of 80 responses in upstreamNotices.test.ts was not 200 in 3 of 8 runs side by side. Traced: 404, no route, from the second entry 62 ms after the test began, as its configuration had not arrived; the start of the test waited for requests at both upstreams, which the first entry alone can send. It waits until both entries answer 200 now. No check is changed.

--- a/src/nodes/upstreamNotices.test.ts
+++ b/src/nodes/upstreamNotices.test.ts
@@ -34,8 +34,9 @@
     await fleet.applyRows(rows)
     for (const { url } of services) await fleet.startAgent({ pool: 'yard-app', upstreamUrl: url })
     await fleet.until(async () => {
-      await Promise.all([statusAt(0), statusAt(1)])
-      return services.every(({ lookupCount }) => lookupCount > 0)
+      // An entry that has no configuration yet finds no route.
+      const statuses = await Promise.all([statusAt(0), statusAt(1)])
+      return statuses.every(status => status === 200) && services.every(({ lookupCount }) => lookupCount > 0)
     })
   })
   afterEach(() => fleet.stop())
