Report how each stream ended, and what proved it whole

An operator could not tell from logs and metrics why a stream counted as complete: one that was taken for whole after the end of a connection looked like one with its last chunk.

No decision changes.

--- a/src/nodes/forward/evacuatedRequests.test.ts
+++ b/src/nodes/forward/evacuatedRequests.test.ts
@@ -134,7 +134,7 @@
     core.handle({
       kind: ForwardMessageKind.ResponseStarted,
       exchangeId: sent!.exchangeId,
-      answer: { verdict: 'success', status: 200, isPromiseNotRun: false, headers: [], isEventStream: false, isUnframed: false, notice: undefined } as never
+      answer: { verdict: 'success', status: 200, isPromiseNotRun: false, headers: [], isEventStream: false, framing: 'length', notice: undefined } as never
     })
     const effects = core.handle({ kind: ForwardMessageKind.ResponseFinished, exchangeId: sent!.exchangeId })
     expect(effects.some(({ kind }) => kind === ForwardEffectKind.Complete)).toBe(true)
--- a/src/nodes/forward/forwardCounters.ts
+++ b/src/nodes/forward/forwardCounters.ts
@@ -1,6 +1,6 @@
 import type { ResultCode } from '../../core/index.js'
 import type { DatagramContent } from '../../peers/index.js'
-import type { AttemptEnd } from '../../requests/index.js'
+import type { AttemptEnd, CompletionProof, ResponseEnd, ResponseFraming } from '../../requests/index.js'
 import type { StoreCallReason, Topic } from '../../storeFeed/index.js'
 
 /** Upper bounds of the latency buckets, in ms. */
@@ -33,6 +33,10 @@
   readonly requests: ReadonlyMap<string, number>
   /** Ended attempts by service and outcome. */
   readonly attempts: ReadonlyMap<string, number>
+  /** Ended streams of workers by service, framing and what ended them. */
+  readonly streamEnds: ReadonlyMap<string, number>
+  /** Responses that were taken for whole, by service and proof. */
+  readonly proofs: ReadonlyMap<string, number>
   readonly retries: Record<'taken' | 'denied', number>
   readonly requestMs: LatencyHistogram
   readonly firstEventMs: LatencyHistogram
@@ -44,6 +48,8 @@
   countStoreCall (topic: Topic, reason: StoreCallReason): void
   countRequest (route: string, code: ResultCode, durationMs: number): void
   countAttempt (service: string, end: AttemptEnd): void
+  countStreamEnd (service: string, framing: ResponseFraming, endedBy: ResponseEnd): void
+  countProof (service: string, proof: CompletionProof): void
 }
 
 const KEY_SEPARATOR = '\u0000'
@@ -68,12 +74,16 @@
 export const createForwardCounters = (): ForwardCounters => {
   const requests = new Map<string, number>()
   const attempts = new Map<string, number>()
+  const streamEnds = new Map<string, number>()
+  const proofs = new Map<string, number>()
   const sentBytes = new Map<string, number>()
   const storeCalls = new Map<string, number>()
   const requestMs = createLatencyHistogram()
   return {
     requests,
     attempts,
+    streamEnds,
+    proofs,
     retries: { taken: 0, denied: 0 },
     requestMs,
     firstEventMs: createLatencyHistogram(),
@@ -85,6 +95,8 @@
       increment(requests, route, String(code))
       requestMs.observe(durationMs)
     },
-    countAttempt: (service, end) => increment(attempts, service, end)
+    countAttempt: (service, end) => increment(attempts, service, end),
+    countStreamEnd: (service, framing, endedBy) => increment(streamEnds, service, framing, endedBy),
+    countProof: (service, proof) => increment(proofs, service, proof)
   }
 }
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -147,7 +147,7 @@
       if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
     },
     onAttemptEnded: (request, worker, outcome) => {
-      const { end, detail, hasAnswerBegun, receivedBytes, receivedParts } = outcome
+      const { end, detail, hasAnswerBegun, isStream, framing, endedBy, silenceMs, attemptNumber, lastEventId, receivedBytes, receivedParts } = outcome
       const { requestId, service, promptParts } = request
       const { workerId } = worker
       placement.recordEnded(workerId)
@@ -156,9 +156,22 @@
       recordCrashEvidence[end](request, worker, outcome)
       if (IS_LOST_ATTEMPT[end]) placement.recordLost(workerId)
       counters.countAttempt(service, end)
+      if (isStream && framing !== undefined && endedBy !== undefined) counters.countStreamEnd(service, framing, endedBy)
       onRunningChanged(SelfChange.LoadFell)
       log(LogEvent.AttemptEnded, {
-        requestId, workerId, end, detail, hasAnswerBegun, receivedBytes, receivedParts, ...(end === AttemptEnd.Lost ? { promptParts } : {})
+        requestId,
+        workerId,
+        attempt: attemptNumber,
+        end,
+        detail,
+        framing,
+        endedBy,
+        silenceMs: Math.round(silenceMs),
+        hasAnswerBegun,
+        receivedBytes,
+        receivedParts,
+        ...(isStream ? { lastEventId } : {}),
+        ...(end === AttemptEnd.Lost ? { promptParts } : {})
       })
     },
     onEventGap: (request, _worker, gapMs, isFirst) => {
@@ -166,11 +179,12 @@
       if (isFirst) counters.firstEventMs.observe(gapMs)
       else if (route.eventGapTargetMs > 0) streamLimitOf(service).recordEventGap(gapMs, route.eventGapTargetMs)
     },
-    onRequestEnded: ({ requestId, callerAttemptId, route, arrivedAtMs }, code, detail) => {
+    onRequestEnded: ({ requestId, callerAttemptId, route, service, arrivedAtMs }, code, detail, proof) => {
       const tookMs = now() - arrivedAtMs
       counters.countRequest(route.name, code, tookMs)
       if (code === ResultCode.Ok) recordDuration(route.name, tookMs)
-      log(LogEvent.RequestEnded, { requestId, callerAttemptId, route: route.name, code, detail, tookMs: Math.round(tookMs) })
+      if (proof !== undefined) counters.countProof(service, proof)
+      log(LogEvent.RequestEnded, { requestId, callerAttemptId, route: route.name, code, detail, proof, tookMs: Math.round(tookMs) })
     },
     retryAfterMs: ({ service }) => coldRetryAfterMs(service) ?? random.int(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
   }
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -6,7 +6,7 @@
   type ForwardPorts, type ForwardRequest, FORWARD_TICK_MS
 } from '../../requests/index.js'
 import {
-  checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind, ExchangeFault,
+  checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind,
   ReadPause, UnsendableRequestError, UpstreamCheck
 } from '../../upstreams/index.js'
 import { createExchangeBacklog } from './exchangeBacklog.js'
@@ -101,7 +101,7 @@
     [ExchangeEventKind.Body]: ({ bytes }) => ({ kind: ForwardMessageKind.ResponseBytes, exchangeId, bytes }),
     [ExchangeEventKind.Finished]: () => ({ kind: ForwardMessageKind.ResponseFinished, exchangeId }),
     [ExchangeEventKind.Failed]: ({ fault, hasLeft }) =>
-      ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, isUnframedEnd: fault === ExchangeFault.UnframedEnd })
+      ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, fault })
   })
 
   const forgetExchange = (exchangeId: number) => {
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -9,6 +9,7 @@
   BodyFramingKind, ResponseVerdict, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts, type ForwardRequest,
   type Placement, PlacementKind, type WorkerResponse
 } from './forwardTypes.js'
+import { ResponseFraming } from './responseEnds.js'
 
 const TIMEOUT_MS = 2_000
 
@@ -34,7 +35,7 @@
 const streamRoute = { ...idempotentRoute, repeat: RepeatPolicy.AtMostOnce, isEventStream: true, isResumable: true }
 
 const createResponse = (verdict: ResponseVerdict, status: number, isEventStream = false): WorkerResponse =>
-  ({ verdict, status, isPromiseNotRun: status === 503, headers: [['server-seal', `seal-${status}`]], isEventStream, isUnframed: false, notice: undefined })
+  ({ verdict, status, isPromiseNotRun: status === 503, headers: [['server-seal', `seal-${status}`]], isEventStream, framing: ResponseFraming.Length, notice: undefined })
 
 describe('createForwardCore', () => {
   let clock: ManualClock
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,6 +1,6 @@
 import { type ByteBuffer, type Clock, type Core, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
-import { UpstreamCheck } from '../upstreams/index.js'
+import { ExchangeFault, UpstreamCheck } from '../upstreams/index.js'
 import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
 import { createRequestEnds } from './createRequestEnds.js'
@@ -8,12 +8,14 @@
 import { forEachRequest } from './forEachRequest.js'
 import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
 import {
-  type Attempt, byUrgency, hasAnswerBegun, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse
+  type Attempt, byUrgency, hasAnswerBegun, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse,
+  recordResponseEnd
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
   type ForwardRequest, PlacementKind, type WorkerResponse
 } from './forwardTypes.js'
+import { CompletionProof, END_OF_FAULT, FRAMED_END, ResponseEnd } from './responseEnds.js'
 
 export interface ForwardCore extends Core<ForwardMessage, ForwardEffect> {
   readonly liveCount: number
@@ -108,13 +110,17 @@
     ports.onWorkerChecked(worker, check)
     return forEachRequest(held, inFlight => {
       const { attempt } = inFlight
-      return attempt === undefined ? retryOrFail(inFlight, ResultCode.UpstreamDied, detail) : onResponseFinished(inFlight, attempt)
+      if (attempt === undefined) return retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
+      inFlight.proof = CompletionProof.WorkerReachable
+      return handleWholeResponse(inFlight, attempt)
     })
   }
 
   /** Ends an attempt whose response cannot be used any further, and closes its connection. */
-  const abandonAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] =>
-    [{ kind: ForwardEffectKind.CancelExchange, exchangeId: attempt.exchangeId }, ...handleLostAttempt(inFlight, attempt, detail)]
+  const abandonAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
+    recordResponseEnd(attempt, ResponseEnd.GivenUp, clock.nowMs())
+    return [{ kind: ForwardEffectKind.CancelExchange, exchangeId: attempt.exchangeId }, ...handleLostAttempt(inFlight, attempt, detail)]
+  }
 
   const onResponseStarted = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
     if (response.notice !== undefined) ports.onWorkerNotice(attempt.worker, response.notice, attempt.sentAtMs)
@@ -123,18 +129,21 @@
       return abandonAttempt(inFlight, attempt, `status ${response.status} is not a valid response to this request`)
     }
     attempt.answer = response
+    attempt.lastPartAtMs = clock.nowMs()
     return []
   }
 
   const endOversized = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const { answer, exchangeId } = attempt
     if (answer?.verdict !== ResponseVerdict.NotRun) return abandonAttempt(inFlight, attempt, 'response exceeds the size limit')
+    recordResponseEnd(attempt, ResponseEnd.GivenUp, clock.nowMs())
     return [{ kind: ForwardEffectKind.CancelExchange, exchangeId }, ...verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, answer)]
   }
 
   const onResponseBytes = (inFlight: InFlightRequest, attempt: Attempt, bytes: Uint8Array): ForwardEffect[] => {
     attempt.receivedBytes += bytes.length
     attempt.receivedParts += 1
+    attempt.lastPartAtMs = clock.nowMs()
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
       return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
@@ -146,6 +155,7 @@
   /** The pause of a caller that reads slowly is no gap between the events of its worker. */
   const onReadingResumed = (_inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     attempt.lastEventAtMs = clock.nowMs()
+    attempt.lastPartAtMs = clock.nowMs()
     return []
   }
 
@@ -193,18 +203,25 @@
     }
   }
 
-  const onResponseFinished = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
+  const handleWholeResponse = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const { answer } = attempt
     return answer === undefined ? handleLostAttempt(inFlight, attempt, 'response ended before its head') : verdictHandlers[answer.verdict](inFlight, attempt, answer)
   }
 
+  const onResponseFinished = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
+    if (attempt.answer !== undefined) recordResponseEnd(attempt, FRAMED_END[attempt.answer.framing], clock.nowMs())
+    inFlight.proof = CompletionProof.Framing
+    return handleWholeResponse(inFlight, attempt)
+  }
+
   const onExchangeFailed = (
-    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, isUnframedEnd }: Omit<ExchangeFailedMessage, 'kind'>
+    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, fault }: Omit<ExchangeFailedMessage, 'kind'>
   ): ForwardEffect[] => {
+    recordResponseEnd(attempt, fault === undefined ? ResponseEnd.GivenUp : END_OF_FAULT[fault], clock.nowMs())
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
     // The end of the connection is that of the response, unless the worker has crashed.
-    if (isUnframedEnd === true && hasAnswerBegun(attempt)) return checkWorker(attempt.worker, inFlight)
+    if (fault === ExchangeFault.UnframedEnd && hasAnswerBegun(attempt)) return checkWorker(attempt.worker, inFlight)
     if (hasLeft) return handleLostAttempt(inFlight, attempt, reason)
     endNotRun(inFlight, attempt, AttemptEnd.NotConnected, reason)
     return retryOrFail(inFlight, ResultCode.NoUpstream, reason)
--- a/src/requests/createInFlightTable.ts
+++ b/src/requests/createInFlightTable.ts
@@ -1,6 +1,6 @@
-import type { Clock, ResultCode } from '../core/index.js'
+import { type Clock, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
-import { type Attempt, getDefaultAttempt, getDefaultInFlightRequest, hasAnswerBegun, hasSuccessHead, type InFlightRequest } from './forwardState.js'
+import { type Attempt, getDefaultAttempt, getDefaultInFlightRequest, hasAnswerBegun, hasSuccessHead, type InFlightRequest, isStreamingResponse } from './forwardState.js'
 import type { AttemptEnd, ForwardPorts, ForwardRequest } from './forwardTypes.js'
 
 export interface InFlightTableOptions {
@@ -45,9 +45,21 @@
     if (attempt === undefined) return
     byExchangeId.delete(attempt.exchangeId)
     inFlight.attempt = undefined
-    const { sentAtMs, receivedBytes, receivedParts } = attempt
+    const { sentAtMs, receivedBytes, receivedParts, endedBy, answer } = attempt
     ports.onAttemptEnded(inFlight.request, attempt.worker, {
-      end, detail, sentAtMs, receivedBytes, receivedParts, hasHead: hasSuccessHead(attempt), hasAnswerBegun: hasAnswerBegun(attempt)
+      end,
+      detail,
+      sentAtMs,
+      receivedBytes,
+      receivedParts,
+      hasHead: hasSuccessHead(attempt),
+      hasAnswerBegun: hasAnswerBegun(attempt),
+      isStream: isStreamingResponse(attempt),
+      framing: answer?.framing,
+      endedBy,
+      attemptNumber: inFlight.attemptCount,
+      lastEventId: inFlight.lastEventId,
+      silenceMs: attempt.silenceMs ?? clock.nowMs() - attempt.lastPartAtMs
     })
   }
 
@@ -65,11 +77,12 @@
     remove: (inFlight, code, detail) => {
       live.delete(inFlight.request.requestId)
       waiting.delete(inFlight)
-      ports.onRequestEnded(inFlight.request, code, detail)
+      ports.onRequestEnded(inFlight.request, code, detail, code === ResultCode.Ok ? inFlight.proof : undefined)
     },
     beginAttempt: (inFlight, worker) => {
       const attempt = getDefaultAttempt(nextExchangeId++, worker, inFlight.mayHaveRun, clock.nowMs())
       inFlight.attempt = attempt
+      inFlight.proof = undefined
       inFlight.mayHaveRun = true
       inFlight.attemptCount += 1
       inFlight.triedWorkerIds.push(worker.workerId)
--- a/src/requests/createRequestEnds.ts
+++ b/src/requests/createRequestEnds.ts
@@ -2,8 +2,9 @@
 import type { InFlightTable } from './createInFlightTable.js'
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
-import type { InFlightRequest } from './forwardState.js'
+import { type InFlightRequest, recordResponseEnd } from './forwardState.js'
 import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts } from './forwardTypes.js'
+import { ResponseEnd } from './responseEnds.js'
 
 export interface RequestEndsOptions {
   clock: Clock
@@ -34,8 +35,10 @@
  * failRequest(inFlight, ResultCode.UpstreamDied, 'connection lost')
  */
 export const createRequestEnds = ({ clock, ports, table, checks }: RequestEndsOptions): RequestEnds => {
-  const cancelAttempt = (inFlight: InFlightRequest, detail: string): ForwardEffect[] => {
-    const exchangeId = inFlight.attempt?.exchangeId
+  const cancelAttempt = (inFlight: InFlightRequest, endedBy: ResponseEnd, detail: string): ForwardEffect[] => {
+    const { attempt } = inFlight
+    const exchangeId = attempt?.exchangeId
+    if (attempt !== undefined) recordResponseEnd(attempt, endedBy, clock.nowMs())
     table.endAttempt(inFlight, AttemptEnd.Cancelled, detail)
     return exchangeId === undefined ? [] : [{ kind: ForwardEffectKind.CancelExchange, exchangeId }]
   }
@@ -54,7 +57,7 @@
   const cancelIfGone = (requestId: string): ForwardEffect[] => {
     const inFlight = table.get(requestId)
     if (inFlight === undefined) return []
-    const effects = cancelAttempt(inFlight, 'caller disconnected')
+    const effects = cancelAttempt(inFlight, ResponseEnd.Caller, 'caller disconnected')
     table.remove(inFlight, ResultCode.CallerGone, 'caller disconnected')
     return effects
   }
@@ -69,7 +72,7 @@
   const expireIfDue = (inFlight: InFlightRequest): ForwardEffect[] => {
     const nowMs = clock.nowMs()
     if (nowMs >= inFlight.request.deadlineAtMs) {
-      const effects = cancelAttempt(inFlight, 'deadline exceeded')
+      const effects = cancelAttempt(inFlight, ResponseEnd.Deadline, 'deadline exceeded')
       const code = inFlight.mayHaveRun ? ResultCode.DeadlineExceeded : ResultCode.DeadlineUnreachable
       return [...effects, ...failRequest(inFlight, code, 'deadline exceeded')]
     }
@@ -79,7 +82,7 @@
 
   /** A caller that is told now can still go elsewhere. */
   const endAll = (): ForwardEffect[] => forEachRequest(table.all(), inFlight =>
-    [...cancelAttempt(inFlight, 'process exits'), ...failRequest(inFlight, ResultCode.Draining, 'process exits')])
+    [...cancelAttempt(inFlight, ResponseEnd.ProcessExit, 'process exits'), ...failRequest(inFlight, ResultCode.Draining, 'process exits')])
 
   return { failRequest, expireIfDue, cancelIfGone, endAll, failStuck }
 }
--- a/src/requests/deliverResponse.ts
+++ b/src/requests/deliverResponse.ts
@@ -4,6 +4,7 @@
 import {
   type BodyFraming, BodyFramingKind, type ForwardEffect, ForwardEffectKind, type ForwardPorts, type WorkerResponse
 } from './forwardTypes.js'
+import { ResponseFraming } from './responseEnds.js'
 
 const deliverStreamHead = (inFlight: InFlightRequest, { status, headers }: WorkerResponse): ForwardEffect => {
   inFlight.isHeadSent = true
@@ -74,14 +75,14 @@
  * deliverResponse(request.requestId, response, attempt.held)
  */
 export const deliverResponse = (
-  requestId: string, { status, headers, isUnframed }: WorkerResponse, held: ByteBuffer
+  requestId: string, { status, headers, framing: workerFraming }: WorkerResponse, held: ByteBuffer
 ): ForwardEffect[] => {
   const bodyBytes = held.length
   const isWrittenAtOnce = bodyBytes <= WRITTEN_AT_ONCE_BYTES_MAX
   // Large bodies are not copied.
   const parts = isWrittenAtOnce ? [held.join()] : held.takeParts()
   // A worker may break off a response without framing and stay up, so a length would claim more than is known.
-  const framing: BodyFraming = isUnframed && isWrittenAtOnce
+  const framing: BodyFraming = workerFraming === ResponseFraming.None && isWrittenAtOnce
     ? { kind: BodyFramingKind.ConnectionEnd }
     : { kind: BodyFramingKind.Length, bodyBytes }
   return [
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -4,6 +4,7 @@
 import { RETRY_TIME_MIN_MS } from './constants.js'
 import { createEventSplitter, type EventSplitter } from './createEventSplitter.js'
 import { ResponseVerdict, type ForwardRequest, type WorkerResponse } from './forwardTypes.js'
+import type { CompletionProof, ResponseEnd } from './responseEnds.js'
 
 /** One HTTP exchange with a worker. */
 export interface Attempt {
@@ -21,6 +22,17 @@
   /** Bytes of the response's body so far, and the parts in which they were read. */
   receivedBytes: number
   receivedParts: number
+  /** When the head or the last part of the response arrived, or reading it went on after a pause. */
+  lastPartAtMs: TimestampMs
+  /** What ended the response, and how long nothing of it had come before; undefined until then. */
+  endedBy: ResponseEnd | undefined
+  silenceMs: number | undefined
+}
+
+/** Records what ended the response of an attempt; only the first end counts. */
+export const recordResponseEnd = (attempt: Attempt, endedBy: ResponseEnd, nowMs: TimestampMs): void => {
+  attempt.endedBy ??= endedBy
+  attempt.silenceMs ??= nowMs - attempt.lastPartAtMs
 }
 
 /** State of a request from its submission to its result. */
@@ -33,6 +45,8 @@
   mayHaveRun: boolean
   isHeadSent: boolean
   lastEventId: string | undefined
+  /** What the response was taken for whole by, once it was. */
+  proof: CompletionProof | undefined
   /** While the request is queued for a worker: when it is refused, and the code that it is refused with. */
   queueDeadlineMs: TimestampMs | undefined
   waitCode: ResultCode
@@ -49,7 +63,10 @@
   lastEventAtMs: nowMs,
   hasEvents: false,
   receivedBytes: 0,
-  receivedParts: 0
+  receivedParts: 0,
+  lastPartAtMs: nowMs,
+  endedBy: undefined,
+  silenceMs: undefined
 })
 
 export const getDefaultInFlightRequest = (request: ForwardRequest): InFlightRequest => ({
@@ -60,6 +77,7 @@
   mayHaveRun: false,
   isHeadSent: false,
   lastEventId: request.lastEventId,
+  proof: undefined,
   queueDeadlineMs: undefined,
   waitCode: ResultCode.Overloaded
 })
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -1,8 +1,9 @@
 import type { ResultCode, TimestampMs } from '../core/index.js'
 import type { RouteConfiguration } from '../configuration/index.js'
 import type { Worker } from '../membership/index.js'
-import type { HeaderField, UpstreamCheck } from '../upstreams/index.js'
+import type { ExchangeFault, HeaderField, UpstreamCheck } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
+import type { CompletionProof, ResponseEnd, ResponseFraming } from './responseEnds.js'
 
 /** A caller's request after a front end has parsed it and matched it to a route. */
 export interface ForwardRequest {
@@ -51,8 +52,7 @@
   /** End-to-end headers for the caller. */
   headers: readonly HeaderField[]
   isEventStream: boolean
-  /** Whether the response has neither a length nor chunks and ends with its connection. */
-  isUnframed: boolean
+  framing: ResponseFraming
   /** What the worker says about itself; undefined if the response need not come from the worker that was addressed. */
   notice: WorkerNotice | undefined
 }
@@ -107,6 +107,18 @@
   hasHead: boolean
   /** Whether a part of the worker's answer had arrived: an event of a stream, or bytes of another body. */
   hasAnswerBegun: boolean
+  /** Whether the worker answered with a stream. */
+  isStream: boolean
+  /** How the worker framed its response, once its head has arrived. */
+  framing: ResponseFraming | undefined
+  /** What ended the response; undefined if nothing of it had arrived. */
+  endedBy: ResponseEnd | undefined
+  /** Number of this attempt among those of its request, from 1. */
+  attemptNumber: number
+  /** Last event that was delivered to the caller, by this attempt or an earlier one. */
+  lastEventId: string | undefined
+  /** Time without an event, or another part of the body, before the end. */
+  silenceMs: number
   /** Bytes of the response's body, and the parts in which they were read. */
   receivedBytes: number
   receivedParts: number
@@ -127,7 +139,8 @@
   onAttemptEnded (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome): void
   /** Called with the time between two events of a stream, or from the send to the first event. */
   onEventGap (request: ForwardRequest, worker: Worker, gapMs: number, isFirst: boolean): void
-  onRequestEnded (request: ForwardRequest, code: ResultCode, detail: string): void
+  /** `proof` is what the response was taken for whole by, if it was. */
+  onRequestEnded (request: ForwardRequest, code: ResultCode, detail: string, proof?: CompletionProof): void
   /** Time after which the caller may retry a refused request, in ms. */
   retryAfterMs (request: ForwardRequest): number
 }
@@ -163,8 +176,8 @@
   | { kind: ForwardMessageKind.ResponseBytes, exchangeId: number, bytes: Uint8Array }
   | { kind: ForwardMessageKind.ResponseFinished, exchangeId: number }
   | { kind: ForwardMessageKind.ReadingResumed, exchangeId: number }
-  /** `isUnframedEnd` is set if a response with neither a length nor chunks ended with its connection. */
-  | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, isUnframedEnd?: boolean }
+  /** `fault` is unset if the exchange ended by an exception in this process. */
+  | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, fault?: ExchangeFault }
   | { kind: ForwardMessageKind.ExchangeOverflowed, exchangeId: number }
   | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
   | { kind: ForwardMessageKind.ConnectionClosedEarly, worker: Worker }
