Ask the run of a worker whether it ended a response without framing

What callers saw: a stream, or a booking, that its worker had not finished counted as complete, if the worker's address accepted a connection after the end.

Cause: an address accepts while another process, another run, a proxy or the backlog of a stopped process holds it, and workers that live cut off work of a broken group after a stall. The check proved none of what it was taken for.

Change: after such an end the entry asks the process at the address, with Expect-Instance, at the report of an engine or the health path of another service. Only an answer of the run that was sent the request makes the response whole; 421, another Instance-Id, another start time, an error of an intermediary or no answer do not. An answer is proof only for ends before its question. An end after half of the time for which workers stall is never taken for that of a response. The crash check of an address stays as it was.

--- a/src/configuration/fleetConfiguration.ts
+++ b/src/configuration/fleetConfiguration.ts
@@ -29,6 +29,8 @@
 
 export interface ServiceConfiguration {
   name: string
+  /** Where an upstream of the service answers questions about itself; undefined if that is not known. */
+  statusPath?: string
   engine?: EngineProfile
   /** Undefined for a service without warm-up. */
   warmUp?: WarmUpProfile
--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -158,6 +158,8 @@
     codec,
     workers: storeView.workers,
     isEvacuated: storeView.evacuations.isEvacuated,
+    statusPathOf: service => storeView.configuration.findService(service)?.statusPath,
+    ...(options.stallMs === undefined ? {} : { stallMs: options.stallMs }),
     log,
     ports: createForwardPorts({
       random,
--- a/src/nodes/forward/forwardNodeTypes.ts
+++ b/src/nodes/forward/forwardNodeTypes.ts
@@ -25,6 +25,8 @@
   silenceMaxMs: () => number
   /** Bounds of the requests to a cold worker; the strictest ones if it is not set. */
   warmUpBounds?: () => WarmUpBounds
+  /** Time for which upstreams stall before they cut off work that cannot go on; undefined if they do not. */
+  stallMs?: () => number | undefined
   /** Bytes of requests in flight from this entry to one worker. */
   upstreamBytesMax: number
   clock: Clock
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -58,6 +58,14 @@
   [AttemptEnd.NotConnected]: true
 }
 
+/** Whether a check shows that the run of a worker has ended. */
+const IS_RUN_OVER: Record<UpstreamCheck, boolean> = {
+  [UpstreamCheck.Up]: false,
+  [UpstreamCheck.Down]: true,
+  [UpstreamCheck.Replaced]: true,
+  [UpstreamCheck.Unknown]: false
+}
+
 /**
  * Connects the forward core to placement, stream limits, retry budget, log and counters.
  *
@@ -142,9 +150,9 @@
       if (notice.pauseMs !== undefined) log(LogEvent.WorkerPaused, { workerId: worker.workerId, pauseMs: notice.pauseMs })
       postWorkerLimits({ kind: WorkerLimitsMessageKind.NoticeHeard, run: worker, notice, sentAtMs })
     },
-    onWorkerChecked: (worker, check) => {
-      log(LogEvent.WorkerChecked, { workerId: worker.workerId, check })
-      if (check === UpstreamCheck.Down) crashes.recordWorkerDown(worker)
+    onWorkerChecked: (worker, check, scope) => {
+      log(LogEvent.WorkerChecked, { workerId: worker.workerId, scope, check })
+      if (IS_RUN_OVER[check]) crashes.recordWorkerDown(worker)
     },
     onAttemptEnded: (request, worker, outcome) => {
       const { end, detail, hasAnswerBegun, isStream, framing, endedBy, silenceMs, attemptNumber, lastEventId, receivedBytes, receivedParts } = outcome
--- a/src/nodes/forward/forwardTask.test.ts
+++ b/src/nodes/forward/forwardTask.test.ts
@@ -6,7 +6,7 @@
 import { type Worker, WorkerState, type WorkerTable } from '../../membership/index.js'
 import { LogEvent } from '../../observe/index.js'
 import { type ForwardPorts, type ForwardRequest, PlacementKind, ResponseFraming, ResponseVerdict } from '../../requests/index.js'
-import { UnsendableRequestError } from '../../upstreams/index.js'
+import { UnsendableRequestError, UpstreamCheck } from '../../upstreams/index.js'
 import { type ForwardTask, startForwardTask } from './forwardTask.js'
 import type { CallerSink, WorkerCodec } from './types.js'
 
@@ -55,7 +55,8 @@
   }
   const codec: WorkerCodec = {
     encode: ({ request: { method, path, body } }) => ({ method, path, headers: [['content-length', '0']], body }),
-    decode: ({ status }) => ({ verdict: ResponseVerdict.Success, status, isPromiseNotRun: false, headers: [], isEventStream: false, framing: ResponseFraming.Length, notice: undefined })
+    decode: ({ status }) => ({ verdict: ResponseVerdict.Success, status, isPromiseNotRun: false, headers: [], isEventStream: false, framing: ResponseFraming.Length, notice: undefined }),
+    askRun: () => ({ path: '/status', headers: [], decode: () => UpstreamCheck.Up })
   }
 
   const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec>, mailboxCapacity?: number }) => {
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -1,12 +1,12 @@
 import { type Clock, createTask, dispatch, type HandlerTable, Lane, ResultCode, type TaskFailure } from '../../core/index.js'
-import type { WorkerTable } from '../../membership/index.js'
+import type { Worker, WorkerTable } from '../../membership/index.js'
 import { type EventLog, LogEvent, logTaskFailure } from '../../observe/index.js'
 import {
   createCallerTable, createForwardCore, type ForwardCore, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind,
-  type ForwardPorts, type ForwardRequest, FORWARD_TICK_MS
+  type ForwardPorts, type ForwardRequest, FORWARD_TICK_MS, WorkerCheckScope
 } from '../../requests/index.js'
 import {
-  checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind,
+  askUpstream, checkUpstream, type ConnectionPool, ConnectionUse, createConnectionPool, type ExchangeEvent, ExchangeEventKind,
   ReadPause, UnsendableRequestError, UpstreamCheck
 } from '../../upstreams/index.js'
 import { createExchangeBacklog } from './exchangeBacklog.js'
@@ -19,6 +19,10 @@
   workers: WorkerTable
   /** Whether the workers of a failure domain get no further requests. */
   isEvacuated?: (zone: string) => boolean
+  /** Where a worker of a service answers questions about itself; undefined if that is not known. */
+  statusPathOf?: (service: string) => string | undefined
+  /** See `ForwardCoreOptions`. */
+  stallMs?: () => number | undefined
   log: EventLog
   /** Parts of responses that may wait to be handled. */
   responsePartsMax?: number
@@ -70,8 +74,10 @@
  * const task = startForwardTask({ clock, ports, codec, workers, log })
  * task.submit(request, sink)
  */
-export const startForwardTask = ({ clock, ports, codec, workers, isEvacuated = () => false, log, responsePartsMax = MAILBOX_CAPACITY }: ForwardTaskOptions): ForwardTask => {
-  const core = createForwardCore({ clock, ports })
+export const startForwardTask = (
+  { clock, ports, codec, workers, isEvacuated = () => false, statusPathOf = () => undefined, stallMs = () => undefined, log, responsePartsMax = MAILBOX_CAPACITY }: ForwardTaskOptions
+): ForwardTask => {
+  const core = createForwardCore({ clock, ports, stallMs })
   const callers = createCallerTable<CallerSink>({
     fail: sink => sink.onRefuse(ResultCode.AnswerLost, undefined),
     onUndelivered: (requestId, error) => {
@@ -121,6 +127,17 @@
     task.post({ kind: ForwardMessageKind.ExchangeOverflowed, exchangeId })
   }
 
+  const askRun = (worker: Worker, onChecked: (check: UpstreamCheck) => void) => {
+    const statusPath = statusPathOf(worker.service)
+    if (statusPath === undefined) return onChecked(UpstreamCheck.Unknown)
+    askUpstream({ address: worker.address, clock, question: codec.askRun(worker, statusPath) }).then(onChecked)
+  }
+
+  const workerCheckers: Record<WorkerCheckScope, (worker: Worker, onChecked: (check: UpstreamCheck) => void) => void> = {
+    [WorkerCheckScope.Address]: (worker, onChecked) => checkUpstream(worker.address, onChecked),
+    [WorkerCheckScope.Run]: askRun
+  }
+
   const performers: HandlerTable<ForwardEffect, void> = {
     [ForwardEffectKind.SendToWorker]: ({ exchangeId, worker, request, remainingMs, lastEventId, needsFreshConnection }) => {
       const toMessage = createEventHandlers(exchangeId, request.callerAttemptId)
@@ -148,8 +165,8 @@
         if (!isPaused) task.post({ kind: ForwardMessageKind.ReadingResumed, exchangeId })
       }))
     },
-    [ForwardEffectKind.CheckWorker]: ({ worker }) => {
-      checkUpstream(worker.address, check => task.post({ kind: ForwardMessageKind.WorkerChecked, worker, check }))
+    [ForwardEffectKind.CheckWorker]: ({ worker, scope }) => {
+      workerCheckers[scope](worker, check => task.post({ kind: ForwardMessageKind.WorkerChecked, worker, scope, check }))
     },
     [ForwardEffectKind.CancelExchange]: ({ exchangeId }) => cancelExchange(exchangeId),
     [ForwardEffectKind.SendHead]: ({ requestId, status, headers, framing }) => callers.deliver(requestId, sink => sink.onHead(status, headers, framing)),
@@ -173,7 +190,7 @@
   /** Tells the core how an effect that threw has ended, where the core waits for its result. */
   const endFailedEffect = (effect: ForwardEffect, error: unknown) => {
     if (effect.kind === ForwardEffectKind.SendToWorker) endFailedSend(effect.exchangeId, error)
-    if (effect.kind === ForwardEffectKind.CheckWorker) task.post({ kind: ForwardMessageKind.WorkerChecked, worker: effect.worker, check: UpstreamCheck.Unknown })
+    if (effect.kind === ForwardEffectKind.CheckWorker) task.post({ kind: ForwardMessageKind.WorkerChecked, worker: effect.worker, scope: effect.scope, check: UpstreamCheck.Unknown })
   }
 
   const onFailure = (failure: TaskFailure<ForwardMessage, ForwardEffect>) => {
--- a/src/nodes/forward/types.ts
+++ b/src/nodes/forward/types.ts
@@ -1,5 +1,5 @@
 import type { BodyFraming, ForwardRequest, WorkerResponse } from '../../requests/index.js'
-import type { HeaderField, OutgoingRequest, ResponseHeadRaw } from '../../upstreams/index.js'
+import type { HeaderField, OutgoingRequest, ResponseHeadRaw, UpstreamQuestion } from '../../upstreams/index.js'
 import type { ResultCode } from '../../core/index.js'
 import type { Worker } from '../../membership/index.js'
 
@@ -39,4 +39,6 @@
 export interface WorkerCodec {
   encode (send: { request: ForwardRequest, worker: Worker, remainingMs: number, lastEventId: string | undefined }): OutgoingRequest
   decode (head: ResponseHeadRaw, callerAttemptId: string): WorkerResponse
+  /** Asks the process at a worker's address whether it is the run that is known. */
+  askRun (worker: Worker, statusPath: string): UpstreamQuestion
 }
--- a/src/observe/createEventLog.ts
+++ b/src/observe/createEventLog.ts
@@ -41,7 +41,7 @@
   CallerClosed = 'caller-closed',
   /** The response to a request could not be written to its caller, who got an error or a closed connection instead. */
   ResponseUndelivered = 'response-undelivered',
-  /** Whether a worker is up after it lost a response that had not begun. */
+  /** Whether a worker, or the run of it that is known, is up after the end of a connection. */
   WorkerChecked = 'worker-checked',
   /** No worker of the service may be sent a request now, as far as their limits and pauses go; the request is refused. */
   RequestLimited = 'request-limited',
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -38,6 +38,11 @@
 export const FORWARDED_REQUESTS_MAX = 2_000
 /** A request queued this long for a worker is refused, while its caller still has time to try elsewhere. */
 export const QUEUE_WAIT_MAX_MS = 60
+/**
+ * Share of the time for which upstreams stall before they cut work off. An end after a longer silence may be such a cut; a
+ * sound response ends right after its last part.
+ */
+export const CUT_OFF_SILENCE_SHARE = 0.5
 /** With less time left, a retry is unlikely to finish before the deadline. */
 export const RETRY_TIME_MIN_MS = 150
 export const FORWARD_TICK_MS = 25
--- a/src/requests/createForwardCore.test.ts
+++ b/src/requests/createForwardCore.test.ts
@@ -2,12 +2,12 @@
 import { RepeatPolicy, type RouteConfiguration } from '../configuration/index.js'
 import { createManualClock, type ManualClock, ResultCode } from '../core/index.js'
 import { type Worker, WorkerState } from '../membership/index.js'
-import { UpstreamCheck } from '../upstreams/index.js'
+import { ExchangeFault, UpstreamCheck } from '../upstreams/index.js'
 import { EVENT_BYTES_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createForwardCore, type ForwardCore } from './createForwardCore.js'
 import {
   BodyFramingKind, ResponseVerdict, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts, type ForwardRequest,
-  type Placement, PlacementKind, type WorkerResponse
+  type Placement, PlacementKind, WorkerCheckScope, type WorkerResponse
 } from './forwardTypes.js'
 import { ResponseFraming } from './responseEnds.js'
 
@@ -75,7 +75,7 @@
   /** Handles a message; each worker that is to be checked is found to be up at once. */
   const handle = (message: ForwardMessage): ForwardEffect[] => core.handle(message).flatMap(effect =>
     effect.kind === ForwardEffectKind.CheckWorker
-      ? core.handle({ kind: ForwardMessageKind.WorkerChecked, worker: effect.worker, check: UpstreamCheck.Up })
+      ? core.handle({ kind: ForwardMessageKind.WorkerChecked, worker: effect.worker, scope: effect.scope, check: UpstreamCheck.Up })
       : [effect])
 
   const submit = (route: RouteConfiguration, overrides: Partial<ForwardRequest> = {}): ForwardEffect[] => handle({
@@ -103,8 +103,8 @@
   const bytes = (exchangeId: number, text: string) => handle({ kind: ForwardMessageKind.ResponseBytes, exchangeId, bytes: Buffer.from(text) })
   const finishResponse = (exchangeId: number) => handle({ kind: ForwardMessageKind.ResponseFinished, exchangeId })
   const failUnchecked = (exchangeId: number) => core.handle({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'test' })
-  const finishCheck = (check: UpstreamCheck, workerId = 'w1') =>
-    core.handle({ kind: ForwardMessageKind.WorkerChecked, worker: createWorker(workerId), check })
+  const finishCheck = (check: UpstreamCheck, workerId = 'w1', scope = WorkerCheckScope.Address) =>
+    core.handle({ kind: ForwardMessageKind.WorkerChecked, worker: createWorker(workerId), scope, check })
   const failExchange = (exchangeId: number, hasLeft: boolean) =>
     handle({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: 'test' })
   const kinds = (effects: readonly ForwardEffect[]) => effects.map(({ kind }) => kind)
@@ -188,6 +188,38 @@
     })
   })
 
+  // Guards against a response that is taken for whole because something accepts connections at its worker's address.
+  describe('responses without framing', () => {
+    const unframed = { ...createResponse(ResponseVerdict.Success, 200), framing: ResponseFraming.None }
+    const endUnframed = (exchangeId: number) =>
+      core.handle({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'test', fault: ExchangeFault.UnframedEnd })
+    const startBooking = (requestId: string, exchangeId: number) => {
+      submit(atMostOnceRoute, { requestId })
+      startResponse(exchangeId, unframed)
+      bytes(exchangeId, 'booked')
+    }
+
+    it.each([[UpstreamCheck.Up, true], [UpstreamCheck.Down, false], [UpstreamCheck.Replaced, false], [UpstreamCheck.Unknown, false]])(
+      'are whole only if their run still answers (%s)', (check, isWhole) => {
+        startBooking('q1', 1)
+        expect(endUnframed(1)).toMatchObject([{ kind: ForwardEffectKind.CheckWorker, scope: WorkerCheckScope.Run }])
+        const effects = finishCheck(check, 'w1', WorkerCheckScope.Run)
+        expect(bodyOf(effects)).toBe(isWhole ? 'booked' : '')
+        expect(refusal(effects) === undefined).toBe(isWhole)
+      })
+
+    it('are not proved whole by an answer that their run gave before their end', () => {
+      startBooking('q1', 1)
+      startBooking('q2', 2)
+      endUnframed(1)
+      expect(endUnframed(2)).toEqual([])
+      const first = finishCheck(UpstreamCheck.Up, 'w1', WorkerCheckScope.Run)
+      expect(kinds(first)).toContain(ForwardEffectKind.CheckWorker)
+      expect(first.filter(effect => effect.kind === ForwardEffectKind.Complete)).toMatchObject([{ requestId: 'q1' }])
+      expect(refusal(finishCheck(UpstreamCheck.Down, 'w1', WorkerCheckScope.Run))).toMatchObject({ requestId: 'q2' })
+    })
+  })
+
   describe('at-most-once requests', () => {
     // Guards against a duplicate order when a connection is reset after the request was written to it.
     it('neither retries an at-most-once request that may have run nor reports it as refused', () => {
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,7 +1,7 @@
 import { type ByteBuffer, type Clock, type Core, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { ExchangeFault, UpstreamCheck } from '../upstreams/index.js'
-import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
+import { CUT_OFF_SILENCE_SHARE, EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
 import { createRequestEnds } from './createRequestEnds.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
@@ -13,7 +13,7 @@
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
-  type ForwardRequest, PlacementKind, type WorkerResponse
+  type ForwardRequest, PlacementKind, WorkerCheckScope, type WorkerResponse
 } from './forwardTypes.js'
 import { CompletionProof, END_OF_FAULT, FRAMED_END, ResponseEnd } from './responseEnds.js'
 
@@ -27,6 +27,8 @@
 export interface ForwardCoreOptions {
   clock: Clock
   ports: ForwardPorts
+  /** Time for which upstreams stall before they cut off work that cannot go on; undefined if they do not. */
+  stallMs?: () => number | undefined
 }
 
 /**
@@ -38,7 +40,7 @@
  * const core = createForwardCore({ clock, ports })
  * core.handle({ kind: ForwardMessageKind.Submitted, request }) // [{ kind: SendToWorker, ... }]
  */
-export const createForwardCore = ({ clock, ports }: ForwardCoreOptions): ForwardCore => {
+export const createForwardCore = ({ clock, ports, stallMs = () => undefined }: ForwardCoreOptions): ForwardCore => {
   const table = createInFlightTable({ clock, ports })
   const { waiting, remove: removeRequest, endAttempt, endNotRun } = table
   const checks = createWorkerChecks<InFlightRequest>()
@@ -92,28 +94,35 @@
    */
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Lost, detail)
-    if (isRetryAllowed(inFlight, clock.nowMs())) return checkWorker(attempt.worker, inFlight)
-    return [...checkWorker(attempt.worker), ...failRequest(inFlight, ResultCode.UpstreamDied, detail)]
+    if (isRetryAllowed(inFlight, clock.nowMs())) return checks.begin(attempt.worker, WorkerCheckScope.Address, inFlight)
+    return [...checks.begin(attempt.worker, WorkerCheckScope.Address), ...failRequest(inFlight, ResultCode.UpstreamDied, detail)]
   }
 
-  /** Checks a worker, unless a check is under way; the request waits for the result. */
-  const checkWorker = (worker: Worker, inFlight?: InFlightRequest): ForwardEffect[] => {
-    const isRunning = checks.isRunning(worker)
-    checks.hold(worker, inFlight)
-    return isRunning ? [] : [{ kind: ForwardEffectKind.CheckWorker, worker }]
+  /** Whether the silence before the end of a response is like that before an upstream cuts off its work. */
+  const isCutOffLikely = ({ silenceMs = 0 }: Attempt) => silenceMs >= (stallMs() ?? Infinity) * CUT_OFF_SILENCE_SHARE
+
+  /**
+   * The end of a connection ends a response without framing only if its worker has closed it: the operating system closes the
+   * connections of a process that was killed as well, and workers close those of work that they cut off.
+   */
+  const onUnframedEnd = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
+    if (isStreamingResponse(attempt) && attempt.splitter.hasPartialEvent) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
+    if (isCutOffLikely(attempt)) return handleLostAttempt(inFlight, attempt, 'response without framing ended after a silence')
+    return checks.begin(attempt.worker, WorkerCheckScope.Run, inFlight)
   }
 
-  const onWorkerChecked = (worker: Worker, check: UpstreamCheck): ForwardEffect[] => {
-    const held = checks.finish(worker).filter(({ request: { requestId } }) => table.get(requestId) !== undefined)
+  const onWorkerChecked = (worker: Worker, scope: WorkerCheckScope, check: UpstreamCheck): ForwardEffect[] => {
+    const { requests, effects } = checks.finish(worker, scope)
+    const held = requests.filter(({ request: { requestId } }) => table.get(requestId) !== undefined)
     const detail = `worker is ${check} after the end of its connection`
     for (const inFlight of check === UpstreamCheck.Up ? [] : held) endAttempt(inFlight, AttemptEnd.Lost, detail)
-    ports.onWorkerChecked(worker, check)
-    return forEachRequest(held, inFlight => {
+    ports.onWorkerChecked(worker, check, scope)
+    return [...effects, ...forEachRequest(held, inFlight => {
       const { attempt } = inFlight
       if (attempt === undefined) return retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
-      inFlight.proof = CompletionProof.WorkerReachable
+      inFlight.proof = CompletionProof.LiveRun
       return handleWholeResponse(inFlight, attempt)
-    })
+    })]
   }
 
   /** Ends an attempt whose response cannot be used any further, and closes its connection. */
@@ -220,8 +229,7 @@
     recordResponseEnd(attempt, fault === undefined ? ResponseEnd.GivenUp : END_OF_FAULT[fault], clock.nowMs())
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
-    // The end of the connection is that of the response, unless the worker has crashed.
-    if (fault === ExchangeFault.UnframedEnd && hasAnswerBegun(attempt)) return checkWorker(attempt.worker, inFlight)
+    if (fault === ExchangeFault.UnframedEnd && hasAnswerBegun(attempt)) return onUnframedEnd(inFlight, attempt)
     if (hasLeft) return handleLostAttempt(inFlight, attempt, reason)
     endNotRun(inFlight, attempt, AttemptEnd.NotConnected, reason)
     return retryOrFail(inFlight, ResultCode.NoUpstream, reason)
@@ -256,8 +264,8 @@
     [ForwardMessageKind.ExchangeOverflowed]: withAttempt((inFlight, attempt, { exchangeId }) =>
       onExchangeFailed(inFlight, attempt, { exchangeId, hasLeft: true, reason: 'too many parts of responses wait to be handled' })),
     [ForwardMessageKind.RequestUnsendable]: withAttempt((inFlight, attempt, { reason }) => onRequestUnsendable(inFlight, attempt, reason)),
-    [ForwardMessageKind.ConnectionClosedEarly]: ({ worker }) => checkWorker(worker),
-    [ForwardMessageKind.WorkerChecked]: ({ worker, check }) => onWorkerChecked(worker, check),
+    [ForwardMessageKind.ConnectionClosedEarly]: ({ worker }) => checks.begin(worker, WorkerCheckScope.Address),
+    [ForwardMessageKind.WorkerChecked]: ({ worker, scope, check }) => onWorkerChecked(worker, scope, check),
     [ForwardMessageKind.CallerGone]: ({ requestId }) => cancelIfGone(requestId),
     [ForwardMessageKind.HandlingFailed]: failStuck,
     [ForwardMessageKind.CapacityFreed]: placeWaiting,
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -98,6 +98,14 @@
   NotConnected = 'not-connected'
 }
 
+/** What a check of a worker asks. */
+export enum WorkerCheckScope {
+  /** Whether its address accepts connections; tells a crash from a connection that was lost on the way. */
+  Address = 'address',
+  /** Whether the run that was sent a request still answers, so that it has closed its connection itself. */
+  Run = 'run'
+}
+
 /** Outcome of one attempt at a worker. */
 export interface AttemptOutcome {
   end: AttemptEnd
@@ -134,8 +142,8 @@
   onSent (request: ForwardRequest, worker: Worker, attempt: number): void
   /** Called with what a worker says about itself in the head of its response to a request that was sent at `sentAtMs`. */
   onWorkerNotice (worker: Worker, notice: WorkerNotice, sentAtMs: TimestampMs): void
-  /** Called with the result of a check that followed a lost attempt, or the early end of an idle connection. */
-  onWorkerChecked (worker: Worker, check: UpstreamCheck): void
+  /** Called with the result of a check that followed the end of a connection. */
+  onWorkerChecked (worker: Worker, check: UpstreamCheck, scope: WorkerCheckScope): void
   onAttemptEnded (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome): void
   /** Called with the time between two events of a stream, or from the send to the first event. */
   onEventGap (request: ForwardRequest, worker: Worker, gapMs: number, isFirst: boolean): void
@@ -181,7 +189,7 @@
   | { kind: ForwardMessageKind.ExchangeOverflowed, exchangeId: number }
   | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
   | { kind: ForwardMessageKind.ConnectionClosedEarly, worker: Worker }
-  | { kind: ForwardMessageKind.WorkerChecked, worker: Worker, check: UpstreamCheck }
+  | { kind: ForwardMessageKind.WorkerChecked, worker: Worker, scope: WorkerCheckScope, check: UpstreamCheck }
   | { kind: ForwardMessageKind.CallerGone, requestId: string }
   | { kind: ForwardMessageKind.HandlingFailed }
   | { kind: ForwardMessageKind.CapacityFreed }
@@ -193,7 +201,7 @@
 export enum ForwardEffectKind {
   SendToWorker = 'send-to-worker',
   CancelExchange = 'cancel-exchange',
-  /** Find out whether a worker is still up. */
+  /** Check a worker after the end of a connection to it. */
   CheckWorker = 'check-worker',
   SendHead = 'send-head',
   SendBody = 'send-body',
@@ -216,7 +224,7 @@
     /** Requires a new connection, because the worker may be about to close a reused one. */
     needsFreshConnection: boolean
   }
-  | { kind: ForwardEffectKind.CheckWorker, worker: Worker }
+  | { kind: ForwardEffectKind.CheckWorker, worker: Worker, scope: WorkerCheckScope }
   | { kind: ForwardEffectKind.CancelExchange, exchangeId: number }
   | { kind: ForwardEffectKind.SendHead, requestId: string, status: number, headers: readonly HeaderField[], framing: BodyFraming }
   | { kind: ForwardEffectKind.SendBody, requestId: string, bytes: Uint8Array }
--- a/src/requests/responseEnds.ts
+++ b/src/requests/responseEnds.ts
@@ -34,8 +34,8 @@
 export enum CompletionProof {
   /** The worker's own framing. */
   Framing = 'framing',
-  /** The worker accepted a connection after the end of the response. */
-  WorkerReachable = 'worker-reachable'
+  /** The run of the worker still answered after the end of the connection, so that it had closed it itself. */
+  LiveRun = 'live-run'
 }
 
 /** What ends a response that the worker has framed to its end. */
--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -50,15 +50,19 @@
 export const RESPONSE_FRAMING_BYTES_MAX = 65_536
 export const RESPONSE_BODY_BYTES_MAX = 16 * 1024 * 1024
 
-/** Result of a check whether an upstream accepts connections. */
+/** Result of a check of an upstream. */
 export enum UpstreamCheck {
   Up = 'up',
   /** Nothing listens at the address, so the process that served there has ended. */
   Down = 'down',
+  /** Another process, or another run of the same one, answers at the address. */
+  Replaced = 'replaced',
   /** No result in time; the upstream or the network may be slow. */
   Unknown = 'unknown'
 }
 /** An upstream that is up accepts a connection well within this time. */
 export const CHECK_TIMEOUT_MS = 150
+/** Time for an upstream to answer a question about itself, which may have to wait for a slot. */
+export const ASK_TIMEOUT_MS = 500
 /** Headers that state where a response ends; one without either ends with its connection. */
 export const FRAMING_HEADERS = ['content-length', 'transfer-encoding'] as const
--- a/src/upstreams/index.ts
+++ b/src/upstreams/index.ts
@@ -2,6 +2,7 @@
  * HTTP/1.1 connections to upstreams and to the store. Tracks which connections can be reused and whether a failed
  * request was sent.
  */
+export * from './askUpstream.js'
 export * from './checkUpstream.js'
 export * from './connectionPool.js'
 export * from './constants.js'
