Test checks, blame and repeated events of streams that end without framing

A resumption without an earlier check of the worker could spread a crashing request, one that is counted as lost would keep requests from good workers, and an answer that is cut off among repeated events has no new event, either. A stream that cannot be resumed and ends without a silence stays complete.

--- a/src/requests/streamResumption.test.ts
+++ b/src/requests/streamResumption.test.ts
@@ -4,7 +4,7 @@
   type SceneCaller, type Step, type StreamScene, type StreamSceneOptions, text, unframedEnd, unframedHead
 } from '../standIns/streamScene.js'
 import { UpstreamCheck } from '../upstreams/index.js'
-import { type ForwardMessage, ForwardMessageKind } from './forwardTypes.js'
+import { AttemptEnd, type ForwardMessage, ForwardMessageKind } from './forwardTypes.js'
 
 /** Work that depends on a lost worker stalls for this long before it is cut off. */
 const STALL_MS = 1_500
@@ -100,6 +100,42 @@
     expect(lastEventIds(scene).slice(1)).toContain('2')
   })
 
+  // Guards against an answer that is cut off among repeated events, and is taken for one that has no event left.
+  it('is resumed once more if it was cut off before it came to an event that the caller does not have', () => {
+    const scene = openStreamScene()
+    expect(scene.playToEnd([framedHead, events(1, 2, 3), reset], [unframedHead, events(1, 2), unframedEnd], [framedHead, events(4, 5), framedEnd]))
+      .toMatchObject({ body: eventsUpTo(5), end: CallerEnd.Complete })
+    expect(lastEventIds(scene)).toEqual([undefined, '3', '3'])
+  })
+
+  // Guards against a request that crashes one worker after the other, as it is resumed before the crash is known.
+  it('is resumed only after a check of its worker', () => {
+    const scene = openStreamScene({ check: undefined })
+    scene.play([unframedHead, events(1), unframedEnd])
+    expect([scene.sends.length, scene.checkCount]).toEqual([1, 1])
+    scene.finishChecks(UpstreamCheck.Down)
+    expect([lastEventIds(scene), scene.attemptEnds]).toEqual([[undefined, '1'], [AttemptEnd.Lost]])
+  })
+
+  // Guards against workers that get no requests because they lost some, while they only gave no framing.
+  it('is no lost attempt if its worker is up and the next one has no event left', () => {
+    const scene = openStreamScene()
+    expect(scene.playToEnd([unframedHead, events(1), unframedEnd], [framedHead, framedEnd]).end).toBe(CallerEnd.Complete)
+    expect(scene.attemptEnds).not.toContain(AttemptEnd.Lost)
+  })
+
+  // Guards against a good stream that is broken off because it cannot be resumed.
+  it.each<[string, StreamSceneOptions, Step[]]>([
+    ['it may not be resumed', { isResumable: false }, [unframedEnd]],
+    ['it has no attempt left', { attemptsMax: 1 }, [unframedEnd]],
+    ['it has no retry left', { hasRetryBudget: false }, [unframedEnd]],
+    ['its deadline is near', { timeoutMs: 1_000 }, [pause(450), events(3), pause(450), events(4), unframedEnd]]
+  ])('is complete after an end without framing if its worker is up, without a silence, and %s', (_what, options, rest) => {
+    const { caller, playToEnd, sends } = openStreamScene(options)
+    expect(playToEnd([unframedHead, events(1, 2), ...rest])).toMatchObject({ headCount: 1, end: CallerEnd.Complete })
+    expect([caller.body, sends.length]).toEqual([eventsUpTo(rest.length > 1 ? 4 : 2), 1])
+  })
+
   it('is complete after an end without framing if the next worker has no event left', () => {
     for (const next of [[framedHead, framedEnd], [unframedHead, unframedEnd]]) {
       expect(openStreamScene().playToEnd([unframedHead, events(1, 2), unframedEnd], next)).toMatchObject({ body: eventsUpTo(2), headCount: 1, end: CallerEnd.Complete })
--- a/src/standIns/streamScene.ts
+++ b/src/standIns/streamScene.ts
@@ -2,7 +2,7 @@
 import { createManualClock, ResultCode } from '../core/index.js'
 import { type Worker, WorkerState } from '../membership/index.js'
 import {
-  createForwardCore, FORWARD_TICK_MS, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, PlacementKind, ResponseVerdict, type WorkerResponse
+  type AttemptEnd, createForwardCore, FORWARD_TICK_MS, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, PlacementKind, ResponseVerdict, type WorkerResponse
 } from '../requests/index.js'
 import { UpstreamCheck } from '../upstreams/index.js'
 
@@ -41,6 +41,8 @@
   readonly caller: SceneCaller
   /** The attempts so far. */
   readonly sends: readonly { exchangeId: number, workerId: string, lastEventId: string | undefined }[]
+  /** How the attempts ended for the other slices, which avoid workers that lose requests. */
+  readonly attemptEnds: readonly AttemptEnd[]
   /** The checks that were started so far. */
   readonly checkCount: number
   readonly takenRetries: number
@@ -97,6 +99,7 @@
   const clock = createManualClock(0)
   const caller: SceneCaller = { body: '', headCount: 0, end: CallerEnd.Open, endedAtMs: undefined }
   const sends: { exchangeId: number, workerId: string, lastEventId: string | undefined }[] = []
+  const attemptEnds: AttemptEnd[] = []
   const openChecks: Extract<ForwardEffect, { kind: ForwardEffectKind.CheckWorker }>[] = []
   let checkCount = 0
   let takenRetries = 0
@@ -117,7 +120,7 @@
       onSent: () => {},
       onWorkerNotice: () => {},
       onWorkerChecked: () => {},
-      onAttemptEnded: () => {},
+      onAttemptEnded: (_request, _worker, outcome) => { attemptEnds.push(outcome.end) },
       onEventGap: () => {},
       onRequestEnded: () => {},
       retryAfterMs: () => 700
@@ -199,6 +202,7 @@
   return {
     caller,
     sends,
+    attemptEnds,
     get checkCount () { return checkCount },
     get takenRetries () { return takenRetries },
     post,
