Resume a stream without framing before it counts as complete

What callers saw: streams that ended as complete, with their last chunk, before their last event, though another worker could have gone on with them.

Cause: a worker that is killed, or cuts off its work, between two events leaves the same end of its connection as one that has finished, if its answer has neither a length nor chunks. The entry took the end for a statement that nobody had made. A check of the process cannot tell a cut from an end while the process lives.

Change: a stream that may be resumed is resumed after its last event. It is complete once a worker states the end, or ends an answer without any event and its run still answers. Where no attempt, retry, time or place is left, the run that ended it is asked, as for streams that may not be resumed; an end after a silence is never accepted. Such an attempt counts neither as lost nor as answered. The decisions are in createUnframedEnds.

--- a/src/nodes/forward/capacityRecorder.ts
+++ b/src/nodes/forward/capacityRecorder.ts
@@ -18,6 +18,7 @@
 /** Whether the time of an attempt is that of a response; undefined if it says nothing about the worker. */
 const HAS_FAILED: Record<AttemptEnd, boolean | undefined> = {
   [AttemptEnd.Answered]: false,
+  [AttemptEnd.Unproven]: undefined,
   [AttemptEnd.Failed]: true,
   [AttemptEnd.NotRun]: undefined,
   [AttemptEnd.Lost]: true,
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -51,6 +51,7 @@
 
 const IS_LOST_ATTEMPT: Record<AttemptEnd, boolean> = {
   [AttemptEnd.Answered]: false,
+  [AttemptEnd.Unproven]: false,
   [AttemptEnd.Failed]: false,
   [AttemptEnd.NotRun]: true,
   [AttemptEnd.Lost]: true,
@@ -119,6 +120,7 @@
   const recordCrashEvidence: Record<AttemptEnd, (request: ForwardRequest, worker: Worker, outcome: AttemptOutcome) => void> = {
     [AttemptEnd.Answered]: (request, worker, { sentAtMs }) => crashes.recordAnswered(worker, request, sentAtMs),
     [AttemptEnd.Failed]: (request, worker, { sentAtMs }) => crashes.recordFailed(worker, request, sentAtMs),
+    [AttemptEnd.Unproven]: ignoreAttempt,
     [AttemptEnd.NotRun]: ignoreAttempt,
     [AttemptEnd.Lost]: (request, worker, outcome) => {
       // The requests that a planned end cuts off have not caused it.
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,14 +1,15 @@
 import { type ByteBuffer, type Clock, type Core, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
-import { ExchangeFault, UpstreamCheck } from '../upstreams/index.js'
-import { CUT_OFF_SILENCE_SHARE, EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
+import { ExchangeFault } from '../upstreams/index.js'
+import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
 import { createRequestEnds } from './createRequestEnds.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
+import { createUnframedEnds } from './createUnframedEnds.js'
 import { forEachRequest } from './forEachRequest.js'
 import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
 import {
-  type Attempt, byUrgency, hasAnswerBegun, type InFlightRequest, isRetryAllowed, isSafeToRetry, isStreamingResponse,
+  type Attempt, byUrgency, completesResumed, hasAnswerBegun, type InFlightRequest, isEmptyResumption, isRetryAllowed, isSafeToRetry, isStreamingResponse,
   recordResponseEnd
 } from './forwardState.js'
 import {
@@ -44,7 +45,7 @@
   const table = createInFlightTable({ clock, ports })
   const { waiting, remove: removeRequest, endAttempt, endNotRun } = table
   const checks = createWorkerChecks<InFlightRequest>()
-  const { failRequest, expireIfDue, cancelIfGone, endAll, failStuck } = createRequestEnds({ clock, ports, table, checks })
+  const { failRequest, giveUp, expireIfDue, cancelIfGone, endAll, failStuck } = createRequestEnds({ clock, ports, table, checks })
 
   const sendToWorker = (inFlight: InFlightRequest, worker: Worker): ForwardEffect[] => {
     const { request } = inFlight
@@ -65,7 +66,7 @@
   const placeOrQueue = (inFlight: InFlightRequest): ForwardEffect[] => {
     const placement = ports.place(inFlight.request, inFlight.triedWorkerIds)
     if (placement.kind === PlacementKind.Placed) return sendToWorker(inFlight, placement.worker)
-    if (placement.kind === PlacementKind.Refused) return failRequest(inFlight, placement.code, 'no worker may take the request', placement.retryAfterMs)
+    if (placement.kind === PlacementKind.Refused) return giveUp(inFlight, placement.code, 'no worker may take the request', placement.retryAfterMs)
     inFlight.waitCode = placement.code
     inFlight.queueDeadlineMs ??= Math.min(clock.nowMs() + QUEUE_WAIT_MAX_MS, inFlight.request.deadlineAtMs)
     waiting.add(inFlight)
@@ -81,10 +82,10 @@
   /** Retries the request if its route, its deadline and the retry budget allow it; otherwise fails it with the code. */
   const retryOrFail = (inFlight: InFlightRequest, code: ResultCode, detail: string): ForwardEffect[] => {
     const { request, mayHaveRun } = inFlight
-    if (!isRetryAllowed(inFlight, clock.nowMs())) return failRequest(inFlight, code, detail)
+    if (!isRetryAllowed(inFlight, clock.nowMs())) return giveUp(inFlight, code, detail)
     // A stream that has begun is continued as far as the time allows.
-    if (!inFlight.isHeadSent && !ports.mayRetry(request)) return failRequest(inFlight, mayHaveRun ? code : ResultCode.Draining, detail)
-    if (!ports.takeRetry(request.service)) return failRequest(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
+    if (!inFlight.isHeadSent && !ports.mayRetry(request)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.Draining, detail)
+    if (!ports.takeRetry(request.service)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
     return placeOrQueue(inFlight)
   }
 
@@ -95,35 +96,22 @@
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Lost, detail)
     if (isRetryAllowed(inFlight, clock.nowMs())) return checks.begin(attempt.worker, WorkerCheckScope.Address, inFlight)
-    return [...checks.begin(attempt.worker, WorkerCheckScope.Address), ...failRequest(inFlight, ResultCode.UpstreamDied, detail)]
+    return [...checks.begin(attempt.worker, WorkerCheckScope.Address), ...giveUp(inFlight, ResultCode.UpstreamDied, detail)]
   }
 
-  /** Whether the silence before the end of a response is like that before an upstream cuts off its work. */
-  const isCutOffLikely = ({ silenceMs = 0 }: Attempt) => silenceMs >= (stallMs() ?? Infinity) * CUT_OFF_SILENCE_SHARE
-
-  /**
-   * The end of a connection ends a response without framing only if its worker has closed it: the operating system closes the
-   * connections of a process that was killed as well, and workers close those of work that they cut off.
-   */
-  const onUnframedEnd = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
-    if (isStreamingResponse(attempt) && attempt.splitter.hasPartialEvent) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
-    if (isCutOffLikely(attempt)) return handleLostAttempt(inFlight, attempt, 'response without framing ended after a silence')
-    return checks.begin(attempt.worker, WorkerCheckScope.Run, inFlight)
-  }
-
-  const onWorkerChecked = (worker: Worker, scope: WorkerCheckScope, check: UpstreamCheck): ForwardEffect[] => {
-    const { requests, effects } = checks.finish(worker, scope)
-    const held = requests.filter(({ request: { requestId } }) => table.get(requestId) !== undefined)
-    const detail = `worker is ${check} after the end of its connection`
-    for (const inFlight of check === UpstreamCheck.Up ? [] : held) endAttempt(inFlight, AttemptEnd.Lost, detail)
-    ports.onWorkerChecked(worker, check, scope)
-    return [...effects, ...forEachRequest(held, inFlight => {
-      const { attempt } = inFlight
-      if (attempt === undefined) return retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
-      inFlight.proof = CompletionProof.LiveRun
-      return handleWholeResponse(inFlight, attempt)
-    })]
-  }
+  const { onUnframedEnd, onWorkerChecked } = createUnframedEnds({
+    ports,
+    table,
+    checks,
+    stallMs,
+    failRequest,
+    steps: {
+      handleLostAttempt: (...lost) => handleLostAttempt(...lost),
+      handleWholeResponse: (...whole) => handleWholeResponse(...whole),
+      retryOrFail,
+      completeStream: (...complete) => completeStream(...complete)
+    }
+  })
 
   /** Ends an attempt whose response cannot be used any further, and closes its connection. */
   const abandonAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
@@ -155,6 +143,7 @@
     attempt.lastPartAtMs = clock.nowMs()
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
+      if (effects.length > 0) inFlight.unprovenWorker = undefined
       return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
     }
     attempt.held.add(bytes)
@@ -168,13 +157,17 @@
     return []
   }
 
+  const completeStream = (inFlight: InFlightRequest, proof: CompletionProof | undefined): ForwardEffect[] => {
+    inFlight.proof = proof
+    removeRequest(inFlight, ResultCode.Ok, 'stream ended')
+    return [{ kind: ForwardEffectKind.Complete, requestId: inFlight.request.requestId }]
+  }
+
   const finishStream = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
-    const { requestId } = inFlight.request
     if (attempt.splitter.hasPartialEvent) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
     const effects = deliverStreamEnd(inFlight, attempt)
     endAttempt(inFlight, AttemptEnd.Answered, 'stream ended')
-    removeRequest(inFlight, ResultCode.Ok, 'stream ended')
-    return [...effects, { kind: ForwardEffectKind.Complete, requestId }]
+    return [...effects, ...completeStream(inFlight, inFlight.proof)]
   }
 
   const sendResponse = (inFlight: InFlightRequest, response: WorkerResponse, held: ByteBuffer): ForwardEffect[] => {
@@ -187,7 +180,7 @@
 
   const onFailureResponse = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Failed, `status ${response.status}`)
-    if (inFlight.isHeadSent) return failRequest(inFlight, ResultCode.UpstreamRefused, `status ${response.status} in response to a stream resume`)
+    if (inFlight.isHeadSent) return giveUp(inFlight, ResultCode.UpstreamRefused, `status ${response.status} in response to a stream resume`)
     if (canRetryFailure(inFlight)) {
       const placement = ports.place(inFlight.request, inFlight.triedWorkerIds)
       if (placement.kind === PlacementKind.Placed) return sendToWorker(inFlight, placement.worker)
@@ -219,7 +212,7 @@
 
   const onResponseFinished = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     if (attempt.answer !== undefined) recordResponseEnd(attempt, FRAMED_END[attempt.answer.framing], clock.nowMs())
-    inFlight.proof = CompletionProof.Framing
+    inFlight.proof = completesResumed(inFlight, attempt) ? CompletionProof.Resumption : CompletionProof.Framing
     return handleWholeResponse(inFlight, attempt)
   }
 
@@ -229,7 +222,7 @@
     recordResponseEnd(attempt, fault === undefined ? ResponseEnd.GivenUp : END_OF_FAULT[fault], clock.nowMs())
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
-    if (fault === ExchangeFault.UnframedEnd && hasAnswerBegun(attempt)) return onUnframedEnd(inFlight, attempt)
+    if (fault === ExchangeFault.UnframedEnd && (hasAnswerBegun(attempt) || isEmptyResumption(attempt))) return onUnframedEnd(inFlight, attempt)
     if (hasLeft) return handleLostAttempt(inFlight, attempt, reason)
     endNotRun(inFlight, attempt, AttemptEnd.NotConnected, reason)
     return retryOrFail(inFlight, ResultCode.NoUpstream, reason)
--- a/src/requests/createInFlightTable.ts
+++ b/src/requests/createInFlightTable.ts
@@ -80,7 +80,7 @@
       ports.onRequestEnded(inFlight.request, code, detail, code === ResultCode.Ok ? inFlight.proof : undefined)
     },
     beginAttempt: (inFlight, worker) => {
-      const attempt = getDefaultAttempt(nextExchangeId++, worker, inFlight.mayHaveRun, clock.nowMs())
+      const attempt = getDefaultAttempt(nextExchangeId++, worker, inFlight, clock.nowMs())
       inFlight.attempt = attempt
       inFlight.proof = undefined
       inFlight.mayHaveRun = true
--- a/src/requests/createRequestEnds.ts
+++ b/src/requests/createRequestEnds.ts
@@ -3,7 +3,7 @@
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
 import { type InFlightRequest, recordResponseEnd } from './forwardState.js'
-import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts } from './forwardTypes.js'
+import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts, WorkerCheckScope } from './forwardTypes.js'
 import { ResponseEnd } from './responseEnds.js'
 
 export interface RequestEndsOptions {
@@ -17,6 +17,10 @@
 export interface RequestEnds {
   /** Ends a request with a result code, or by its connection if its response has begun. */
   failRequest (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs?: number): ForwardEffect[]
+  /**
+   * Ends a request that cannot be sent to a further worker. If its stream may have ended well, the run that ended it is asked first.
+   */
+  giveUp (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs?: number): ForwardEffect[]
   /** Ends a request whose deadline, or time in the queue, is over. */
   expireIfDue (inFlight: InFlightRequest): ForwardEffect[]
   /** Ends a request whose caller has disconnected. */
@@ -54,6 +58,15 @@
     return [{ kind: ForwardEffectKind.Refuse, requestId, code: finalCode, retryAfterMs }]
   }
 
+  const giveUp = (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs = 0): ForwardEffect[] => {
+    const { unprovenWorker } = inFlight
+    if (unprovenWorker === undefined) return failRequest(inFlight, code, detail, retryAfterMinMs)
+    inFlight.unprovenWorker = undefined
+    inFlight.queueDeadlineMs = undefined
+    table.waiting.delete(inFlight)
+    return checks.begin(unprovenWorker, WorkerCheckScope.Run, inFlight)
+  }
+
   const cancelIfGone = (requestId: string): ForwardEffect[] => {
     const inFlight = table.get(requestId)
     if (inFlight === undefined) return []
@@ -77,12 +90,12 @@
       return [...effects, ...failRequest(inFlight, code, 'deadline exceeded')]
     }
     const hasQueueTimedOut = inFlight.queueDeadlineMs !== undefined && nowMs >= inFlight.queueDeadlineMs
-    return hasQueueTimedOut ? failRequest(inFlight, inFlight.waitCode, 'no worker became available in time') : []
+    return hasQueueTimedOut ? giveUp(inFlight, inFlight.waitCode, 'no worker became available in time') : []
   }
 
   /** A caller that is told now can still go elsewhere. */
   const endAll = (): ForwardEffect[] => forEachRequest(table.all(), inFlight =>
     [...cancelAttempt(inFlight, ResponseEnd.ProcessExit, 'process exits'), ...failRequest(inFlight, ResultCode.Draining, 'process exits')])
 
-  return { failRequest, expireIfDue, cancelIfGone, endAll, failStuck }
+  return { failRequest, giveUp, expireIfDue, cancelIfGone, endAll, failStuck }
 }
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -13,6 +13,8 @@
   /** Whether an earlier attempt may have run; holds again for the request if this one provably has not. */
   hadRunBefore: boolean
   sentAtMs: TimestampMs
+  /** Event after which the worker was asked to go on; undefined if it was asked for the whole response. */
+  resumesAfter: string | undefined
   answer: WorkerResponse | undefined
   splitter: EventSplitter
   /** Body of a response that is no stream, until it is complete. */
@@ -45,6 +47,8 @@
   mayHaveRun: boolean
   isHeadSent: boolean
   lastEventId: string | undefined
+  /** Worker whose end of the stream, after the last event that was delivered, has not been proved and may be a good one. */
+  unprovenWorker: Worker | undefined
   /** What the response was taken for whole by, once it was. */
   proof: CompletionProof | undefined
   /** While the request is queued for a worker: when it is refused, and the code that it is refused with. */
@@ -52,11 +56,12 @@
   waitCode: ResultCode
 }
 
-export const getDefaultAttempt = (exchangeId: number, worker: Worker, hadRunBefore: boolean, nowMs: TimestampMs): Attempt => ({
+export const getDefaultAttempt = (exchangeId: number, worker: Worker, { mayHaveRun, lastEventId }: InFlightRequest, nowMs: TimestampMs): Attempt => ({
   exchangeId,
   worker,
-  hadRunBefore,
+  hadRunBefore: mayHaveRun,
   sentAtMs: nowMs,
+  resumesAfter: lastEventId,
   answer: undefined,
   splitter: createEventSplitter(),
   held: createByteBuffer(),
@@ -77,6 +82,7 @@
   mayHaveRun: false,
   isHeadSent: false,
   lastEventId: request.lastEventId,
+  unprovenWorker: undefined,
   proof: undefined,
   queueDeadlineMs: undefined,
   waitCode: ResultCode.Overloaded
@@ -96,6 +102,13 @@
 /** Whether the worker has sent the head of a successful response. */
 export const hasSuccessHead = ({ answer }: Attempt): boolean => answer?.verdict === ResponseVerdict.Success
 
+/** Whether the worker has answered a resumption, and sent no event. */
+export const isEmptyResumption = (attempt: Attempt): boolean =>
+  attempt.resumesAfter !== undefined && isStreamingResponse(attempt) && !attempt.hasEvents && !attempt.splitter.hasPartialEvent
+
+/** Whether the worker was asked to go on with a stream that its caller has a part of, and sent no event. */
+export const completesResumed = ({ isHeadSent }: InFlightRequest, attempt: Attempt): boolean => isHeadSent && isEmptyResumption(attempt)
+
 /** Whether the worker has begun to write its answer; a head alone is sent before the request runs. */
 export const hasAnswerBegun = ({ hasEvents, held }: Attempt): boolean => hasEvents || held.length > 0
 
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -91,6 +91,8 @@
 /** How one attempt at a worker ended. */
 export enum AttemptEnd {
   Answered = 'answered',
+  /** A stream ended in a way that does not state that it is whole; its worker is up. */
+  Unproven = 'unproven',
   Failed = 'failed',
   NotRun = 'not-run',
   Lost = 'lost',
--- a/src/requests/responseEnds.ts
+++ b/src/requests/responseEnds.ts
@@ -34,6 +34,8 @@
 export enum CompletionProof {
   /** The worker's own framing. */
   Framing = 'framing',
+  /** A resumption after the last event, at another worker, had nothing more to give. */
+  Resumption = 'resumption',
   /** The run of the worker still answered after the end of the connection, so that it had closed it itself. */
   LiveRun = 'live-run'
 }
--- a/src/requests/streamResumption.test.ts
+++ b/src/requests/streamResumption.test.ts
@@ -1,13 +1,11 @@
 import { describe, expect, it } from 'vitest'
 import {
   CallerEnd, event, events, firstWorker, framedEnd, framedHead, openStreamScene, pause, readingResumed, refuse, reset, respond, respondWithStatus,
-  type SceneCaller, type Step, type StreamScene, type StreamSceneOptions, text, unframedEnd, unframedHead
+  STALL_MS, type SceneCaller, type Step, type StreamScene, type StreamSceneOptions, text, unframedEnd, unframedHead
 } from '../standIns/streamScene.js'
 import { UpstreamCheck } from '../upstreams/index.js'
 import { AttemptEnd, type ForwardMessage, ForwardMessageKind } from './forwardTypes.js'
 
-/** Work that depends on a lost worker stalls for this long before it is cut off. */
-const STALL_MS = 1_500
 /** Callers abandon a stream after a gap of this length. */
 const CALLER_GAP_MAX_MS = 2_000
 /** A stream that waits for a place is not given up before this time after its last event. */
@@ -157,8 +155,10 @@
     scene.play([unframedHead, events(1)])
     scene.post({ kind: ForwardMessageKind.ConnectionClosedEarly, worker: firstWorker })
     scene.post(unframedEnd(scene.sends[0]!.exchangeId) as ForwardMessage)
-    scene.finishChecks(UpstreamCheck.Up)
+    scene.finishChecks(UpstreamCheck.Up, 1)
     expect(scene.caller.end).not.toBe(CallerEnd.Complete)
+    scene.finishChecks(UpstreamCheck.Down)
+    expect(scene.caller.end).toBe(CallerEnd.Broken)
   })
 })
 
--- a/src/standIns/streamScene.ts
+++ b/src/standIns/streamScene.ts
@@ -2,9 +2,9 @@
 import { createManualClock, ResultCode } from '../core/index.js'
 import { type Worker, WorkerState } from '../membership/index.js'
 import {
-  type AttemptEnd, createForwardCore, FORWARD_TICK_MS, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, PlacementKind, ResponseVerdict, type WorkerResponse
+  type AttemptEnd, createForwardCore, FORWARD_TICK_MS, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, PlacementKind, ResponseFraming, ResponseVerdict, type WorkerResponse
 } from '../requests/index.js'
-import { UpstreamCheck } from '../upstreams/index.js'
+import { ExchangeFault, UpstreamCheck } from '../upstreams/index.js'
 
 /** How a response ended for its caller. */
 export enum CallerEnd {
@@ -47,8 +47,8 @@
   readonly checkCount: number
   readonly takenRetries: number
   post (message: ForwardMessage): void
-  /** Ends the checks that have not ended yet. */
-  finishChecks (check: UpstreamCheck): void
+  /** Ends the checks that have not ended yet, or the first of them. */
+  finishChecks (check: UpstreamCheck, count?: number): void
   passTime (ms: number): void
   /** Answers the sends so far, and those that follow from the answers; the last answer is also that of all further sends. */
   play (...answers: Step[][]): SceneCaller
@@ -57,6 +57,8 @@
 }
 
 const TIMEOUT_MS = 10_000
+/** Work that depends on a lost worker stalls for this long before it is cut off. */
+export const STALL_MS = 1_500
 
 const createWorker = (workerId: string): Worker => ({
   workerId, startedAtUnixMs: 1, service: 's', address: '10.0.0.1:80', zone: 'a', slots: 8, isDraining: false, heartbeat: 1, storePosition: { era: 1, offset: 1 }, state: WorkerState.Serving, missingSinceMs: undefined
@@ -72,18 +74,18 @@
   kind: ForwardMessageKind.ResponseStarted,
   exchangeId,
   answer: {
-    verdict: ResponseVerdict.Success, status: 200, isPromiseNotRun: false, headers: [], isEventStream: true, isUnframed: false, notice: undefined, ...overrides
+    verdict: ResponseVerdict.Success, status: 200, isPromiseNotRun: false, headers: [], isEventStream: true, framing: ResponseFraming.Chunks, notice: undefined, ...overrides
   }
 })
 export const framedHead = respond()
-export const unframedHead = respond({ isUnframed: true })
+export const unframedHead = respond({ framing: ResponseFraming.None })
 export const refuse = respond({ verdict: ResponseVerdict.NotRun, status: 503, isPromiseNotRun: true, isEventStream: false })
 export const respondWithStatus = (status: number) => respond({ verdict: ResponseVerdict.Failure, status, isEventStream: false })
 export const text = (body: string): Step => exchangeId => ({ kind: ForwardMessageKind.ResponseBytes, exchangeId, bytes: Buffer.from(body) })
 export const events = (...ids: (number | string)[]): Step => text(ids.map(event).join(''))
 export const framedEnd: Step = exchangeId => ({ kind: ForwardMessageKind.ResponseFinished, exchangeId })
-export const unframedEnd: Step = exchangeId => ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'unframed-end', isUnframedEnd: true })
-export const reset: Step = exchangeId => ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'connection-lost' })
+export const unframedEnd: Step = exchangeId => ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'unframed-end', fault: ExchangeFault.UnframedEnd })
+export const reset: Step = exchangeId => ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft: true, reason: 'connection-lost', fault: ExchangeFault.ConnectionLost })
 export const readingResumed: Step = exchangeId => ({ kind: ForwardMessageKind.ReadingResumed, exchangeId })
 export const pause = (ms: number): Step => () => ms
 
@@ -107,6 +109,7 @@
     name: 'r', host: 'h', pathPrefix: '/r/', repeat: RepeatPolicy.AtMostOnce, isEventStream: true, isResumable, timeoutMs, eventGapTargetMs: 0, attemptsMax, priority: 1, isPublic: false, backends: [{ service: 's', weight: 1 }]
   }
   const core = createForwardCore({
+    stallMs: () => STALL_MS,
     clock,
     ports: {
       place: (_request, tried) => tried.length === 0 || hasPlace(clock.nowMs())
@@ -157,8 +160,8 @@
   const post = (message: ForwardMessage) => core.handle(message).forEach(perform)
 
   /** The result of a check has all fields of the effect that asked for it. */
-  const finishChecks = (result: UpstreamCheck) => {
-    for (const effect of openChecks.splice(0)) post({ ...effect, kind: ForwardMessageKind.WorkerChecked, check: result })
+  const finishChecks = (result: UpstreamCheck, count = openChecks.length) => {
+    for (const effect of openChecks.splice(0, count)) post({ ...effect, kind: ForwardMessageKind.WorkerChecked, check: result })
   }
 
   const passTime = (ms: number) => {
