Tell a reset right after data from the end of a response

What callers saw: an unframed response that was reset right after its last data counted as ended by its worker.

Cause: libuv takes a hang-up that it sees together with a partial read for the end of the stream, so that Node.js reports the end of a connection that was reset.

--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -47,6 +47,12 @@
   return seconds === undefined ? undefined : Number(seconds) * MS_PER_S
 }
 
+/**
+ * Whether a connection that has ended was reset: Node.js reports a reset that it reads together with data as an end, but the
+ * socket has no peer then.
+ */
+const wasReset = (socket: Socket) => socket.remoteAddress === undefined
+
 /**
  * Opens a connection to an upstream.
  *
@@ -143,6 +149,7 @@
   }
   socket.on('end', () => {
     if (exchange === undefined) return onIdleClosed()
+    if (wasReset(socket)) return onLost()
     // The end is reported even while a part of the last read waits to be parsed.
     reading.flush()
     if (exchange !== undefined) endResponse(exchange)
