Let a stream that has begun wait for a worker as long as its caller does

What callers saw: of the streams at workers that ended, about half were broken off though another worker was up, as its places were taken for the moment.

Cause: a resumption waited for a place for 60 ms, like a new request, whose caller can go elsewhere. The caller of a stream that has begun bears a gap of two seconds; on a new connection it finds the same workers.

Change: such a stream waits until 1.5 s after its last event, before new requests of its priority, and is placed anew when workers change. One that may have ended well still waits 60 ms, then the run that ended it is asked; if that is gone, it waits on as a lost one. Each wait is logged once.

--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -96,6 +96,7 @@
         if (isRunOver && before !== WorkerState.Draining) crashes.recordWorkerDown({ workerId, startedAtUnixMs })
       }
       forward.closeUnused()
+      forward.retryWaitingRequests()
     },
     onWorkerRead: registration => workerLimits.post({ kind: WorkerLimitsMessageKind.WorkerRead, registration }),
     onEvacuationsChanged: () => {
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -90,6 +90,9 @@
     return random.int(permitMs, permitMs + Math.ceil(Math.min(COLD_RETRY_SPREAD_MS, firstWarmMs)))
   }
 
+  /** Requests whose wait was logged; they are placed anew whenever a worker may be free. */
+  const loggedWaits = new WeakSet<ForwardRequest>()
+
   const place = (request: ForwardRequest, triedWorkerIds: readonly string[]): Placement => {
     const { service, requestId } = request
     const blocked = crashes.findBlocked(request)
@@ -110,7 +113,8 @@
       log(LogEvent.RequestLimited, { requestId, service, retryAfterMs: Math.round(retryAfterMs) })
       return { kind: PlacementKind.Refused, code, retryAfterMs }
     }
-    log(LogEvent.RequestWaits, { requestId, service, code, running: placement.runningIn(service), serviceLimit: placementRequest.serviceLimit })
+    if (!loggedWaits.has(request)) log(LogEvent.RequestWaits, { requestId, service, code, running: placement.runningIn(service), serviceLimit: placementRequest.serviceLimit })
+    loggedWaits.add(request)
     return { kind: PlacementKind.Wait, code }
   }
 
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -38,6 +38,11 @@
 export const FORWARDED_REQUESTS_MAX = 2_000
 /** A request queued this long for a worker is refused, while its caller still has time to try elsewhere. */
 export const QUEUE_WAIT_MAX_MS = 60
+/**
+ * A stream that has begun waits for a worker until this long after its last event: callers abandon it after a gap of two seconds,
+ * and the next worker needs some of that for its first event.
+ */
+export const CONTINUATION_WAIT_MAX_MS = 1_500
 /**
  * Share of the time for which upstreams stall before they cut work off. An end after a longer silence may be such a cut; a
  * sound response ends right after its last part.
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -1,7 +1,7 @@
 import { type ByteBuffer, type Clock, type Core, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { ExchangeFault } from '../upstreams/index.js'
-import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX, QUEUE_WAIT_MAX_MS } from './constants.js'
+import { EVENT_BYTES_MAX, FORWARDED_REQUESTS_MAX, HELD_RESPONSE_BYTES_MAX } from './constants.js'
 import { createInFlightTable } from './createInFlightTable.js'
 import { createRequestEnds } from './createRequestEnds.js'
 import { createWorkerChecks } from './createWorkerChecks.js'
@@ -10,7 +10,7 @@
 import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
 import {
   type Attempt, byUrgency, completesResumed, hasAnswerBegun, type InFlightRequest, isEmptyResumption, isRetryAllowed, isSafeToRetry, isStreamingResponse,
-  recordResponseEnd
+  queueDeadlineOf, recordResponseEnd
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
@@ -68,7 +68,7 @@
     if (placement.kind === PlacementKind.Placed) return sendToWorker(inFlight, placement.worker)
     if (placement.kind === PlacementKind.Refused) return giveUp(inFlight, placement.code, 'no worker may take the request', placement.retryAfterMs)
     inFlight.waitCode = placement.code
-    inFlight.queueDeadlineMs ??= Math.min(clock.nowMs() + QUEUE_WAIT_MAX_MS, inFlight.request.deadlineAtMs)
+    inFlight.queueDeadlineMs ??= queueDeadlineOf(inFlight, clock.nowMs())
     waiting.add(inFlight)
     return []
   }
@@ -104,7 +104,6 @@
     table,
     checks,
     stallMs,
-    failRequest,
     steps: {
       handleLostAttempt: (...lost) => handleLostAttempt(...lost),
       handleWholeResponse: (...whole) => handleWholeResponse(...whole),
@@ -137,13 +136,19 @@
     return [{ kind: ForwardEffectKind.CancelExchange, exchangeId }, ...verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, answer)]
   }
 
+  /** What an earlier worker left as its end was none. */
+  const recordDelivered = (inFlight: InFlightRequest) => {
+    inFlight.unprovenWorker = undefined
+    inFlight.lastDeliveredAtMs = clock.nowMs()
+  }
+
   const onResponseBytes = (inFlight: InFlightRequest, attempt: Attempt, bytes: Uint8Array): ForwardEffect[] => {
     attempt.receivedBytes += bytes.length
     attempt.receivedParts += 1
     attempt.lastPartAtMs = clock.nowMs()
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
-      if (effects.length > 0) inFlight.unprovenWorker = undefined
+      if (effects.length > 0) recordDelivered(inFlight)
       return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
     }
     attempt.held.add(bytes)
--- a/src/requests/createUnframedEnds.ts
+++ b/src/requests/createUnframedEnds.ts
@@ -3,7 +3,6 @@
 import { UpstreamCheck } from '../upstreams/index.js'
 import { CUT_OFF_SILENCE_SHARE } from './constants.js'
 import type { InFlightTable } from './createInFlightTable.js'
-import type { RequestEnds } from './createRequestEnds.js'
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
 import { type Attempt, completesResumed, type InFlightRequest, isEmptyResumption, isSafeToRetry, isStreamingResponse } from './forwardState.js'
@@ -24,7 +23,6 @@
   checks: WorkerChecks<InFlightRequest>
   /** See `ForwardCoreOptions`. */
   stallMs: () => number | undefined
-  failRequest: RequestEnds['failRequest']
   steps: EndSteps
 }
 
@@ -38,10 +36,10 @@
  * Creates the decisions about responses without framing, for the requests of a table.
  *
  * @example
- * const { onUnframedEnd } = createUnframedEnds({ ports, table, checks, stallMs, failRequest, steps })
+ * const { onUnframedEnd } = createUnframedEnds({ ports, table, checks, stallMs, steps })
  * onUnframedEnd(inFlight, attempt) // [{ kind: ForwardEffectKind.CheckWorker, ... }]
  */
-export const createUnframedEnds = ({ ports, table, checks, stallMs, failRequest, steps }: UnframedEndsOptions): UnframedEnds => {
+export const createUnframedEnds = ({ ports, table, checks, stallMs, steps }: UnframedEndsOptions): UnframedEnds => {
   /** Whether the silence before the end of a response is like that before an upstream cuts off its work. */
   const isCutOffLikely = ({ silenceMs = 0 }: Attempt) => silenceMs >= (stallMs() ?? Infinity) * CUT_OFF_SILENCE_SHARE
 
@@ -66,11 +64,11 @@
     return steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
   }
 
-  /** Ends a stream that could not be resumed by what the run that ended it has answered. */
-  const concludeUnproven = (inFlight: InFlightRequest, check: UpstreamCheck): ForwardEffect[] => {
-    if (check !== UpstreamCheck.Up) return failRequest(inFlight, ResultCode.UpstreamDied, `run that ended the stream is ${check}`)
-    return steps.completeStream(inFlight, CompletionProof.LiveRun)
-  }
+  /** Ends a stream that could not be resumed by what the run that ended it has answered; a lost one waits for a worker. */
+  const concludeUnproven = (inFlight: InFlightRequest, check: UpstreamCheck, detail: string): ForwardEffect[] =>
+    check === UpstreamCheck.Up
+      ? steps.completeStream(inFlight, CompletionProof.LiveRun)
+      : steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
 
   const checkedHandlers: Record<WorkerCheckScope, {
     withAttempt: (inFlight: InFlightRequest, attempt: Attempt) => ForwardEffect[]
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -1,7 +1,7 @@
 import { RepeatPolicy } from '../configuration/index.js'
 import { type ByteBuffer, createByteBuffer, ResultCode, type TimestampMs } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
-import { RETRY_TIME_MIN_MS } from './constants.js'
+import { CONTINUATION_WAIT_MAX_MS, QUEUE_WAIT_MAX_MS, RETRY_TIME_MIN_MS } from './constants.js'
 import { createEventSplitter, type EventSplitter } from './createEventSplitter.js'
 import { ResponseVerdict, type ForwardRequest, type WorkerResponse } from './forwardTypes.js'
 import type { CompletionProof, ResponseEnd } from './responseEnds.js'
@@ -47,6 +47,8 @@
   mayHaveRun: boolean
   isHeadSent: boolean
   lastEventId: string | undefined
+  /** When the caller was last sent a part of a stream, or sent the request. */
+  lastDeliveredAtMs: TimestampMs
   /** Worker whose end of the stream, after the last event that was delivered, has not been proved and may be a good one. */
   unprovenWorker: Worker | undefined
   /** What the response was taken for whole by, once it was. */
@@ -82,6 +84,7 @@
   mayHaveRun: false,
   isHeadSent: false,
   lastEventId: request.lastEventId,
+  lastDeliveredAtMs: request.arrivedAtMs,
   unprovenWorker: undefined,
   proof: undefined,
   queueDeadlineMs: undefined,
@@ -116,4 +119,14 @@
   answer !== undefined && answer.isEventStream && answer.verdict === ResponseVerdict.Success
 
 export const byUrgency = (a: InFlightRequest, b: InFlightRequest): number =>
-  a.request.priority - b.request.priority || a.request.deadlineAtMs - b.request.deadlineAtMs
+  a.request.priority - b.request.priority || Number(b.isHeadSent) - Number(a.isHeadSent) || a.request.deadlineAtMs - b.request.deadlineAtMs
+
+/**
+ * Returns until when a request that no worker has a place for is queued. A stream that has begun waits as long as its caller does,
+ * unless it may have ended well: then its caller should learn so soon.
+ */
+export const queueDeadlineOf = ({ request, isHeadSent, unprovenWorker, lastDeliveredAtMs }: InFlightRequest, nowMs: TimestampMs): TimestampMs => {
+  const shortMs = nowMs + QUEUE_WAIT_MAX_MS
+  const isBegun = isHeadSent && unprovenWorker === undefined
+  return Math.min(request.deadlineAtMs, isBegun ? Math.max(shortMs, lastDeliveredAtMs + CONTINUATION_WAIT_MAX_MS) : shortMs)
+}
