Tell the place of each event of a resumption from the ids before it

What callers saw: after a resumption, events without ids, or with ids that are no numbers, came twice; events that a worker left out were missing from a stream that looked complete; and events with an empty id, or with ids that are equal as doubles, were dropped in streams that were never resumed.

Cause: an event counted as repeated if Number(id) was not above the last one, in any attempt; everything else was taken for the next event.

Change: only a resumption is compared with the events before (createEventPosition), as integers of any size or by name. An event without an id, or after a gap in ids that were consecutive, ends the attempt, and the stream is resumed elsewhere or broken off; a stream whose last events have no ids is not resumed.

--- a/src/requests/createEventSplitter.ts
+++ b/src/requests/createEventSplitter.ts
@@ -4,6 +4,8 @@
   end: number
   /** Value of its `id` field; undefined if it has none. */
   id: string | undefined
+  /** Whether it has only comments, and so is no event to its receiver. */
+  isComment: boolean
 }
 
 /** Events that one push has completed, next to each other in `bytes` as the worker sent them. */
@@ -29,6 +31,7 @@
 /** An event with an id has at least the name of the field and two line feeds. */
 const ID_EVENT_BYTES_MIN = 5
 const EMPTY = Buffer.alloc(0)
+const FIELD_LINE = /^[^:\r\n]/m
 
 const readId = (event: Buffer): string | undefined =>
   event.length < ID_EVENT_BYTES_MIN ? undefined : ID_FIELD.exec(event.toString('latin1'))?.[1]?.trim()
@@ -100,7 +103,9 @@
       const events: StreamEvent[] = []
       let start = 0
       for (let end = findEventEnd(); end !== undefined; end = findEventEnd()) {
-        events.push({ start, end, id: readId(batchBytes.subarray(start, end)) })
+        const event = batchBytes.subarray(start, end)
+        const id = readId(event)
+        events.push({ start, end, id, isComment: id === undefined && !FIELD_LINE.test(event.toString('latin1')) })
         start = end
       }
       if (start > 0) keepFrom(start)
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -58,7 +58,7 @@
       worker,
       request,
       remainingMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
-      lastEventId: inFlight.lastEventId,
+      lastEventId: inFlight.position.lastId,
       needsFreshConnection: !isSafeToRetry(request)
     }]
   }
@@ -149,6 +149,7 @@
     if (isStreamingResponse(attempt)) {
       const effects = deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
       if (effects.length > 0) recordDelivered(inFlight)
+      if (attempt.isOutOfPlace) return [...effects, ...abandonAttempt(inFlight, attempt, 'events of a resumption do not follow those before')]
       return attempt.splitter.restBytes <= EVENT_BYTES_MAX ? effects : [...effects, ...abandonAttempt(inFlight, attempt, 'event exceeds the size limit')]
     }
     attempt.held.add(bytes)
--- a/src/requests/createInFlightTable.ts
+++ b/src/requests/createInFlightTable.ts
@@ -58,7 +58,7 @@
       framing: answer?.framing,
       endedBy,
       attemptNumber: inFlight.attemptCount,
-      lastEventId: inFlight.lastEventId,
+      lastEventId: inFlight.position.lastId,
       silenceMs: attempt.silenceMs ?? clock.nowMs() - attempt.lastPartAtMs
     })
   }
--- a/src/requests/deliverResponse.ts
+++ b/src/requests/deliverResponse.ts
@@ -1,5 +1,7 @@
 import type { ByteBuffer, TimestampMs } from '../core/index.js'
 import { WRITTEN_AT_ONCE_BYTES_MAX } from './constants.js'
+import { EventPlace } from './createEventPosition.js'
+import type { StreamEvent } from './createEventSplitter.js'
 import type { Attempt, InFlightRequest } from './forwardState.js'
 import {
   type BodyFraming, BodyFramingKind, type ForwardEffect, ForwardEffectKind, type ForwardPorts, type WorkerResponse
@@ -11,13 +13,14 @@
   return { kind: ForwardEffectKind.SendHead, requestId: inFlight.request.requestId, status, headers, framing: { kind: BodyFramingKind.Chunks } }
 }
 
-/** A stream resumed from an earlier event replays events that the caller already has. */
-const isReplayed = (id: string | undefined, lastEventId: string | undefined): boolean =>
-  id !== undefined && lastEventId !== undefined && Number(id) <= Number(lastEventId)
+/** Only a resumption may repeat events that the caller has, or leave some out. */
+const placeOf = (inFlight: InFlightRequest, attempt: Attempt, { id, isComment }: StreamEvent): EventPlace =>
+  attempt.resumesAfter === undefined || isComment ? EventPlace.Next : inFlight.position.placeOf(id)
 
 /**
  * Returns the events for the caller that further bytes of a stream complete, with the head before the first one. Events that
- * follow each other are one effect, as the cost of a write doesn't depend on its size.
+ * follow each other are one effect, as the cost of a write doesn't depend on its size. At an event whose place in the stream cannot
+ * be told, the delivery ends and the attempt is marked.
  *
  * @example
  * deliverEvents(inFlight, attempt, bytes, { nowMs: clock.nowMs(), onEventGap: ports.onEventGap })
@@ -39,15 +42,19 @@
     runStart = undefined
   }
 
-  for (const { start, end, id } of batch.events) {
+  for (const event of batch.events) {
+    const { start, end, id, isComment } = event
     onEventGap(request, attempt.worker, nowMs - attempt.lastEventAtMs, !attempt.hasEvents)
     attempt.lastEventAtMs = nowMs
     attempt.hasEvents = true
-    if (isReplayed(id, inFlight.lastEventId)) {
+    const place = placeOf(inFlight, attempt, event)
+    attempt.isOutOfPlace ||= place === EventPlace.Unknown
+    if (attempt.isOutOfPlace) break
+    if (place === EventPlace.Replayed) {
       deliverRun()
       continue
     }
-    if (id !== undefined) inFlight.lastEventId = id
+    if (!isComment) inFlight.position.advance(id)
     runStart ??= start
     runEnd = end
   }
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -2,6 +2,7 @@
 import { type ByteBuffer, createByteBuffer, ResultCode, type TimestampMs } from '../core/index.js'
 import type { Worker } from '../membership/index.js'
 import { CONTINUATION_WAIT_MAX_MS, QUEUE_WAIT_MAX_MS, RETRY_TIME_MIN_MS } from './constants.js'
+import { createEventPosition, type EventPosition } from './createEventPosition.js'
 import { createEventSplitter, type EventSplitter } from './createEventSplitter.js'
 import { ResponseVerdict, type ForwardRequest, type WorkerResponse } from './forwardTypes.js'
 import type { CompletionProof, ResponseEnd } from './responseEnds.js'
@@ -21,6 +22,8 @@
   held: ByteBuffer
   lastEventAtMs: TimestampMs
   hasEvents: boolean
+  /** Whether an event came whose place in the stream cannot be told. */
+  isOutOfPlace: boolean
   /** Bytes of the response's body so far, and the parts in which they were read. */
   receivedBytes: number
   receivedParts: number
@@ -46,7 +49,8 @@
   /** Whether any attempt may have run, the one in flight included; the request can then not be reported as not run. */
   mayHaveRun: boolean
   isHeadSent: boolean
-  lastEventId: string | undefined
+  /** The events of a stream that the caller has. */
+  position: EventPosition
   /** When the caller was last sent a part of a stream, or sent the request. */
   lastDeliveredAtMs: TimestampMs
   /** Worker whose end of the stream, after the last event that was delivered, has not been proved and may be a good one. */
@@ -58,17 +62,18 @@
   waitCode: ResultCode
 }
 
-export const getDefaultAttempt = (exchangeId: number, worker: Worker, { mayHaveRun, lastEventId }: InFlightRequest, nowMs: TimestampMs): Attempt => ({
+export const getDefaultAttempt = (exchangeId: number, worker: Worker, { mayHaveRun, position }: InFlightRequest, nowMs: TimestampMs): Attempt => ({
   exchangeId,
   worker,
   hadRunBefore: mayHaveRun,
   sentAtMs: nowMs,
-  resumesAfter: lastEventId,
+  resumesAfter: position.lastId,
   answer: undefined,
   splitter: createEventSplitter(),
   held: createByteBuffer(),
   lastEventAtMs: nowMs,
   hasEvents: false,
+  isOutOfPlace: false,
   receivedBytes: 0,
   receivedParts: 0,
   lastPartAtMs: nowMs,
@@ -83,7 +88,7 @@
   triedWorkerIds: [],
   mayHaveRun: false,
   isHeadSent: false,
-  lastEventId: request.lastEventId,
+  position: createEventPosition(request.lastEventId),
   lastDeliveredAtMs: request.arrivedAtMs,
   unprovenWorker: undefined,
   proof: undefined,
@@ -96,10 +101,10 @@
   route.isEventStream ? route.isResumable : route.repeat === RepeatPolicy.Idempotent
 
 /** Whether a request may be sent to one more worker, as far as its route, its deadline and its earlier attempts go. */
-export const isRetryAllowed = ({ request, attemptCount, mayHaveRun }: InFlightRequest, nowMs: TimestampMs): boolean => {
+export const isRetryAllowed = ({ request, attemptCount, mayHaveRun, position }: InFlightRequest, nowMs: TimestampMs): boolean => {
   const hasTime = request.deadlineAtMs - nowMs > RETRY_TIME_MIN_MS
   const hasAttempts = attemptCount < Math.max(request.route.attemptsMax, mayHaveRun ? 1 : 2)
-  return hasTime && hasAttempts && (!mayHaveRun || isSafeToRetry(request))
+  return hasTime && hasAttempts && (!mayHaveRun || (isSafeToRetry(request) && position.isResumable))
 }
 
 /** Whether the worker has sent the head of a successful response. */
