--- a/src/standIns/watchedProcess.ts
+++ b/src/standIns/watchedProcess.ts
@@ -12,6 +12,7 @@
   residentPeakMb (): number
   /** Most open descriptors that any call has seen. */
   descriptorPeak (): number
+  signal (name: NodeJS.Signals): void
   stop (): Promise<void>
 }
 
@@ -66,6 +67,7 @@
       sample()
       return descriptorPeak
     },
+    signal: name => { child.kill(name) },
     stop: async () => {
       clearInterval(timer)
       if (child.exitCode !== null || child.signalCode !== null) return
