Agent: readings of an upstream's load don't overlap

Cause: a poll and the check of a lost connection could ask for the load at the same time. If the later answer came first, the earlier one had a lower sequence and counted as a restart: the upstream was reported as crashed, with its running requests as suspects. A second lost connection shared a check that had begun before it, so that a crash between the two was not attributed.

Change: createLoadReader makes one reading at a time; a caller gets one that begins after its call, and callers that wait for the same reading share it.

--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -3,6 +3,7 @@
 import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../clients/index.js'
 import { createUpstreamGate } from '../../workerLimits/index.js'
 import { LOAD_REPORT_INTERVAL_MS, toReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
+import { createLoadReader } from './createLoadReader.js'
 
 const log = createLog('upstream')
 
@@ -85,7 +86,6 @@
   let reportedMs = 0
   let wasReportedUp = false
   let isPolling = false
-  let crashCheck: Promise<void> | undefined
   let lastLoad = NO_LOAD
   let closedReportedMs = 0
   const gate = createUpstreamGate({ clock })
@@ -146,13 +146,13 @@
   }
 
   /** A load sequence that has not increased means that the upstream restarted since the last response. */
-  const readLoad = async (): Promise<UpstreamLoad> => {
+  const readLoad = createLoadReader(async (): Promise<UpstreamLoad> => {
     const load = await client.load()
     if (load.sequence <= lastLoadSequence) recordDeath()
     lastLoadSequence = load.sequence
     recordAlive()
     return load
-  }
+  })
 
   const report = async () => {
     const load = await readLoad()
@@ -191,12 +191,8 @@
   }
 
   /** Distinguishes a lost connection from a crashed upstream, before the interrupted runs are reported. */
-  const checkForCrash = (): Promise<void> => {
-    crashCheck ??= readLoad()
-      .then(() => {}, error => { if (isDeadProcess(error)) recordDeath() })
-      .finally(() => { crashCheck = undefined })
-    return crashCheck
-  }
+  const checkForCrash = (): Promise<void> =>
+    readLoad().then(() => {}, error => { if (isDeadProcess(error)) recordDeath() })
 
   const timer = setInterval(poll, LOAD_INTERVAL_MS)
   timer.unref()
