Agent: an unframed end is complete only if the run that answered still lives

Cause: a response with neither a length nor chunks ends with its connection. The agent took it for complete if a TCP connection to its upstream's address was accepted, which a process that has restarted, a proxy and a stopped process with room in its backlog do as well.

Change: the agent reads the upstream's load after such an end. The response is complete only if the load's sequence goes on from the run to which the request was sent; a load that is only late is read up to three times. checkUpstream has no user on this path any more.

Measured: three new tests (the upstream restarts in a response to an order and to a lookup; nobody answers for it) failed before with status 200 and outcome "ran", and pass now. Sound responses without framing stay whole (brokenUpstreamResponses.test.ts, endlessUpstreamResponses.test.ts, nodeFaults.test.ts: 34 tests passed with those of the agent).

--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
-import { checkUpstream, FRAMING_HEADERS, isFieldValue, UpstreamCheck } from '../upstreams/index.js'
+import { FRAMING_HEADERS, isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
@@ -28,6 +28,15 @@
   onEnd (code: ResultCode, hasStarted: boolean): void
 }
 
+/** Receives a response, and decides whether one that states no end is complete. */
+export interface UpstreamCallListener extends UpstreamListener {
+  /**
+   * Called when a response without framing has ended with its connection, as that of a crashed upstream ends, too.
+   * Resolves with whether the run of the upstream that gave the response still lives.
+   */
+  confirmEnd (): Promise<boolean>
+}
+
 /** Load that an upstream reports. */
 export interface UpstreamLoad {
   sequence: number
@@ -52,7 +61,7 @@
 
 export interface UpstreamClient {
   /** Starts a call; the returned function cancels it. */
-  run (call: UpstreamCall, listener: UpstreamListener): () => void
+  run (call: UpstreamCall, listener: UpstreamCallListener): () => void
   load (): Promise<UpstreamLoad>
   cacheEvents (afterSequence: number): Promise<CacheEvent[]>
   close (): Promise<void>
@@ -100,9 +109,7 @@
   const pool = new Pool(baseUrl, { connections: CONNECTIONS_MAX, pipelining: 1 })
   const json = createJsonClient(baseUrl, LOAD_TIMEOUT_MS)
 
-  const isUp = () => new Promise<boolean>(resolve => checkUpstream(new URL(baseUrl).host, check => resolve(check === UpstreamCheck.Up)))
-
-  const run = (call: UpstreamCall, listener: UpstreamListener) => {
+  const run = (call: UpstreamCall, listener: UpstreamCallListener) => {
     const abort = new AbortController()
     let isEnded = false
     const end = (code: ResultCode, hasStarted = true) => {
@@ -136,8 +143,7 @@
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
       const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
       const isUnframed = FRAMING_HEADERS.every(name => headers[name] === undefined)
-      // The connection of a crashed upstream ends like that of a response without framing.
-      const isComplete = hasEnd || (!mustHaveEnd && (!isUnframed || await isUp()))
+      const isComplete = hasEnd || (!mustHaveEnd && (!isUnframed || await listener.confirmEnd()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
 
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -77,6 +77,7 @@
   let failureCount = 0
   let isDead = false
   let lastLoadSequence = 0
+  let deathCount = 0
   let lastCacheSequence = 0
   let acceptedTokens = 0
   let finishedPerS = 0
@@ -129,6 +130,7 @@
   const recordDeath = () => {
     if (isDead) return
     isDead = true
+    deathCount += 1
     gate.reset()
     lastLoadSequence = 0
     lastCacheSequence = 0
@@ -190,6 +192,26 @@
     }
   }
 
+  /** Number of the upstream's present run; undefined while no load is known that a restart would show in. */
+  const knownRun = () => lastLoadSequence === 0 ? undefined : deathCount
+
+  /**
+   * Checks that an upstream is still in a run. Whatever accepts connections at its address proves nothing: it may be a
+   * process that has restarted, or a proxy. A load that is only late is asked for again.
+   */
+  const isStillInRun = async (run: number | undefined): Promise<boolean> => {
+    if (run === undefined) return false
+    for (let failures = 0; failures < LOAD_FAILURES_MAX; failures += 1) {
+      try {
+        await readLoad()
+        return knownRun() === run
+      } catch (error) {
+        if (isDeadProcess(error)) return false
+      }
+    }
+    return false
+  }
+
   /** Distinguishes a lost connection from a crashed upstream, before the interrupted runs are reported. */
   const checkForCrash = (): Promise<void> =>
     readLoad().then(() => {}, error => { if (isDeadProcess(error)) recordDeath() })
@@ -203,6 +225,7 @@
       reportIfClosed()
       if (!isAdmitted) return listener.onEnd(ResultCode.Overloaded, false)
       const sentAtMs = clock.nowMs()
+      const sentToRun = knownRun()
       acceptedTokens += Math.max(1, estimatedTokens)
       const end = (code: ResultCode, hasStarted: boolean) => {
         finishedCount += 1
@@ -211,6 +234,7 @@
       const cancel = client.run(call, {
         ...listener,
         onNotice: notice => gate.recordNotice(notice, sentAtMs),
+        confirmEnd: () => isStillInRun(sentToRun),
         onEnd: (code, hasStarted) => {
           const isCancelled = !cancelByRunId.delete(runId)
           if (code === ResultCode.UpstreamDied && !isCancelled) checkForCrash().then(() => end(code, hasStarted))
--- a/src/nodes/brokenUpstreamResponses.test.ts
+++ b/src/nodes/brokenUpstreamResponses.test.ts
@@ -9,6 +9,8 @@
 const rows = readFileSync('examples/kpakpo/rows.yaml', 'utf8')
 /** Shorter than the deadlines of the routes, so that no response comes from there. */
 const ANSWER_MAX_MS = 2_000
+/** Time within which an agent gives up on an upstream that accepts connections and answers nothing. */
+const SILENCE_MAX_MS = 8_000
 
 const respond = (statusLine: string, contentType: string, body = 'answer'): RawScript => socket => {
   socket.write(Buffer.from(`${statusLine}\r\nContent-Type: ${contentType}\r\nContent-Length: ${body.length}\r\n\r\n${body}`, 'latin1'))
@@ -20,18 +22,19 @@
   let fleet: LocalFleet
   let service: RawServiceStandIn
 
-  const send = async (path: string, options: { method?: 'POST', headers?: Record<string, string>, body?: string } = {}) => {
+  const send = async (path: string, options: { method?: 'POST', headers?: Record<string, string>, body?: string, answerMaxMs?: number } = {}) => {
     const { headers, statusCode, body } = await request(`http://${fleet.entries[0]!.callerAddress}${path}`, {
       method: options.method ?? 'GET',
       headers: { 'x-customer': 'ridgeline-hardware', 'content-type': 'application/json', ...options.headers },
       body: options.body ?? null,
-      headersTimeout: ANSWER_MAX_MS
+      headersTimeout: options.answerMaxMs ?? ANSWER_MAX_MS
     })
     const text = await body.text().catch(() => 'broken off')
     return { status: statusCode, code: Number(headers['x-result-code']), outcome: headers['x-outcome'], type: headers['content-type'], text }
   }
   const look = () => send('/stock/ridge-cap')
-  const order = () => send('/orders', { method: 'POST', headers: { 'idempotency-key': createKey() }, body: '{}' })
+  const order = (answerMaxMs?: number) =>
+    send('/orders', { method: 'POST', headers: { 'idempotency-key': createKey() }, body: '{}', ...(answerMaxMs === undefined ? {} : { answerMaxMs }) })
 
   beforeEach(async () => {
     fleet = await startLocalFleet()
@@ -78,6 +81,23 @@
     expect(await order()).toMatchObject({ status: 502, outcome: 'unknown' })
   })
 
+  // Guards against a response that broke off and is passed on as complete, because a process that was started again accepts
+  // connections at the same address.
+  it.each(['order', 'look'] as const)('are not complete without framing if their upstream has restarted at their end: %s', async name => {
+    service.script = socket => { socket.write(`${UNFRAMED_HEAD}ans`, () => service.restart()) }
+    expect(await { order, look }[name]()).toMatchObject({ status: 502, outcome: 'unknown' })
+  })
+
+  // Guards against a response that broke off and is passed on as complete, because something accepts connections for an
+  // upstream that no longer answers.
+  it('are not complete without framing if nobody answers for their upstream at their end', async () => {
+    service.script = socket => {
+      service.isLoadSilent = true
+      socket.end(`${UNFRAMED_HEAD}ans`)
+    }
+    expect(await order(SILENCE_MAX_MS)).toMatchObject({ status: 502, outcome: 'unknown' })
+  }, 2 * SILENCE_MAX_MS)
+
   it('have a length for a caller of HTTP/1.0, who cannot tell the end of a connection from that of a response', async () => {
     const [host = '', port] = fleet.entries[0]!.callerAddress.split(':')
     const text = await new Promise<string>((resolve, reject) => {
--- a/src/standIns/rawServiceStandIn.ts
+++ b/src/standIns/rawServiceStandIn.ts
@@ -10,8 +10,12 @@
   script: RawScript
   /** Requests for which the script was run. */
   readonly runCount: number
+  /** Whether `/load` gets no answer, as at a process that is stopped, or behind a proxy without it. */
+  isLoadSilent: boolean
   /** Closes all connections and accepts no more, as a crashed process does. */
   crash (): void
+  /** Closes all connections and goes on in a new run, which counts its loads anew. */
+  restart (): void
   close (): Promise<void>
 }
 
@@ -25,7 +29,7 @@
  */
 export const startRawServiceStandIn = async (script: RawScript): Promise<RawServiceStandIn> => {
   const sockets = new Set<Socket>()
-  const current = { script }
+  const current = { script, isLoadSilent: false }
   let sequence = 0
   let runCount = 0
 
@@ -40,7 +44,7 @@
     socket.on('close', () => sockets.delete(socket))
     socket.on('data', bytes => {
       const [line = ''] = bytes.toString('latin1').split('\r\n', 1)
-      if (line.startsWith(LOAD_PATH)) return answerLoad(socket)
+      if (line.startsWith(LOAD_PATH)) return current.isLoadSilent ? undefined : answerLoad(socket)
       if (!/^[A-Z]+ \/\S* HTTP\/1\.1$/.test(line)) return
       runCount += 1
       current.script(socket, line)
@@ -48,16 +52,23 @@
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const { port } = server.address() as AddressInfo
+  const closeSockets = () => sockets.forEach(socket => socket.destroy())
   const crash = () => {
     server.close()
-    sockets.forEach(socket => socket.destroy())
+    closeSockets()
   }
   return {
     url: `http://127.0.0.1:${port}`,
     get script () { return current.script },
     set script (next) { current.script = next },
     get runCount () { return runCount },
+    get isLoadSilent () { return current.isLoadSilent },
+    set isLoadSilent (next) { current.isLoadSilent = next },
     crash,
+    restart: () => {
+      sequence = 0
+      closeSockets()
+    },
     close: async () => {
       crash()
     }
