Stand-in: a raw service runs no script for its agent's polls

Cause: the agent asks its upstream for cache events twice a second, and the raw service answered that with its script. If a poll came between the change of the script and the order of the test "are complete without framing only if their upstream is up at their end", the script crashed the service before the order was sent: 503 with code 2006, not run, which is true, in place of 502.

Change: the raw service answers GET /cache-events with 404.

--- a/src/standIns/rawServiceStandIn.ts
+++ b/src/standIns/rawServiceStandIn.ts
@@ -4,7 +4,7 @@
 /** Answers one request on its socket; may write any bytes, close or reset the connection. */
 export type RawScript = (socket: Socket, requestLine: string) => void
 
-/** A service that reports its load and answers all other requests with the bytes of a script. */
+/** A plain service that reports its load and answers all requests with the bytes of a script. */
 export interface RawServiceStandIn {
   readonly url: string
   script: RawScript
@@ -20,6 +20,9 @@
 }
 
 const LOAD_PATH = 'GET /load '
+/** A plain service has no cache events; its agent asks for them at each poll, and the script is for requests only. */
+const CACHE_EVENTS_PATH = 'GET /cache-events'
+const NOT_FOUND = 'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 /**
  * Starts the stand-in on the loopback address.
@@ -45,6 +48,7 @@
     socket.on('data', bytes => {
       const [line = ''] = bytes.toString('latin1').split('\r\n', 1)
       if (line.startsWith(LOAD_PATH)) return current.isLoadSilent ? undefined : answerLoad(socket)
+      if (line.startsWith(CACHE_EVENTS_PATH)) return socket.write(NOT_FOUND)
       if (!/^[A-Z]+ \/\S* HTTP\/1\.1$/.test(line)) return
       runCount += 1
       current.script(socket, line)
