Agent: only a length or chunks state the end of a response

Cause: a response with any Transfer-Encoding counted as framed. After "identity", "gzip" or "chunked, gzip" the body ends with its connection, so that a response that broke off was passed on as complete without asking whether its upstream lives.

Change: a response is framed if it has a length, or if its last transfer coding is "chunked". Any other end is confirmed like that of a response without either.

Measured: three of the four tests of createUpstreamClient.test.ts failed before (code Ok for "ans" of a response that broke off), and all pass now.

--- /dev/null
+++ b/src/clients/createUpstreamClient.test.ts
@@ -0,0 +1,42 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { ResultCode } from '../core/index.js'
+import { createUpstreamClient, type UpstreamCall, type UpstreamClient } from './createUpstreamClient.js'
+
+const CALL: UpstreamCall = { method: 'GET', path: '/stock', headers: {}, body: new Uint8Array(), isEventStream: false, timeoutMs: 2_000 }
+
+describe('an agent\'s client of its upstream', () => {
+  let server: Server
+  let client: UpstreamClient
+  let respond: (socket: Socket) => void
+
+  /** Sends a call to an upstream that does not live on after its responses. */
+  const run = (call: Partial<UpstreamCall> = {}) => new Promise<ResultCode>(resolve => {
+    client.run({ ...CALL, ...call }, { onHead: () => {}, onBytes: () => {}, onEnd: resolve, confirmEnd: async () => false })
+  })
+
+  beforeEach(async () => {
+    server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', () => respond(socket))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    client = createUpstreamClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+  })
+  afterEach(async () => {
+    await client.close()
+    server.close()
+  })
+
+  // Guards against a response that broke off and is passed on as complete: such an encoding states no end.
+  it.each(['identity', 'gzip', 'chunked, gzip'])('takes the end of a connection for no end of a response with Transfer-Encoding: %s', async encoding => {
+    respond = socket => { socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${encoding}\r\n\r\nans`) }
+    expect(await run()).not.toBe(ResultCode.Ok)
+  })
+
+  it('takes a response in chunks for complete at its last chunk', async () => {
+    respond = socket => { socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nans\r\n0\r\n\r\n') }
+    expect(await run()).toBe(ResultCode.Ok)
+  })
+})
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
-import { FRAMING_HEADERS, isFieldValue } from '../upstreams/index.js'
+import { isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
@@ -97,6 +97,13 @@
   throw new BaobabdriftError(ResultCode.UpstreamRefused, 'the head of the response is malformed')
 }
 
+/**
+ * Whether the headers state where the response ends: by a length, or by chunks. After any other transfer encoding only the end
+ * of the connection ends it.
+ */
+const isFramed = (headers: Record<string, string | string[] | undefined>): boolean =>
+  headers['content-length'] !== undefined || /(^|,)\s*chunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
+
 const isSuccess = (status: number) => status >= 200 && status < 300
 
 /**
@@ -142,8 +149,7 @@
       }
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
       const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
-      const isUnframed = FRAMING_HEADERS.every(name => headers[name] === undefined)
-      const isComplete = hasEnd || (!mustHaveEnd && (!isUnframed || await listener.confirmEnd()))
+      const isComplete = hasEnd || (!mustHaveEnd && (isFramed(headers) || await listener.confirmEnd()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
 
