Agent: a response that has no body ends with its head

Cause: a response to HEAD, or with status 204 or 304, needs neither a length nor chunks, as it has no body. The agent took it for one that only its connection ends, and reported it as broken off if its upstream was gone by then.

Change: such a response is complete at its head, and its upstream is not asked.

Measured: the three new tests failed before (UpstreamDied) and pass now.

--- a/src/clients/createUpstreamClient.test.ts
+++ b/src/clients/createUpstreamClient.test.ts
@@ -39,4 +39,10 @@
     respond = socket => { socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nans\r\n0\r\n\r\n') }
     expect(await run()).toBe(ResultCode.Ok)
   })
+
+  // Guards against a lookup that is reported as failed although its upstream has answered it to the end.
+  it.each([['204', 'GET'], ['304', 'GET'], ['200', 'HEAD']])('takes a response that has no body for complete at its head: %s to %s', async (status, method) => {
+    respond = socket => { socket.end(`HTTP/1.1 ${status} X\r\n\r\n`) }
+    expect(await run({ method })).toBe(ResultCode.Ok)
+  })
 })
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -97,6 +97,11 @@
   throw new BaobabdriftError(ResultCode.UpstreamRefused, 'the head of the response is malformed')
 }
 
+/** Responses with these statuses, and those to HEAD, end with their head whatever their headers say. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+
+const hasNoBody = (method: string, status: number) => method === 'HEAD' || BODYLESS_STATUSES.has(status)
+
 /**
  * Whether the headers state where the response ends: by a length, or by chunks. After any other transfer encoding only the end
  * of the connection ends it.
@@ -147,9 +152,10 @@
         if (ready !== undefined) await ready
         if (call.isEventStream) tail = (tail + bytes.subarray(-TAIL_BYTES).toString('latin1')).slice(-TAIL_BYTES)
       }
+      const hasStatedEnd = hasNoBody(call.method, statusCode) || isFramed(headers)
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
       const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
-      const isComplete = hasEnd || (!mustHaveEnd && (isFramed(headers) || await listener.confirmEnd()))
+      const isComplete = hasEnd || (!mustHaveEnd && (hasStatedEnd || await listener.confirmEnd()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
 
