Agent: an answer that is no load doesn't show that the upstream is up

Cause: the response to GET /load was not checked. Any body in JSON with status 200, such as {} from a proxy's error page, counted as a load: its missing sequence was never lower than the last one, so that the upstream counted as up and as the same run, and the report to the entries had no amounts.

Change: the client checks the fields that docs/interfaces.md names and rejects the response otherwise, which counts like one that did not come.

Measured: the seven new tests with such bodies failed before (resolved) and pass now.

--- a/src/clients/createUpstreamClient.test.ts
+++ b/src/clients/createUpstreamClient.test.ts
@@ -45,4 +45,18 @@
     respond = socket => { socket.end(`HTTP/1.1 ${status} X\r\n\r\n`) }
     expect(await run({ method })).toBe(ResultCode.Ok)
   })
+
+  // Guards against an upstream that counts as up, with a load that nobody has reported, because something at its address
+  // answers every request.
+  it.each(['{}', 'null', '[]', '"ok"', '{"sequence":"7"}', '{"sequence":7}', '{"sequence":7,"madeAtMs":1,"queuedTokens":null,"runningRequests":0,"tokensPerS":1}'])('takes a body that is no load for none: %s', async body => {
+    respond = socket => { socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`) }
+    await expect(client.load()).rejects.toThrow()
+  })
+
+  it('reads a load', async () => {
+    const load = { sequence: 7, madeAtMs: 1.5, queuedTokens: 0, runningRequests: 2, tokensPerS: 10, runningMax: 32 }
+    const body = JSON.stringify({ ...load, ownField: 'x' })
+    respond = socket => { socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`) }
+    expect(await client.load()).toMatchObject(load)
+  })
 })
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,4 +1,5 @@
 import { Pool } from 'undici'
+import { z } from 'zod'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
 import { isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
@@ -43,13 +44,13 @@
   madeAtMs: number
   queuedTokens: number
   runningRequests: number
-  waitingRequests?: number
+  waitingRequests?: number | undefined
   /** Maximum number of concurrent requests; undefined or 0 if unlimited. */
-  runningMax?: number
+  runningMax?: number | undefined
   /** Measured throughput per second: prompt tokens of an engine, requests of a service. */
   tokensPerS: number
-  cacheEventSequence?: number
-  cacheBlocksMax?: number
+  cacheEventSequence?: number | undefined
+  cacheBlocksMax?: number | undefined
 }
 
 /** One change to the prefix cache of an engine. Sequence numbers may have gaps. */
@@ -62,11 +63,28 @@
 export interface UpstreamClient {
   /** Starts a call; the returned function cancels it. */
   run (call: UpstreamCall, listener: UpstreamCallListener): () => void
+  /** Rejects if there is no response, or one that is no load. */
   load (): Promise<UpstreamLoad>
   cacheEvents (afterSequence: number): Promise<CacheEvent[]>
   close (): Promise<void>
 }
 
+const amountSchema = z.number().nonnegative()
+const optionalAmountSchema = amountSchema.nullish().transform(value => value ?? undefined)
+const optionalCounterSchema = z.number().int().nonnegative().nullish().transform(value => value ?? undefined)
+
+const loadSchema = z.object({
+  sequence: z.number(),
+  madeAtMs: z.number(),
+  queuedTokens: amountSchema,
+  runningRequests: amountSchema,
+  waitingRequests: optionalAmountSchema,
+  runningMax: optionalAmountSchema,
+  tokensPerS: amountSchema,
+  cacheEventSequence: optionalCounterSchema,
+  cacheBlocksMax: optionalAmountSchema
+})
+
 const LOAD_TIMEOUT_MS = 1_000
 const CONNECTIONS_MAX = 256
 /** An event stream is complete only if this is its last event. */
@@ -167,7 +185,7 @@
 
   return {
     run,
-    load: () => json.call('GET', '/load'),
+    load: async () => loadSchema.parse(await json.call('GET', '/load')),
     cacheEvents: afterSequence => json.call('GET', `/cache-events?after=${afterSequence}`),
     close: async () => {
       await Promise.all([pool.destroy(), json.close()])
