Agent: the last event of a stream stands on a line of its own

Cause: a stream counted as complete if its last bytes were "data: [DONE]", also in the middle of a line. A stream that broke off after these words in a text of the model was passed on as complete.

Change: the words must stand at the start of a line.

Measured: two of the five new tests failed before (code Ok) and pass now.

--- a/src/clients/createUpstreamClient.test.ts
+++ b/src/clients/createUpstreamClient.test.ts
@@ -59,4 +59,16 @@
     respond = socket => { socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`) }
     expect(await client.load()).toMatchObject(load)
   })
+
+  // Guards against a stream that broke off and is passed on as complete, because a text of the model names the last event.
+  it.each([
+    ['within the text of an event', 'data: {"text":"data: [DONE]', ResultCode.UpstreamDied],
+    ['in another field', 'id: data: [DONE]', ResultCode.UpstreamDied],
+    ['after an event', 'data: {}\n\ndata: [DONE]\n\n', ResultCode.Ok],
+    ['alone', 'data: [DONE]\n\n', ResultCode.Ok],
+    ['after an event, with CR LF', 'data: {}\r\n\r\ndata: [DONE]\r\n\r\n', ResultCode.Ok]
+  ])('takes an event stream for complete only after its last event: %s', async (_where, body, code) => {
+    respond = socket => { socket.end(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${body}`) }
+    expect(await run({ isEventStream: true })).toBe(code)
+  })
 })
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -87,8 +87,8 @@
 
 const LOAD_TIMEOUT_MS = 1_000
 const CONNECTIONS_MAX = 256
-/** An event stream is complete only if this is its last event. */
-const EVENT_STREAM_END = 'data: [DONE]'
+/** An event stream is complete only if this is its last event; within another line it is a text of the model. */
+const EVENT_STREAM_END = /[\r\n]data: \[DONE\]\s*$/
 const TAIL_BYTES = 32
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
@@ -160,7 +160,8 @@
       })
       listener.onNotice?.(readUpstreamNotice(statusCode, headers))
       listener.onHead(statusCode, readHead(statusCode, headers['content-type']))
-      let tail = ''
+      // The first line begins like any other.
+      let tail = '\n'
       let totalBytes = 0
       for await (const bytes of body as AsyncIterable<Buffer>) {
         totalBytes += bytes.length
@@ -172,7 +173,7 @@
       }
       const hasStatedEnd = hasNoBody(call.method, statusCode) || isFramed(headers)
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
-      const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
+      const hasEnd = EVENT_STREAM_END.test(tail)
       const isComplete = hasEnd || (!mustHaveEnd && (hasStatedEnd || await listener.confirmEnd()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
