Agent: one lost connection doesn't show that the upstream crashed

Cause: a poll of the load that ended with ECONNRESET or UND_ERR_SOCKET counted as the upstream's crash. An upstream that closes an idle connection while the poll is sent on it ends so as well; its running requests became suspects, and a suspect that ran alone there was quarantined.

Change: the agent asks once more. The upstream counts as crashed if nothing listens, if the second attempt is lost as well, or if its answer comes from a new run.

--- a/src/nodes/agent/upstreamTask.test.ts
+++ b/src/nodes/agent/upstreamTask.test.ts
@@ -9,13 +9,19 @@
 const createUpstreamFake = () => {
   const held: (() => void)[] = []
   const listeners: CallListener[] = []
+  const failures: string[] = []
   let sequence = 0
   const client: UpstreamClient = {
     run: (_call, listener) => {
       listeners.push(listener)
       return () => {}
     },
-    load: () => new Promise<UpstreamLoad>(resolve => {
+    load: () => new Promise<UpstreamLoad>((resolve, reject) => {
+      const code = failures.shift()
+      if (code !== undefined) {
+        held.push(() => reject(Object.assign(new Error(code), { code })))
+        return
+      }
       const load = { sequence: ++sequence, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 1 }
       held.push(() => resolve(load))
     }),
@@ -26,6 +32,8 @@
     client,
     listeners,
     get heldCount () { return held.length },
+    /** The next requests for the load fail with these codes. */
+    failLoads: (...codes: string[]) => { failures.push(...codes) },
     restart: () => { sequence = 0 },
     answerLast: async () => {
       held.pop()?.()
@@ -88,4 +96,30 @@
     await answerAll()
     expect(events).toEqual(['one ended with UpstreamDied', 'died', 'two ended with UpstreamDied'])
   })
+
+  // Guards against an upstream that counts as crashed, with the requests that it runs as suspects, because it closed an idle
+  // connection while a poll was sent on it.
+  it.each(['UND_ERR_SOCKET', 'ECONNRESET'])('is no crash if only the connection of one poll is lost: %s', async code => {
+    start('one')
+    upstream.failLoads(code)
+    await poll()
+    await answerAll()
+    expect(events).toEqual([])
+    expect(task.isUp).toBe(true)
+  })
+
+  it.each([['ECONNREFUSED'], ['UND_ERR_SOCKET', 'UND_ERR_SOCKET'], ['ECONNRESET', 'ECONNREFUSED']])('is a crash if nothing listens, or a new connection is lost as well: %s', async (...codes) => {
+    upstream.failLoads(...codes)
+    await poll()
+    await answerAll()
+    expect(events).toEqual(['died'])
+  })
+
+  it('is a crash if the answer after a lost connection comes from a new run', async () => {
+    upstream.failLoads('ECONNRESET')
+    upstream.restart()
+    await poll()
+    await answerAll()
+    expect(events).toEqual(['died'])
+  })
 })
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -15,8 +15,10 @@
 /** Reports that the upstream takes no request for now are at least this far apart. */
 const CLOSED_REPORT_INTERVAL_MS = 100
 const NO_LOAD: UpstreamLoad = { sequence: 0, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0 }
-/** Connection errors that only an exited process causes; requests to a slow process time out instead. */
-const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
+/** A connection that an exited process leaves behind ends so, and an idle one that a living process closes. */
+const LOST_CONNECTION_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'UND_ERR_SOCKET'])
+/** Connection errors that only an exited process causes, if a second attempt ends so; requests to a slow process time out instead. */
+const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', ...LOST_CONNECTION_CODES])
 
 export interface UpstreamTaskOptions {
   client: UpstreamClient
@@ -63,7 +65,9 @@
   ...(request.contentType === undefined ? {} : { contentType: request.contentType })
 })
 
-const isDeadProcess = (error: unknown): boolean => DEAD_PROCESS_CODES.has((error as { code?: unknown }).code)
+const codeOf = (error: unknown): unknown => (error as { code?: unknown }).code
+
+const isDeadProcess = (error: unknown): boolean => DEAD_PROCESS_CODES.has(codeOf(error))
 
 /**
  * Creates the task that owns the connections to the upstream.
@@ -147,9 +151,15 @@
     onStarted()
   }
 
+  /** A connection that is lost with the request proves nothing, so the request is sent once more. */
+  const requestLoad = (): Promise<UpstreamLoad> => client.load().catch(error => {
+    if (!LOST_CONNECTION_CODES.has(codeOf(error))) throw error
+    return client.load()
+  })
+
   /** A load sequence that has not increased means that the upstream restarted since the last response. */
   const readLoad = createLoadReader(async (): Promise<UpstreamLoad> => {
-    const load = await client.load()
+    const load = await requestLoad()
     if (load.sequence <= lastLoadSequence) recordDeath()
     lastLoadSequence = load.sequence
     recordAlive()
