Own front end: nothing is added to an event that is not whole

Cause: while an upstream was silent for 5 s, the entry wrote a comment with a blank line, and after a failure an event named "error". Within an event the blank line handed its beginning to the caller as an event, and the error became a part of its line: the caller saw no error, and a stream that ended as complete.

Change: the entry adds either only between two events. After a failure within an event it breaks the connection off, as for a body that is no stream.

--- a/src/nodes/entry/createResponseSink.ts
+++ b/src/nodes/entry/createResponseSink.ts
@@ -9,6 +9,9 @@
 export const RETRY_AFTER_S = 1
 const CALLER_BUFFER_MAX_BYTES = 8 * 1024 * 1024
 const OLD_HTTP_VERSION = '1.0'
+/** An event of a stream ends with a blank line, whichever line ends its upstream uses. */
+const EVENT_END = /(\n\r?\n|\r\r)$/
+const EVENT_END_BYTES_MAX = 3
 
 /** A request until its response has closed. */
 export interface LiveRequest {
@@ -42,10 +45,20 @@
   let isStarted = false
   let isEnded = false
   let lastWriteMs = clock.nowMs()
+  /** Last bytes of the body. */
+  let tail = ''
+
+  /** Within an event nothing can be added: it would belong to a line of the upstream, or end an event that is not whole. */
+  const isBetweenEvents = () => tail === '' || EVENT_END.test(tail)
+
+  const recordTail = (bytes: Uint8Array) => {
+    tail = (tail + Buffer.from(bytes.subarray(-EVENT_END_BYTES_MAX)).toString('latin1')).slice(-EVENT_END_BYTES_MAX)
+  }
+
   // Comments keep proxies on the caller's side from closing an idle event stream.
   const commentTimer = submitted.request.isEventStream
     ? setInterval(() => {
-      if (!isStarted || isEnded || clock.nowMs() - lastWriteMs < COMMENT_INTERVAL_MS) return
+      if (!isStarted || isEnded || !isBetweenEvents() || clock.nowMs() - lastWriteMs < COMMENT_INTERVAL_MS) return
       raw.write(': waiting\n\n')
     }, COMMENT_INTERVAL_MS)
     : undefined
@@ -63,11 +76,11 @@
   }
 
   const failStarted = (code: ResultCode) => {
-    if (submitted.request.isEventStream) {
+    if (submitted.request.isEventStream && isBetweenEvents()) {
       raw.end(`event: error\ndata: ${JSON.stringify(errorBodyOf(requestId, customer, code))}\n\n`)
       return
     }
-    // The status is already sent, so only closing the connection can show that the body is incomplete.
+    // The status is already sent, so only closing the connection can show that the body, or an event, is incomplete.
     raw.destroy()
   }
 
@@ -91,6 +104,7 @@
     },
     onBody: bytes => {
       lastWriteMs = clock.nowMs()
+      if (submitted.request.isEventStream) recordTail(bytes)
       if (held === undefined) guard.write(bytes)
       else {
         held.add(bytes)
