Engine clients: an answer that lacks what was asked for is none

Cause: answers of engines with status 2xx were not checked. An answer to an order without "accepted" counted as a refusal for a stale fencing token, which voids the assignment for good; a result of a step without fields counted as a step that is done, and a next step could be undefined.

--- a/src/clients/createRankClient.ts
+++ b/src/clients/createRankClient.ts
@@ -1,3 +1,4 @@
+import { z } from 'zod'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
 import { createJsonClient } from './httpJson.js'
 
@@ -31,6 +32,9 @@
   close (): Promise<void>
 }
 
+const nextStepSchema = z.object({ step: z.number() })
+const stepResultSchema = z.object({ step: z.number(), durationMs: z.number(), tokens: z.array(z.number()), isAbandoned: z.boolean() })
+
 /** A step ends only when the slowest rank has computed it, and a group that is on hold waits for seconds. */
 const STEP_TIMEOUT_MS = 120_000
 
@@ -44,9 +48,9 @@
 export const createRankClient = (baseUrl: string): RankClient => {
   const json = createJsonClient(baseUrl, STEP_TIMEOUT_MS)
   return {
-    nextStep: async () => (await json.call<{ step: number }>('GET', '/rank/next-step')).step,
+    nextStep: async () => nextStepSchema.parse(await json.call('GET', '/rank/next-step')).step,
     setMap: async map => { await json.call('POST', '/rank/map', map) },
-    runStep: (step, mapHash) => json.call('POST', '/rank/step', { step, mapHash }),
+    runStep: async (step, mapHash) => stepResultSchema.parse(await json.call('POST', '/rank/step', { step, mapHash })),
     copyFromPeer: async (item, fromRank) => { await json.call('POST', '/rank/copy', { item, fromRank }) },
     loadWeights: async item => { await json.call('POST', '/rank/load', { item }) },
     dropWeights: async items => { await json.call('POST', '/rank/drop', { items }) },
--- a/src/clients/unreadableAnswers.test.ts
+++ b/src/clients/unreadableAnswers.test.ts
@@ -2,7 +2,10 @@
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { LogUnavailableError } from '../core/index.js'
+import { OrderKind } from '../orders/index.js'
 import { createLogClient } from './createLogClient.js'
+import { createOrderClient } from './createOrderClient.js'
+import { createRankClient } from './createRankClient.js'
 
 describe('answers with status 200 that lack what was asked for', () => {
   let server: Server
@@ -47,4 +50,31 @@
     answer = text
     await expect(createClient(createLogClient).append('once-0', {})).rejects.toThrow(LogUnavailableError)
   })
+
+  // Guards against an order that counts as refused for its fencing token, so that its assignment is given up for good.
+  it.each(['{}', 'null', '{"accepted":null}', '{"accepted":"yes"}'])('are no answer to an order: %s', async text => {
+    answer = text
+    await expect(createClient(createOrderClient).order(7, { kind: OrderKind.LoadModel, model: 'm' })).rejects.toThrow()
+  })
+
+  // Guards against a step that counts as done with a load of zero, and a rank that begins at no step.
+  it.each([
+    '{}', 'null', '{"step":4,"durationMs":9,"tokens":[1]}', '{"step":4,"durationMs":9,"isAbandoned":false}', '{"step":4,"tokens":[1],"isAbandoned":false}',
+    '{"step":4,"durationMs":9,"tokens":[null],"isAbandoned":false}'
+  ])('are no result of a step: %s', async text => {
+    answer = text
+    const client = createClient(createRankClient)
+    await expect(client.runStep(4, 'hash')).rejects.toThrow()
+  })
+  it.each(['{}', 'null', '{"step":null}'])('are no next step: %s', async text => {
+    answer = text
+    await expect(createClient(createRankClient).nextStep()).rejects.toThrow()
+  })
+
+  it('does not hold for the answers of an engine', async () => {
+    const result = { step: 4, durationMs: 9.5, tokens: [1.5, 0], isAbandoned: false }
+    answer = JSON.stringify(result)
+    const client = createClient(createRankClient)
+    expect([await client.runStep(4, 'hash'), await client.nextStep()]).toEqual([result, 4])
+  })
 })
