Weights: a response that broke off without framing is not loaded

Cause: the end of a response without a length or chunks counted as the end of the weights, also if the store crashed in it; the agent then had the engine load them.

Change: such a response must have as many bytes as were asked for. What states an end is decided in one place for upstreams and weights (statesEnd).

--- a/src/clients/createRankClient.ts
+++ b/src/clients/createRankClient.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
 import { createJsonClient } from './httpJson.js'
+import { statesEnd } from './statesEnd.js'
 
 /** Measurements of one rank for one step. */
 export interface StepResult {
@@ -68,10 +69,18 @@
   }
 }
 
-/** Fetches the weights of one expert from the weight store; throws WeightStoreBusyError if it is rate limited. */
+const isFramed = ({ headers }: Response): boolean => statesEnd({
+  contentLength: headers.get('content-length') ?? undefined, transferEncoding: headers.get('transfer-encoding') ?? undefined
+})
+
+/**
+ * Fetches the weights of one expert from the weight store; throws WeightStoreBusyError if it is rate limited. A response that
+ * only its connection ends is whole only if it has as many bytes as were asked for.
+ */
 export const fetchWeights = async (storeUrl: string, name: string, bytes: number): Promise<void> => {
   const response = await fetch(`${storeUrl}/weights/${encodeURIComponent(name)}?bytes=${bytes}`)
-  await response.arrayBuffer()
+  const body = await response.arrayBuffer()
   if (response.status === 429) throw new WeightStoreBusyError(Number(response.headers.get('retry-after') ?? 1) * 1_000)
   if (!response.ok) throw new BaobabdriftError(ResultCode.UpstreamRefused, `weight store responded with status ${response.status}`)
+  if (!isFramed(response) && body.byteLength < bytes) throw new BaobabdriftError(ResultCode.AnswerLost, `weight store broke off after ${body.byteLength} of ${bytes} bytes`)
 }
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -4,6 +4,7 @@
 import { isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
+import { statesEnd } from './statesEnd.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
 
 /** A request from the agent to its upstream. */
@@ -120,12 +121,10 @@
 
 const hasNoBody = (method: string, status: number) => method === 'HEAD' || BODYLESS_STATUSES.has(status)
 
-/**
- * Whether the headers state where the response ends: by a length, or by chunks. After any other transfer encoding only the end
- * of the connection ends it.
- */
+const textOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value.join(',') : value
+
 const isFramed = (headers: Record<string, string | string[] | undefined>): boolean =>
-  headers['content-length'] !== undefined || /(^|,)\s*chunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
+  statesEnd({ contentLength: textOf(headers['content-length']), transferEncoding: textOf(headers['transfer-encoding']) })
 
 const isSuccess = (status: number) => status >= 200 && status < 300
 
