Weights: a refusal with a time that cannot be read is repeated after one second

Cause: Retry-After was converted with Number, so that any text but digits, such as a date, gave NaN. No time is before NaN: the rank asked the store again at each tick, every 100 ms.

Change: the header is parsed as a decimal number, and anything else counts as absent.

Measured: one of the three new tests failed before (NaN) and passes now.

--- a/src/clients/createRankClient.ts
+++ b/src/clients/createRankClient.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { BaobabdriftError, ResultCode } from '../core/index.js'
+import { BaobabdriftError, parseDecimal, ResultCode } from '../core/index.js'
 import { createJsonClient } from './httpJson.js'
 import { statesEnd } from './statesEnd.js'
 
@@ -36,6 +36,10 @@
 const nextStepSchema = z.object({ step: z.number() })
 const stepResultSchema = z.object({ step: z.number(), durationMs: z.number(), tokens: z.array(z.number()), isAbandoned: z.boolean() })
 
+const MS_PER_S = 1_000
+/** Delay after a refusal of the weight store that names no time. */
+const RETRY_AFTER_DEFAULT_S = 1
+
 /** A step ends only when the slowest rank has computed it, and a group that is on hold waits for seconds. */
 const STEP_TIMEOUT_MS = 120_000
 
@@ -80,7 +84,7 @@
 export const fetchWeights = async (storeUrl: string, name: string, bytes: number): Promise<void> => {
   const response = await fetch(`${storeUrl}/weights/${encodeURIComponent(name)}?bytes=${bytes}`)
   const body = await response.arrayBuffer()
-  if (response.status === 429) throw new WeightStoreBusyError(Number(response.headers.get('retry-after') ?? 1) * 1_000)
+  if (response.status === 429) throw new WeightStoreBusyError((parseDecimal(response.headers.get('retry-after') ?? undefined) ?? RETRY_AFTER_DEFAULT_S) * MS_PER_S)
   if (!response.ok) throw new BaobabdriftError(ResultCode.UpstreamRefused, `weight store responded with status ${response.status}`)
   if (!isFramed(response) && body.byteLength < bytes) throw new BaobabdriftError(ResultCode.AnswerLost, `weight store broke off after ${body.byteLength} of ${bytes} bytes`)
 }
--- a/src/clients/fetchWeights.test.ts
+++ b/src/clients/fetchWeights.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { fetchWeights } from './createRankClient.js'
+import { fetchWeights, WeightStoreBusyError } from './createRankClient.js'
 
 const EXPERT_BYTES = 6
 
@@ -40,4 +40,12 @@
     answer = text
     await expect(fetch()).resolves.toBeUndefined()
   })
+
+  // Guards against a rank that asks again at once and for good, because no time can be read from the refusal.
+  it.each([['', 1_000], ['Retry-After: 3\r\n', 3_000], ['Retry-After: soon\r\n', 1_000]])('are asked for later after a refusal with %j', async (header, retryAfterMs) => {
+    answer = `HTTP/1.1 429 X\r\nContent-Length: 0\r\n${header}\r\n`
+    const refusal = await fetch().catch(error => error)
+    expect(refusal).toBeInstanceOf(WeightStoreBusyError)
+    expect(refusal.retryAfterMs).toBe(retryAfterMs)
+  })
 })
