Maps: a step waits until the engine has its map

Cause: if the call that hands a map to the engine failed, the failure was logged and the step ran all the same, with a map that the engine did not know: the rank computed as if it hosted nothing, and its tokens were reported as such.

A step that was abandoned meanwhile is not run.

Measured: two of the three tests of mapsTask.test.ts failed before (the step ran without the map) and pass now; mapSwitch.test.ts passes.

--- a/src/nodes/agent/mapsTask.ts
+++ b/src/nodes/agent/mapsTask.ts
@@ -60,6 +60,8 @@
   let running: RunningGroup | undefined
   /** Incremented when a step is abandoned, so that the result of the abandoned step is ignored. */
   let stepGeneration = 0
+  let activeMap: ExpertMap | undefined
+  let isStopped = false
 
   const sendToRank = (to: number, fields: Record<string, unknown>) => {
     const member = members.find(candidate => candidate.rank === to)
@@ -101,9 +103,19 @@
     }
   }
 
-  const activate = async (map: ExpertMap) => {
-    running?.planning.setMap(map)
-    await client.setMap({ hash: map.id.hash, replicas: map.layers.flat() })
+  const isAwaited = (map: ExpertMap) => map === activeMap && !isStopped
+
+  /** Hands a map to the engine; without it, a step would run as if the rank hosted nothing. */
+  const handOver = async (map: ExpertMap) => {
+    while (isAwaited(map)) {
+      try {
+        await client.setMap({ hash: map.id.hash, replicas: map.layers.flat() })
+        return
+      } catch (error) {
+        log('failed to send the expert map to the engine: %s', error instanceof Error ? error.message : error)
+      }
+      await new Promise(resolve => { setTimeout(resolve, ENGINE_RETRY_MS).unref() })
+    }
   }
 
   const finishLoad = async (item: number, load: Promise<void>) => {
@@ -124,15 +136,23 @@
   /** Pending transfer of the map to the engine, which must have it before the first step that uses it. */
   let activation: Promise<void> = Promise.resolve()
 
+  const runActivatedStep = async (step: number, map: ExpertMap) => {
+    const generation = stepGeneration
+    await activation
+    if (generation === stepGeneration && !isStopped) await runStep(step, map)
+  }
+
   const rankPerformers: HandlerTable<RankEffect, void> = {
     [RankEffectKind.SendToCoordinator]: ({ to, message }) => sendSwitchMessage(to, message),
-    [RankEffectKind.StepAllowed]: ({ step, map }) => { activation.then(() => runStep(step, map)) },
+    [RankEffectKind.StepAllowed]: ({ step, map }) => { runActivatedStep(step, map) },
     [RankEffectKind.ResumeAt]: ({ step }) => {
       stepGeneration += 1
       requestStep(step)
     },
     [RankEffectKind.MapActivated]: ({ map }) => {
-      activation = activate(map).catch(error => log('failed to send the expert map to the engine: %s', error instanceof Error ? error.message : error))
+      activeMap = map
+      running?.planning.setMap(map)
+      activation = handOver(map)
     },
     [RankEffectKind.CoordinatorSuspected]: effect => {
       running?.coordinatorTask.post({ kind: CoordinatorMessageKind.CoordinatorSuspected, rank: effect.rank })
@@ -203,6 +223,7 @@
       running?.coordinatorTask.post({ kind: CoordinatorMessageKind.LiveRanksChanged, ranks })
     },
     stop: () => {
+      isStopped = true
       running?.rankTask.stop()
       running?.coordinatorTask.stop()
       running?.planning.stop()
