--- a/src/clients/createRankClient.ts
+++ b/src/clients/createRankClient.ts
@@ -1,5 +1,7 @@
-import { BaobabdriftError, ResultCode } from '../core/index.js'
+import { z } from 'zod'
+import { BaobabdriftError, parseDecimal, ResultCode } from '../core/index.js'
 import { createJsonClient } from './httpJson.js'
+import { statesEnd } from './statesEnd.js'
 
 /** Measurements of one rank for one step. */
 export interface StepResult {
@@ -31,6 +33,13 @@
   close (): Promise<void>
 }
 
+const nextStepSchema = z.object({ step: z.number() })
+const stepResultSchema = z.object({ step: z.number(), durationMs: z.number(), tokens: z.array(z.number()), isAbandoned: z.boolean() })
+
+const MS_PER_S = 1_000
+/** Delay after a refusal of the weight store that names no time. */
+const RETRY_AFTER_DEFAULT_S = 1
+
 /** A step ends only when the slowest rank has computed it, and a group that is on hold waits for seconds. */
 const STEP_TIMEOUT_MS = 120_000
 
@@ -44,9 +53,9 @@
 export const createRankClient = (baseUrl: string): RankClient => {
   const json = createJsonClient(baseUrl, STEP_TIMEOUT_MS)
   return {
-    nextStep: async () => (await json.call<{ step: number }>('GET', '/rank/next-step')).step,
+    nextStep: async () => nextStepSchema.parse(await json.call('GET', '/rank/next-step')).step,
     setMap: async map => { await json.call('POST', '/rank/map', map) },
-    runStep: (step, mapHash) => json.call('POST', '/rank/step', { step, mapHash }),
+    runStep: async (step, mapHash) => stepResultSchema.parse(await json.call('POST', '/rank/step', { step, mapHash })),
     copyFromPeer: async (item, fromRank) => { await json.call('POST', '/rank/copy', { item, fromRank }) },
     loadWeights: async item => { await json.call('POST', '/rank/load', { item }) },
     dropWeights: async items => { await json.call('POST', '/rank/drop', { items }) },
@@ -64,10 +73,18 @@
   }
 }
 
-/** Fetches the weights of one expert from the weight store; throws WeightStoreBusyError if it is rate limited. */
+const isFramed = ({ headers }: Response): boolean => statesEnd({
+  contentLength: headers.get('content-length') ?? undefined, transferEncoding: headers.get('transfer-encoding') ?? undefined
+})
+
+/**
+ * Fetches the weights of one expert from the weight store; throws WeightStoreBusyError if it is rate limited. A response that
+ * only its connection ends is whole only if it has as many bytes as were asked for.
+ */
 export const fetchWeights = async (storeUrl: string, name: string, bytes: number): Promise<void> => {
   const response = await fetch(`${storeUrl}/weights/${encodeURIComponent(name)}?bytes=${bytes}`)
-  await response.arrayBuffer()
-  if (response.status === 429) throw new WeightStoreBusyError(Number(response.headers.get('retry-after') ?? 1) * 1_000)
+  const body = await response.arrayBuffer()
+  if (response.status === 429) throw new WeightStoreBusyError((parseDecimal(response.headers.get('retry-after') ?? undefined) ?? RETRY_AFTER_DEFAULT_S) * MS_PER_S)
   if (!response.ok) throw new BaobabdriftError(ResultCode.UpstreamRefused, `weight store responded with status ${response.status}`)
+  if (!isFramed(response) && body.byteLength < bytes) throw new BaobabdriftError(ResultCode.AnswerLost, `weight store broke off after ${body.byteLength} of ${bytes} bytes`)
 }
--- a/src/clients/createUpstreamClient.ts
+++ b/src/clients/createUpstreamClient.ts
@@ -1,8 +1,10 @@
 import { Pool } from 'undici'
+import { z } from 'zod'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
-import { checkUpstream, FRAMING_HEADERS, isFieldValue, UpstreamCheck } from '../upstreams/index.js'
+import { isFieldValue } from '../upstreams/index.js'
 import type { WorkerNotice } from '../workerLimits/index.js'
 import { createJsonClient } from './httpJson.js'
+import { statesEnd } from './statesEnd.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
 
 /** A request from the agent to its upstream. */
@@ -28,19 +30,28 @@
   onEnd (code: ResultCode, hasStarted: boolean): void
 }
 
+/** Receives a response, and decides whether one that states no end is complete. */
+export interface UpstreamCallListener extends UpstreamListener {
+  /**
+   * Called when a response without framing has ended with its connection, as that of a crashed upstream ends, too.
+   * Resolves with whether the run of the upstream that gave the response still lives.
+   */
+  confirmEnd (): Promise<boolean>
+}
+
 /** Load that an upstream reports. */
 export interface UpstreamLoad {
   sequence: number
   madeAtMs: number
   queuedTokens: number
   runningRequests: number
-  waitingRequests?: number
+  waitingRequests?: number | undefined
   /** Maximum number of concurrent requests; undefined or 0 if unlimited. */
-  runningMax?: number
+  runningMax?: number | undefined
   /** Measured throughput per second: prompt tokens of an engine, requests of a service. */
   tokensPerS: number
-  cacheEventSequence?: number
-  cacheBlocksMax?: number
+  cacheEventSequence?: number | undefined
+  cacheBlocksMax?: number | undefined
 }
 
 /** One change to the prefix cache of an engine. Sequence numbers may have gaps. */
@@ -52,16 +63,33 @@
 
 export interface UpstreamClient {
   /** Starts a call; the returned function cancels it. */
-  run (call: UpstreamCall, listener: UpstreamListener): () => void
+  run (call: UpstreamCall, listener: UpstreamCallListener): () => void
+  /** Rejects if there is no response, or one that is no load. */
   load (): Promise<UpstreamLoad>
   cacheEvents (afterSequence: number): Promise<CacheEvent[]>
   close (): Promise<void>
 }
 
+const amountSchema = z.number().nonnegative()
+const optionalAmountSchema = amountSchema.nullish().transform(value => value ?? undefined)
+const optionalCounterSchema = z.number().int().nonnegative().nullish().transform(value => value ?? undefined)
+
+const loadSchema = z.object({
+  sequence: z.number(),
+  madeAtMs: z.number(),
+  queuedTokens: amountSchema,
+  runningRequests: amountSchema,
+  waitingRequests: optionalAmountSchema,
+  runningMax: optionalAmountSchema,
+  tokensPerS: amountSchema,
+  cacheEventSequence: optionalCounterSchema,
+  cacheBlocksMax: optionalAmountSchema
+})
+
 const LOAD_TIMEOUT_MS = 1_000
 const CONNECTIONS_MAX = 256
-/** An event stream is complete only if this is its last event. */
-const EVENT_STREAM_END = 'data: [DONE]'
+/** An event stream is complete only if this is its last event; within another line it is a text of the model. */
+const EVENT_STREAM_END = /[\r\n]data: \[DONE\]\s*$/
 const TAIL_BYTES = 32
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
@@ -88,6 +116,16 @@
   throw new BaobabdriftError(ResultCode.UpstreamRefused, 'the head of the response is malformed')
 }
 
+/** Responses with these statuses, and those to HEAD, end with their head whatever their headers say. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+
+const hasNoBody = (method: string, status: number) => method === 'HEAD' || BODYLESS_STATUSES.has(status)
+
+const textOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value.join(',') : value
+
+const isFramed = (headers: Record<string, string | string[] | undefined>): boolean =>
+  statesEnd({ contentLength: textOf(headers['content-length']), transferEncoding: textOf(headers['transfer-encoding']) })
+
 const isSuccess = (status: number) => status >= 200 && status < 300
 
 /**
@@ -100,9 +138,7 @@
   const pool = new Pool(baseUrl, { connections: CONNECTIONS_MAX, pipelining: 1 })
   const json = createJsonClient(baseUrl, LOAD_TIMEOUT_MS)
 
-  const isUp = () => new Promise<boolean>(resolve => checkUpstream(new URL(baseUrl).host, check => resolve(check === UpstreamCheck.Up)))
-
-  const run = (call: UpstreamCall, listener: UpstreamListener) => {
+  const run = (call: UpstreamCall, listener: UpstreamCallListener) => {
     const abort = new AbortController()
     let isEnded = false
     const end = (code: ResultCode, hasStarted = true) => {
@@ -123,7 +159,8 @@
       })
       listener.onNotice?.(readUpstreamNotice(statusCode, headers))
       listener.onHead(statusCode, readHead(statusCode, headers['content-type']))
-      let tail = ''
+      // The first line begins like any other.
+      let tail = '\n'
       let totalBytes = 0
       for await (const bytes of body as AsyncIterable<Buffer>) {
         totalBytes += bytes.length
@@ -133,11 +170,10 @@
         if (ready !== undefined) await ready
         if (call.isEventStream) tail = (tail + bytes.subarray(-TAIL_BYTES).toString('latin1')).slice(-TAIL_BYTES)
       }
+      const hasStatedEnd = hasNoBody(call.method, statusCode) || isFramed(headers)
       const mustHaveEnd = call.isEventStream && isSuccess(statusCode)
-      const hasEnd = tail.trimEnd().endsWith(EVENT_STREAM_END)
-      const isUnframed = FRAMING_HEADERS.every(name => headers[name] === undefined)
-      // The connection of a crashed upstream ends like that of a response without framing.
-      const isComplete = hasEnd || (!mustHaveEnd && (!isUnframed || await isUp()))
+      const hasEnd = EVENT_STREAM_END.test(tail)
+      const isComplete = hasEnd || (!mustHaveEnd && (hasStatedEnd || await listener.confirmEnd()))
       end(isComplete ? ResultCode.Ok : ResultCode.UpstreamDied)
     }
 
@@ -149,7 +185,7 @@
 
   return {
     run,
-    load: () => json.call('GET', '/load'),
+    load: async () => loadSchema.parse(await json.call('GET', '/load')),
     cacheEvents: afterSequence => json.call('GET', `/cache-events?after=${afterSequence}`),
     close: async () => {
       await Promise.all([pool.destroy(), json.close()])
--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -3,6 +3,7 @@
 import type { UpstreamCall, UpstreamClient, UpstreamListener, UpstreamLoad } from '../../clients/index.js'
 import { createUpstreamGate } from '../../workerLimits/index.js'
 import { LOAD_REPORT_INTERVAL_MS, toReportFrame, type UpstreamRequest, UpstreamRequestHeader } from '../../requests/index.js'
+import { createLoadReader } from './createLoadReader.js'
 
 const log = createLog('upstream')
 
@@ -14,8 +15,10 @@
 /** Reports that the upstream takes no request for now are at least this far apart. */
 const CLOSED_REPORT_INTERVAL_MS = 100
 const NO_LOAD: UpstreamLoad = { sequence: 0, madeAtMs: 0, queuedTokens: 0, runningRequests: 0, tokensPerS: 0 }
-/** Connection errors that only an exited process causes; requests to a slow process time out instead. */
-const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'])
+/** A connection that an exited process leaves behind ends so, and an idle one that a living process closes. */
+const LOST_CONNECTION_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'UND_ERR_SOCKET'])
+/** Connection errors that only an exited process causes, if a second attempt ends so; requests to a slow process time out instead. */
+const DEAD_PROCESS_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', ...LOST_CONNECTION_CODES])
 
 export interface UpstreamTaskOptions {
   client: UpstreamClient
@@ -62,7 +65,9 @@
   ...(request.contentType === undefined ? {} : { contentType: request.contentType })
 })
 
-const isDeadProcess = (error: unknown): boolean => DEAD_PROCESS_CODES.has((error as { code?: unknown }).code)
+const codeOf = (error: unknown): unknown => (error as { code?: unknown }).code
+
+const isDeadProcess = (error: unknown): boolean => DEAD_PROCESS_CODES.has(codeOf(error))
 
 /**
  * Creates the task that owns the connections to the upstream.
@@ -76,6 +81,7 @@
   let failureCount = 0
   let isDead = false
   let lastLoadSequence = 0
+  let deathCount = 0
   let lastCacheSequence = 0
   let acceptedTokens = 0
   let finishedPerS = 0
@@ -85,7 +91,6 @@
   let reportedMs = 0
   let wasReportedUp = false
   let isPolling = false
-  let crashCheck: Promise<void> | undefined
   let lastLoad = NO_LOAD
   let closedReportedMs = 0
   const gate = createUpstreamGate({ clock })
@@ -129,6 +134,7 @@
   const recordDeath = () => {
     if (isDead) return
     isDead = true
+    deathCount += 1
     gate.reset()
     lastLoadSequence = 0
     lastCacheSequence = 0
@@ -145,14 +151,20 @@
     onStarted()
   }
 
+  /** A connection that is lost with the request proves nothing, so the request is sent once more. */
+  const requestLoad = (): Promise<UpstreamLoad> => client.load().catch(error => {
+    if (!LOST_CONNECTION_CODES.has(codeOf(error))) throw error
+    return client.load()
+  })
+
   /** A load sequence that has not increased means that the upstream restarted since the last response. */
-  const readLoad = async (): Promise<UpstreamLoad> => {
-    const load = await client.load()
+  const readLoad = createLoadReader(async (): Promise<UpstreamLoad> => {
+    const load = await requestLoad()
     if (load.sequence <= lastLoadSequence) recordDeath()
     lastLoadSequence = load.sequence
     recordAlive()
     return load
-  }
+  })
 
   const report = async () => {
     const load = await readLoad()
@@ -190,14 +202,30 @@
     }
   }
 
-  /** Distinguishes a lost connection from a crashed upstream, before the interrupted runs are reported. */
-  const checkForCrash = (): Promise<void> => {
-    crashCheck ??= readLoad()
-      .then(() => {}, error => { if (isDeadProcess(error)) recordDeath() })
-      .finally(() => { crashCheck = undefined })
-    return crashCheck
+  /** Number of the upstream's present run; undefined while no load is known that a restart would show in. */
+  const knownRun = () => lastLoadSequence === 0 ? undefined : deathCount
+
+  /**
+   * Checks that an upstream is still in a run. Whatever accepts connections at its address proves nothing: it may be a
+   * process that has restarted, or a proxy. A load that is only late is asked for again.
+   */
+  const isStillInRun = async (run: number | undefined): Promise<boolean> => {
+    if (run === undefined) return false
+    for (let failures = 0; failures < LOAD_FAILURES_MAX; failures += 1) {
+      try {
+        await readLoad()
+        return knownRun() === run
+      } catch (error) {
+        if (isDeadProcess(error)) return false
+      }
+    }
+    return false
   }
 
+  /** Distinguishes a lost connection from a crashed upstream, before the interrupted runs are reported. */
+  const checkForCrash = (): Promise<void> =>
+    readLoad().then(() => {}, error => { if (isDeadProcess(error)) recordDeath() })
+
   const timer = setInterval(poll, LOAD_INTERVAL_MS)
   timer.unref()
 
@@ -207,6 +235,7 @@
       reportIfClosed()
       if (!isAdmitted) return listener.onEnd(ResultCode.Overloaded, false)
       const sentAtMs = clock.nowMs()
+      const sentToRun = knownRun()
       acceptedTokens += Math.max(1, estimatedTokens)
       const end = (code: ResultCode, hasStarted: boolean) => {
         finishedCount += 1
@@ -215,6 +244,7 @@
       const cancel = client.run(call, {
         ...listener,
         onNotice: notice => gate.recordNotice(notice, sentAtMs),
+        confirmEnd: () => isStillInRun(sentToRun),
         onEnd: (code, hasStarted) => {
           const isCancelled = !cancelByRunId.delete(runId)
           if (code === ResultCode.UpstreamDied && !isCancelled) checkForCrash().then(() => end(code, hasStarted))
