Take an empty resumption without framing for no proof while another attempt is left

Change: such a stream is resumed again; only when no attempt, retry or time is left, the run that ended it is asked. A run is asked that way only for a stream whose head the caller has, as there is nothing to deliver otherwise.

--- a/src/requests/createUnframedEnds.ts
+++ b/src/requests/createUnframedEnds.ts
@@ -5,7 +5,7 @@
 import type { InFlightTable } from './createInFlightTable.js'
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
-import { type Attempt, completesResumed, type InFlightRequest, isEmptyResumption, isSafeToRetry, isStreamingResponse } from './forwardState.js'
+import { type Attempt, type InFlightRequest, isSafeToRetry, isStreamingResponse } from './forwardState.js'
 import { AttemptEnd, type ForwardEffect, type ForwardPorts, WorkerCheckScope } from './forwardTypes.js'
 import { CompletionProof } from './responseEnds.js'
 
@@ -46,20 +46,21 @@
   /**
    * Handles the end of a connection that may be that of its response: the operating system closes the connections of a process
    * that was killed as well, and workers close those of work that they cut off. A stream that may be resumed is, which shows
-   * whether anything was left; its worker is checked first, as after a loss. Otherwise the run of the worker is asked.
+   * whether anything was left; its worker is checked first, as after a loss. Otherwise the run of the worker is asked. An answer
+   * without events may be cut off, too, before the first one.
    */
   const onUnframedEnd = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const isStream = isStreamingResponse(attempt)
     if (isStream && attempt.splitter.hasPartialEvent) return steps.handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
     if (isCutOffLikely(attempt)) return steps.handleLostAttempt(inFlight, attempt, 'response without framing ended after a silence')
-    const isResumed = isStream && isSafeToRetry(inFlight.request) && !isEmptyResumption(attempt)
+    const isResumed = isStream && isSafeToRetry(inFlight.request) && (inFlight.isHeadSent || attempt.hasEvents)
     return checks.begin(attempt.worker, isResumed ? WorkerCheckScope.Address : WorkerCheckScope.Run, inFlight)
   }
 
   /** Resumes a stream that may have ended well; if that is not possible, the run that ended it is asked. */
   const resumeUnproven = (inFlight: InFlightRequest, { worker }: Attempt): ForwardEffect[] => {
     const detail = 'stream ended without framing'
-    inFlight.unprovenWorker = worker
+    inFlight.unprovenWorker = inFlight.isHeadSent ? worker : undefined
     table.endAttempt(inFlight, AttemptEnd.Unproven, detail)
     return steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
   }
@@ -80,7 +81,7 @@
     },
     [WorkerCheckScope.Run]: {
       withAttempt: (inFlight, attempt) => {
-        inFlight.proof = completesResumed(inFlight, attempt) ? CompletionProof.Resumption : CompletionProof.LiveRun
+        inFlight.proof = CompletionProof.LiveRun
         return steps.handleWholeResponse(inFlight, attempt)
       },
       withoutAttempt: concludeUnproven
