--- a/src/requests/requestFaults.test.ts
+++ b/src/requests/requestFaults.test.ts
@@ -242,6 +242,15 @@
     expect(testBed.results).toEqual([])
   })
 
+  // Guards against a request that is reported as not run because its agent has forgotten that it ran it.
+  it('takes a refusal that arrives after the deadline for no proof', () => {
+    const testBed = createTestBed()
+    testBed.submit({ repeat: RepeatPolicy.AtMostOnce })
+    testBed.clock.advance(submittedOf().deadlineAtMs)
+    testBed.toEntry({ kind: RequestMessageKind.FrameReceived, agentId: 'agent-1', frame: { kind: FrameKind.Refused, requestId: 'e-1', attempt: 0, code: ResultCode.NoUpstream } })
+    expect(testBed.results).toEqual([ResultCode.DeadlineExceeded])
+  })
+
   it('ends the request when its caller disconnects', () => {
     const testBed = createTestBed()
     testBed.submit()
