Own interface: an end without a head completes no response

Cause: an End frame with code Ok, no chunks and the hash of nothing completed a request, keyed or not. No head was written, so that the caller got an empty response with status 200, which no upstream has sent.

Change: the assembler needs a head for a complete response, and a keyed call that ends without one counts as an answer that was lost.

--- a/src/nodes/entry/keyedCalls.test.ts
+++ b/src/nodes/entry/keyedCalls.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { v7 as createKey } from 'uuid'
 import { RepeatPolicy } from '../../configuration/index.js'
-import { createManualClock, ResultCode } from '../../core/index.js'
+import { createManualClock, createRunningHash, ResultCode } from '../../core/index.js'
 import { type Frame, FrameKind, type PeerIdentity } from '../../links/index.js'
 import { AgentReplyKind, type BindRequest, KeyState } from '../../once/index.js'
 import type { ChosenAgent, RequestPorts, SubmittedRequest } from '../../requests/index.js'
@@ -31,9 +31,16 @@
     promptParts: [],
     estimatedTokens: 1
   } as unknown as SubmittedRequest
-  const sink = { onHead: () => {}, onBody: () => {}, onComplete: () => {}, onFail: () => {} } as unknown as ResponseSink
+  let results: string[]
+  const sink: ResponseSink = {
+    onHead: () => { results.push('head') },
+    onBody: () => {},
+    onComplete: () => { results.push('complete') },
+    onFail: code => { results.push(ResultCode[code]) }
+  }
 
   beforeEach(() => {
+    results = []
     evacuated = []
     bindRequests = []
     frames = []
@@ -80,4 +87,14 @@
     replyState(KeyState.Done)
     expect(kinds()).toEqual([FrameKind.VoidIfUnseen, FrameKind.Dispatch])
   })
+
+  // Guards against a caller that gets an empty response with status 200, which no upstream has sent.
+  it('has no response if the agent reports its end without a head', () => {
+    replyState(KeyState.Done)
+    calls.onKeyReply({ incarnation: '1-1' } as PeerIdentity, {
+      kind: FrameKind.KeyReply,
+      reply: { kind: AgentReplyKind.End, requestId: 'r', bindingOffset: 7, count: 0, hash: createRunningHash().digest(), httpStatus: 200 }
+    })
+    expect(results).toEqual(['AnswerLost'])
+  })
 })
--- a/src/nodes/entry/keyedCalls.ts
+++ b/src/nodes/entry/keyedCalls.ts
@@ -94,7 +94,8 @@
     const { submitted, sink, refusalCode, agent } = call
     // NoUpstream is only returned after the bound agent has voided the key, which proves that the call did not
     // run. That also holds for the more specific code of the refusal.
-    const finalCode = refusalCode !== undefined && code === ResultCode.NoUpstream ? refusalCode : code
+    const refinedCode = refusalCode !== undefined && code === ResultCode.NoUpstream ? refusalCode : code
+    const finalCode = refinedCode === ResultCode.Ok && !call.hasHead ? ResultCode.AnswerLost : refinedCode
     callsByRequestId.delete(submitted.requestId)
     if (agent !== undefined && call.isDispatched) {
       ports.onAttemptEnded(submitted, agent, 0, finalCode === ResultCode.Ok ? AttemptResult.Finished : attemptResultOf(finalCode))
--- a/src/requests/createResponseAssembler.ts
+++ b/src/requests/createResponseAssembler.ts
@@ -36,7 +36,7 @@
 
 /**
  * Creates the assembler of one attempt. Frames may arrive late, duplicated or out of order; a response
- * completes only if its chunk count and hash match those in the end frame.
+ * completes only if it has a head, and its chunk count and hash match those in the end frame.
  *
  * @example
  * const assembler = createResponseAssembler('entry1-0')
@@ -48,6 +48,7 @@
   let nextSequence = 0
   let end: EndFrame | undefined
   let droppedCount = 0
+  let hasHead = false
 
   const deliverReady = (): Assembly => {
     const assembly: Assembly = { kind: AssemblyKind.Waiting, bytes: [], code: ResultCode.Ok }
@@ -58,6 +59,7 @@
       if (chunk.head !== undefined) {
         hash.addHead(chunk.head)
         assembly.head = chunk.head
+        hasHead = true
       }
       if (chunk.bytes !== undefined) {
         hash.addBytes(chunk.bytes)
@@ -71,7 +73,7 @@
     if (end === undefined) return assembly
     if (end.code !== ResultCode.Ok) return { ...assembly, kind: AssemblyKind.Failed, code: end.code }
     if (nextSequence < end.chunkCount) return assembly
-    const isIntact = nextSequence === end.chunkCount && outOfOrder.size === 0 && hash.digest() === end.hash
+    const isIntact = hasHead && nextSequence === end.chunkCount && outOfOrder.size === 0 && hash.digest() === end.hash
     if (!isIntact) return { ...assembly, kind: AssemblyKind.Corrupt, code: ResultCode.AnswerLost }
     return { ...assembly, kind: AssemblyKind.Complete }
   }
--- a/src/requests/responseAssembly.test.ts
+++ b/src/requests/responseAssembly.test.ts
@@ -57,6 +57,15 @@
     expect(assemble('e-1', framesOf(own, other)).last).not.toBe(AssemblyKind.Complete)
   })
 
+  // Guards against a caller that gets an empty response with status 200, which no upstream has sent.
+  it('never completes a response without a head', () => {
+    const empty = createResponseBuffer('e-1')
+    const bodyOnly = createResponseBuffer('e-1')
+    const chunk = toChunkFrame('e-1', 0, bodyOnly.addBytes(Buffer.from('a')))
+    expect(assemble('e-1', [toEndFrame('e-1', 0, empty.end(ResultCode.Ok))]).last).toBe(AssemblyKind.Corrupt)
+    expect(assemble('e-1', [chunk, toEndFrame('e-1', 0, bodyOnly.end(ResultCode.Ok))]).last).toBe(AssemblyKind.Corrupt)
+  })
+
   it('refuses to read from a chunk that was already dropped', () => {
     const buffer = createResponseBuffer('e-1', 10)
     buffer.addHead(head)
