Maps: an engine gets its map again after a step that failed

Cause: a map was handed over once. An engine that restarts knows no map any more, and the next steps ran on it as if the rank hosted nothing.

Change: after a failed step the agent hands the map over again, and the next step waits for it.

Measured: the new test failed before (the next step ran without another map) and passes now; the tests of src/nodes/agent and mapSwitch.test.ts pass.

--- a/src/nodes/agent/mapsTask.test.ts
+++ b/src/nodes/agent/mapsTask.test.ts
@@ -11,14 +11,16 @@
 describe('the expert map of a rank', () => {
   let calls: string[]
   let failures: number
+  let failedSteps: number
   let maps: MapsTask
 
   beforeEach(() => {
     vi.useFakeTimers()
     calls = []
     failures = 0
+    failedSteps = 0
     const client: RankClient = {
-      nextStep: async () => 1,
+      nextStep: async () => calls.filter(call => call.startsWith('step ')).length + 1,
       setMap: async ({ hash }) => {
         if (failures-- > 0) {
           calls.push('refused')
@@ -28,7 +30,7 @@
       },
       runStep: (step, hash) => {
         calls.push(`step ${step} with ${hash}`)
-        return new Promise<StepResult>(() => {})
+        return failedSteps-- > 0 ? Promise.reject(new Error('other side closed')) : new Promise<StepResult>(() => {})
       },
       copyFromPeer: async () => {},
       loadWeights: async () => {},
@@ -59,4 +61,13 @@
     const hash = calls.find(call => call.startsWith('map '))?.slice('map '.length)
     expect(calls).toEqual([...Array.from({ length: failed }, () => 'refused'), `map ${hash}`, `step 1 with ${hash}`])
   })
+
+  // Guards against an engine that has restarted, knows no map any more and computes as if it hosted nothing.
+  it('reaches the engine again after a step that failed', async () => {
+    failedSteps = 1
+    maps.setRow({ group: GROUP } as unknown as PoolRow)
+    await vi.advanceTimersByTimeAsync(PASSED_MS)
+    const [handOver] = calls
+    expect(calls.map(call => call.split(' with ')[0])).toEqual([handOver, 'step 1', handOver, 'step 2'])
+  })
 })
--- a/src/nodes/agent/mapsTask.ts
+++ b/src/nodes/agent/mapsTask.ts
@@ -80,6 +80,24 @@
 
   const requestStep = (step: number) => running?.rankTask.post({ kind: RankMessageKind.StepRequested, step })
 
+  /** Pending transfer of the map to the engine, which must have it before the first step that uses it. */
+  let activation: Promise<void> = Promise.resolve()
+
+  const isAwaited = (map: ExpertMap) => map === activeMap && !isStopped
+
+  /** Hands a map to the engine; without it, a step would run as if the rank hosted nothing. */
+  const handOver = async (map: ExpertMap) => {
+    while (isAwaited(map)) {
+      try {
+        await client.setMap({ hash: map.id.hash, replicas: map.layers.flat() })
+        return
+      } catch (error) {
+        log('failed to send the expert map to the engine: %s', error instanceof Error ? error.message : error)
+      }
+      await new Promise(resolve => { setTimeout(resolve, ENGINE_RETRY_MS).unref() })
+    }
+  }
+
   const fetchNextStep = async () => {
     const generation = stepGeneration
     try {
@@ -99,22 +117,10 @@
       requestStep(step + 1)
     } catch (error) {
       log('step %d failed: %s', step, error instanceof Error ? error.message : error)
-      if (generation === stepGeneration) setTimeout(fetchNextStep, ENGINE_RETRY_MS).unref()
-    }
-  }
-
-  const isAwaited = (map: ExpertMap) => map === activeMap && !isStopped
-
-  /** Hands a map to the engine; without it, a step would run as if the rank hosted nothing. */
-  const handOver = async (map: ExpertMap) => {
-    while (isAwaited(map)) {
-      try {
-        await client.setMap({ hash: map.id.hash, replicas: map.layers.flat() })
-        return
-      } catch (error) {
-        log('failed to send the expert map to the engine: %s', error instanceof Error ? error.message : error)
-      }
-      await new Promise(resolve => { setTimeout(resolve, ENGINE_RETRY_MS).unref() })
+      if (generation !== stepGeneration) return
+      // The engine may have restarted, and then knows no map any more.
+      if (activeMap !== undefined) activation = handOver(activeMap)
+      setTimeout(fetchNextStep, ENGINE_RETRY_MS).unref()
     }
   }
 
@@ -133,9 +139,6 @@
     await client.loadWeights(item)
   }
 
-  /** Pending transfer of the map to the engine, which must have it before the first step that uses it. */
-  let activation: Promise<void> = Promise.resolve()
-
   const runActivatedStep = async (step: number, map: ExpertMap) => {
     const generation = stepGeneration
     await activation
