Ask the run that ended a stream first, and leave half of the retry budget for lost streams

Cause: each sound stream took up to two retries to be verified, so that none were left for those that were lost; and the run that was asked in the end was that of the last worker that was tried, not of one that had ended the stream.

Change: the run that closed the connection is asked first. If it is gone, the stream is lost and resumed as such. If it lives, the stream is resumed to learn whether anything was left, by at most half of the retry budget; where that is not possible, or the resumption fails, the stream counts as whole. A stream whose head was not sent is never ended that way.

--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -14,7 +14,7 @@
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
-  type ForwardRequest, PlacementKind, WorkerCheckScope, type WorkerResponse
+  type ForwardRequest, PlacementKind, RetryPurpose, WorkerCheckScope, type WorkerResponse
 } from './forwardTypes.js'
 import { CompletionProof, END_OF_FAULT, FRAMED_END, ResponseEnd } from './responseEnds.js'
 
@@ -45,7 +45,7 @@
   const table = createInFlightTable({ clock, ports })
   const { waiting, remove: removeRequest, endAttempt, endNotRun } = table
   const checks = createWorkerChecks<InFlightRequest>()
-  const { failRequest, giveUp, expireIfDue, cancelIfGone, endAll, failStuck } = createRequestEnds({ clock, ports, table, checks })
+  const { failRequest, completeStream, giveUp, expireIfDue, cancelIfGone, endAll, failStuck } = createRequestEnds({ clock, ports, table, checks })
 
   const sendToWorker = (inFlight: InFlightRequest, worker: Worker): ForwardEffect[] => {
     const { request } = inFlight
@@ -85,10 +85,15 @@
     if (!isRetryAllowed(inFlight, clock.nowMs())) return giveUp(inFlight, code, detail)
     // A stream that has begun is continued as far as the time allows.
     if (!inFlight.isHeadSent && !ports.mayRetry(request)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.Draining, detail)
-    if (!ports.takeRetry(request.service)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
+    if (!ports.takeRetry(request.service, RetryPurpose.Recovery)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
     return placeOrQueue(inFlight)
   }
 
+  const verifyEnd = (inFlight: InFlightRequest): ForwardEffect[] => {
+    const isAllowed = isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service, RetryPurpose.Verification)
+    return isAllowed ? placeOrQueue(inFlight) : giveUp(inFlight, ResultCode.UpstreamDied, 'stream ended without framing')
+  }
+
   /**
    * A request that is lost may have crashed its worker, and would crash the next one too. It is retried only after a check of
    * the worker, so that the crash is known by then.
@@ -108,7 +113,7 @@
       handleLostAttempt: (...lost) => handleLostAttempt(...lost),
       handleWholeResponse: (...whole) => handleWholeResponse(...whole),
       retryOrFail,
-      completeStream: (...complete) => completeStream(...complete)
+      verifyEnd
     }
   })
 
@@ -138,7 +143,7 @@
 
   /** What an earlier worker left as its end was none. */
   const recordDelivered = (inFlight: InFlightRequest) => {
-    inFlight.unprovenWorker = undefined
+    inFlight.mayHaveEnded = false
     inFlight.lastDeliveredAtMs = clock.nowMs()
   }
 
@@ -163,12 +168,6 @@
     return []
   }
 
-  const completeStream = (inFlight: InFlightRequest, proof: CompletionProof | undefined): ForwardEffect[] => {
-    inFlight.proof = proof
-    removeRequest(inFlight, ResultCode.Ok, 'stream ended')
-    return [{ kind: ForwardEffectKind.Complete, requestId: inFlight.request.requestId }]
-  }
-
   const finishStream = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     if (attempt.splitter.hasPartialEvent) return handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
     const effects = deliverStreamEnd(inFlight, attempt)
@@ -182,7 +181,7 @@
   }
 
   const canRetryFailure = (inFlight: InFlightRequest) =>
-    !inFlight.isHeadSent && isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service)
+    !inFlight.isHeadSent && isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service, RetryPurpose.Recovery)
 
   const onFailureResponse = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Failed, `status ${response.status}`)
--- a/src/requests/createRequestEnds.ts
+++ b/src/requests/createRequestEnds.ts
@@ -3,8 +3,8 @@
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
 import { type InFlightRequest, recordResponseEnd } from './forwardState.js'
-import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts, WorkerCheckScope } from './forwardTypes.js'
-import { ResponseEnd } from './responseEnds.js'
+import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts } from './forwardTypes.js'
+import { CompletionProof, ResponseEnd } from './responseEnds.js'
 
 export interface RequestEndsOptions {
   clock: Clock
@@ -17,9 +17,9 @@
 export interface RequestEnds {
   /** Ends a request with a result code, or by its connection if its response has begun. */
   failRequest (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs?: number): ForwardEffect[]
-  /**
-   * Ends a request that cannot be sent to a further worker. If its stream may have ended well, the run that ended it is asked first.
-   */
+  /** Ends a request whose stream is whole. */
+  completeStream (inFlight: InFlightRequest, proof: CompletionProof | undefined): ForwardEffect[]
+  /** Ends a request that cannot be sent to a further worker, as complete if its stream may have ended. */
   giveUp (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs?: number): ForwardEffect[]
   /** Ends a request whose deadline, or time in the queue, is over. */
   expireIfDue (inFlight: InFlightRequest): ForwardEffect[]
@@ -58,15 +58,17 @@
     return [{ kind: ForwardEffectKind.Refuse, requestId, code: finalCode, retryAfterMs }]
   }
 
-  const giveUp = (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs = 0): ForwardEffect[] => {
-    const { unprovenWorker } = inFlight
-    if (unprovenWorker === undefined) return failRequest(inFlight, code, detail, retryAfterMinMs)
-    inFlight.unprovenWorker = undefined
-    inFlight.queueDeadlineMs = undefined
-    table.waiting.delete(inFlight)
-    return checks.begin(unprovenWorker, WorkerCheckScope.Run, inFlight)
+  const completeStream = (inFlight: InFlightRequest, proof: CompletionProof | undefined): ForwardEffect[] => {
+    inFlight.proof = proof
+    table.remove(inFlight, ResultCode.Ok, 'stream ended')
+    return [{ kind: ForwardEffectKind.Complete, requestId: inFlight.request.requestId }]
   }
 
+  const giveUp = (inFlight: InFlightRequest, code: ResultCode, detail: string, retryAfterMinMs = 0): ForwardEffect[] =>
+    inFlight.mayHaveEnded
+      ? completeStream(inFlight, CompletionProof.LiveRun)
+      : failRequest(inFlight, code, detail, retryAfterMinMs)
+
   const cancelIfGone = (requestId: string): ForwardEffect[] => {
     const inFlight = table.get(requestId)
     if (inFlight === undefined) return []
@@ -97,5 +99,5 @@
   const endAll = (): ForwardEffect[] => forEachRequest(table.all(), inFlight =>
     [...cancelAttempt(inFlight, ResponseEnd.ProcessExit, 'process exits'), ...failRequest(inFlight, ResultCode.Draining, 'process exits')])
 
-  return { failRequest, giveUp, expireIfDue, cancelIfGone, endAll, failStuck }
+  return { failRequest, completeStream, giveUp, expireIfDue, cancelIfGone, endAll, failStuck }
 }
--- a/src/requests/createUnframedEnds.ts
+++ b/src/requests/createUnframedEnds.ts
@@ -14,7 +14,8 @@
   handleLostAttempt (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[]
   handleWholeResponse (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[]
   retryOrFail (inFlight: InFlightRequest, code: ResultCode, detail: string): ForwardEffect[]
-  completeStream (inFlight: InFlightRequest, proof: CompletionProof): ForwardEffect[]
+  /** Resumes a stream that may have ended, or ends it if that is not possible. */
+  verifyEnd (inFlight: InFlightRequest): ForwardEffect[]
 }
 
 export interface UnframedEndsOptions {
@@ -45,61 +46,39 @@
 
   /**
    * Handles the end of a connection that may be that of its response: the operating system closes the connections of a process
-   * that was killed as well, and workers close those of work that they cut off. A stream that may be resumed is, which shows
-   * whether anything was left; its worker is checked first, as after a loss. Otherwise the run of the worker is asked. An answer
-   * without events may be cut off, too, before the first one.
+   * that was killed as well, and workers close those of work that they cut off.
    */
   const onUnframedEnd = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
-    const isStream = isStreamingResponse(attempt)
-    if (isStream && attempt.splitter.hasPartialEvent) return steps.handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
+    if (isStreamingResponse(attempt) && attempt.splitter.hasPartialEvent) return steps.handleLostAttempt(inFlight, attempt, 'stream ended inside an event')
     if (isCutOffLikely(attempt)) return steps.handleLostAttempt(inFlight, attempt, 'response without framing ended after a silence')
-    const isResumed = isStream && isSafeToRetry(inFlight.request) && (inFlight.isHeadSent || attempt.hasEvents)
-    return checks.begin(attempt.worker, isResumed ? WorkerCheckScope.Address : WorkerCheckScope.Run, inFlight)
+    return checks.begin(attempt.worker, WorkerCheckScope.Run, inFlight)
   }
 
-  /** Resumes a stream that may have ended well; if that is not possible, the run that ended it is asked. */
-  const resumeUnproven = (inFlight: InFlightRequest, { worker }: Attempt): ForwardEffect[] => {
-    const detail = 'stream ended without framing'
-    inFlight.unprovenWorker = inFlight.isHeadSent ? worker : undefined
-    table.endAttempt(inFlight, AttemptEnd.Unproven, detail)
-    return steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
-  }
-
-  /** Ends a stream that could not be resumed by what the run that ended it has answered; a lost one waits for a worker. */
-  const concludeUnproven = (inFlight: InFlightRequest, check: UpstreamCheck, detail: string): ForwardEffect[] =>
-    check === UpstreamCheck.Up
-      ? steps.completeStream(inFlight, CompletionProof.LiveRun)
-      : steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
-
-  const checkedHandlers: Record<WorkerCheckScope, {
-    withAttempt: (inFlight: InFlightRequest, attempt: Attempt) => ForwardEffect[]
-    withoutAttempt: (inFlight: InFlightRequest, check: UpstreamCheck, detail: string) => ForwardEffect[]
-  }> = {
-    [WorkerCheckScope.Address]: {
-      withAttempt: resumeUnproven,
-      withoutAttempt: (inFlight, _check, detail) => steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail)
-    },
-    [WorkerCheckScope.Run]: {
-      withAttempt: (inFlight, attempt) => {
-        inFlight.proof = CompletionProof.LiveRun
-        return steps.handleWholeResponse(inFlight, attempt)
-      },
-      withoutAttempt: concludeUnproven
+  /**
+   * Handles a response whose run has closed its connection and lives on. A stream that may be resumed is, which shows whether
+   * anything was left; an answer without events may be cut off, too, before the first one.
+   */
+  const onRunLives = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
+    const isResumable = isStreamingResponse(attempt) && isSafeToRetry(inFlight.request)
+    const hasBegun = inFlight.isHeadSent || attempt.hasEvents
+    if (isResumable && hasBegun) {
+      table.endAttempt(inFlight, AttemptEnd.Unproven, 'stream ended without framing')
+      inFlight.mayHaveEnded = inFlight.isHeadSent
+      return steps.verifyEnd(inFlight)
     }
+    inFlight.proof = CompletionProof.LiveRun
+    return steps.handleWholeResponse(inFlight, attempt)
   }
 
   const onWorkerChecked = (worker: Worker, scope: WorkerCheckScope, check: UpstreamCheck): ForwardEffect[] => {
     const { requests, effects } = checks.finish(worker, scope)
     const held = requests.filter(({ request: { requestId } }) => table.get(requestId) !== undefined)
     const detail = `worker is ${check} after the end of its connection`
-    const withAttempts = held.filter(({ attempt }) => attempt !== undefined)
-    for (const inFlight of check === UpstreamCheck.Up ? [] : withAttempts) table.endAttempt(inFlight, AttemptEnd.Lost, detail)
+    for (const inFlight of check === UpstreamCheck.Up ? [] : held) table.endAttempt(inFlight, AttemptEnd.Lost, detail)
     ports.onWorkerChecked(worker, check, scope)
-    const { withAttempt, withoutAttempt } = checkedHandlers[scope]
     return [...effects, ...forEachRequest(held, inFlight => {
       const { attempt } = inFlight
-      if (attempt !== undefined) return withAttempt(inFlight, attempt)
-      return withAttempts.includes(inFlight) ? steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail) : withoutAttempt(inFlight, check, detail)
+      return attempt === undefined ? steps.retryOrFail(inFlight, ResultCode.UpstreamDied, detail) : onRunLives(inFlight, attempt)
     })]
   }
 
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -53,8 +53,8 @@
   position: EventPosition
   /** When the caller was last sent a part of a stream, or sent the request. */
   lastDeliveredAtMs: TimestampMs
-  /** Worker whose end of the stream, after the last event that was delivered, has not been proved and may be a good one. */
-  unprovenWorker: Worker | undefined
+  /** Whether a run that lives on has closed the stream after the last event that was delivered, without stating its end. */
+  mayHaveEnded: boolean
   /** What the response was taken for whole by, once it was. */
   proof: CompletionProof | undefined
   /** While the request is queued for a worker: when it is refused, and the code that it is refused with. */
@@ -90,7 +90,7 @@
   isHeadSent: false,
   position: createEventPosition(request.lastEventId),
   lastDeliveredAtMs: request.arrivedAtMs,
-  unprovenWorker: undefined,
+  mayHaveEnded: false,
   proof: undefined,
   queueDeadlineMs: undefined,
   waitCode: ResultCode.Overloaded
@@ -130,8 +130,8 @@
  * Returns until when a request that no worker has a place for is queued. A stream that has begun waits as long as its caller does,
  * unless it may have ended well: then its caller should learn so soon.
  */
-export const queueDeadlineOf = ({ request, isHeadSent, unprovenWorker, lastDeliveredAtMs }: InFlightRequest, nowMs: TimestampMs): TimestampMs => {
+export const queueDeadlineOf = ({ request, isHeadSent, mayHaveEnded, lastDeliveredAtMs }: InFlightRequest, nowMs: TimestampMs): TimestampMs => {
   const shortMs = nowMs + QUEUE_WAIT_MAX_MS
-  const isBegun = isHeadSent && unprovenWorker === undefined
+  const isBegun = isHeadSent && !mayHaveEnded
   return Math.min(request.deadlineAtMs, isBegun ? Math.max(shortMs, lastDeliveredAtMs + CONTINUATION_WAIT_MAX_MS) : shortMs)
 }
