--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -1,5 +1,5 @@
 import { createUpstreamBytes } from '../../callerLimits/index.js'
-import { createIncarnation, createRequestIds, dispatch, type TimestampMs } from '../../core/index.js'
+import { createIncarnation, createRequestIds, dispatch } from '../../core/index.js'
 import { ADJUST_INTERVAL_MS, createFleetRetryBudget } from '../../limits/index.js'
 import { type Worker, WorkerState } from '../../membership/index.js'
 import { LogEvent } from '../../observe/index.js'
@@ -30,8 +30,6 @@
 /** A gap this long between two housekeeping ticks means that the process was paused. */
 const PROCESS_PAUSE_MS = 1_200
 const HOUSEKEEPING_MS = 200
-/** A request may take this much longer than the longest ones of its route lately. */
-const DURATION_MARGIN = 1.5
 const FEED_TICK_MS = 100
 
 /**
@@ -55,11 +53,6 @@
   const expectsOthers = options.seedAddresses.some(address => address !== peerAddress)
   const weighing = createEntryWeighing({ clock, capacity: options.capacity, otherEntries: () => otherEntries(), expectsOthers, log })
 
-  const expectedEndAtMs = (route: string, deadlineAtMs: TimestampMs): TimestampMs => {
-    const longestMs = durations.longestMs(route)
-    return longestMs === undefined ? deadlineAtMs : clock.nowMs() + longestMs * DURATION_MARGIN
-  }
-
   const reportStateChange = () => peers.post({ kind: PeerMessageKind.SelfChanged, change: SelfChange.State })
 
   const crashes = createCrashMonitor({ clock, log, onChanged: reportStateChange })
@@ -172,7 +165,7 @@
       usableWorkers,
       crashes,
       isLeaving,
-      mayRetry: ({ route, deadlineAtMs }) => plannedStop.mayRetry({ deadlineAtMs, expectedEndAtMs: expectedEndAtMs(route.name, deadlineAtMs) }),
+      mayRetry: ({ route, deadlineAtMs }) => plannedStop.mayRetry({ deadlineAtMs, expectedEndAtMs: durations.expectedEndAtMs(route.name, deadlineAtMs) }),
       recordDuration: durations.record,
       workerLimits: workerLimits.limits,
       postWorkerLimits: workerLimits.post,
@@ -261,7 +254,7 @@
   }, HOUSEKEEPING_MS)
 
   const open = createRequestOpener({
-    admission: { configuration: storeView.configuration, plannedStop, expectedEndAtMs, clock, random }, budget, submit: forward.submit, log
+    admission: { configuration: storeView.configuration, plannedStop, expectedEndAtMs: durations.expectedEndAtMs, clock, random }, budget, submit: forward.submit, log
   })
 
   return {
--- a/src/nodes/forward/routeDurations.ts
+++ b/src/nodes/forward/routeDurations.ts
@@ -5,10 +5,14 @@
   record (route: string, tookMs: number): void
   /** The longest of the last minutes; undefined if no request of the route has been served in that time. */
   longestMs (route: string): number | undefined
+  /** When a request that starts now has most likely ended; its deadline if its route is not known. */
+  expectedEndAtMs (route: string, deadlineAtMs: TimestampMs): TimestampMs
 }
 
 /** The longest requests of the current period and of the one before it count. */
 export const DURATION_PERIOD_MS = 60_000
+/** A request may take this much longer than the longest ones of its route lately. */
+const DURATION_MARGIN = 1.5
 
 interface Longest {
   periodStartMs: TimestampMs
@@ -36,6 +40,14 @@
     longest.periodStartMs = clock.nowMs()
   }
 
+  const longestMs = (route: string): number | undefined => {
+    const longest = byRoute.get(route)
+    if (longest === undefined) return undefined
+    refresh(longest)
+    const knownMs = [longest.currentMs, longest.previousMs].filter(ms => ms !== undefined)
+    return knownMs.length === 0 ? undefined : Math.max(...knownMs)
+  }
+
   return {
     record: (route, tookMs) => {
       const longest = byRoute.get(route) ?? { periodStartMs: clock.nowMs(), currentMs: undefined, previousMs: undefined }
@@ -43,12 +55,10 @@
       refresh(longest)
       longest.currentMs = Math.max(longest.currentMs ?? 0, tookMs)
     },
-    longestMs: route => {
-      const longest = byRoute.get(route)
-      if (longest === undefined) return undefined
-      refresh(longest)
-      const knownMs = [longest.currentMs, longest.previousMs].filter(ms => ms !== undefined)
-      return knownMs.length === 0 ? undefined : Math.max(...knownMs)
+    longestMs,
+    expectedEndAtMs: (route, deadlineAtMs) => {
+      const knownMs = longestMs(route)
+      return knownMs === undefined ? deadlineAtMs : clock.nowMs() + knownMs * DURATION_MARGIN
     }
   }
 }
