Mend what the review of the fix found

- A stream that may have ended counted as whole although its resumption had begun to send more and was lost.
A resumed answer whose head came and that is lost now speaks against the end.
- A stream that its caller resumes was complete after one empty answer without framing.
It is verified like any other.
- A response in flight was lost if its service left the configuration.
The last known status path is kept.
- An answer of the run that is cut off, or names neither the worker nor its start, was taken for an answer of the run.
- A check whose question cannot be sent never ended.

--- a/src/nodes/forward/createForwardNode.ts
+++ b/src/nodes/forward/createForwardNode.ts
@@ -22,6 +22,7 @@
 import { createRouteDurations } from './routeDurations.js'
 import { createRecordSources } from './recordSources.js'
 import { createLearnedCapacity } from './learnedCapacity.js'
+import { createStatusPaths } from './statusPaths.js'
 import { createSlowdownTracker } from './slowdownTracker.js'
 import { createStreamLimits } from './streamLimits.js'
 import { warmUpInForce, WorkerLimitsMessageKind } from '../../workerLimits/index.js'
@@ -82,6 +83,7 @@
     onConnectionChanged: reportStateChange,
     onSilent: () => forward.discardIdle(),
     onConfiguration: () => {
+      statusPaths.update()
       options.onConfiguration(storeView)
     },
     onWorkersChanged: changes => {
@@ -98,6 +100,7 @@
     }
   })
 
+  const statusPaths = createStatusPaths(storeView.configuration)
   const usableWorkers = (service: string) => storeView.workers.usable(service)
   const otherEntries = () => peers.reports.entries()
   const isLeaving = ({ workerId, startedAtUnixMs, zone: workerZone }: Worker) => {
@@ -152,7 +155,7 @@
     codec,
     workers: storeView.workers,
     isEvacuated: storeView.evacuations.isEvacuated,
-    statusPathOf: service => storeView.configuration.findService(service)?.statusPath,
+    statusPathOf: statusPaths.pathOf,
     ...(options.stallMs === undefined ? {} : { stallMs: options.stallMs }),
     log,
     ports: createForwardPorts({
--- a/src/nodes/forward/forwardTask.test.ts
+++ b/src/nodes/forward/forwardTask.test.ts
@@ -59,13 +59,14 @@
     askRun: () => ({ path: '/status', headers: [], decode: () => UpstreamCheck.Up })
   }
 
-  const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec>, mailboxCapacity?: number }) => {
+  const start = (overrides: { ports?: Partial<ForwardPorts>, codec?: Partial<WorkerCodec>, mailboxCapacity?: number, statusPath?: string }) => {
     task = startForwardTask({
       clock: createMonotonicClock(),
       ports: { ...ports, ...overrides.ports },
       codec: { ...codec, ...overrides.codec },
       workers: { all: () => [worker] } as unknown as WorkerTable,
       log: event => { events.push(event) },
+      ...(overrides.statusPath === undefined ? {} : { statusPathOf: () => overrides.statusPath! }),
       ...(overrides.mailboxCapacity === undefined ? {} : { responsePartsMax: overrides.mailboxCapacity })
     })
   }
@@ -101,6 +102,17 @@
   })
   const fail = () => { throw new Error('unexpected') }
 
+  // Guards against a request that waits for a check that never ends.
+  it('ends if the question whether its worker lives cannot be sent', async () => {
+    server.removeAllListeners('connection')
+    server.on('connection', socket => {
+      socket.on('error', () => {})
+      socket.on('data', () => { socket.end('HTTP/1.1 200 OK\r\n\r\nanswer') })
+    })
+    start({ statusPath: '/a b', codec: { askRun: (_worker, path) => ({ path, headers: [], decode: () => UpstreamCheck.Up }) } })
+    await expect(send()).resolves.not.toBe('complete')
+  })
+
   it('is answered if there is none', async () => {
     start({})
     expect(await send()).toBe('complete')
--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -130,7 +130,7 @@
   const askRun = (worker: Worker, onChecked: (check: UpstreamCheck) => void) => {
     const statusPath = statusPathOf(worker.service)
     if (statusPath === undefined) return onChecked(UpstreamCheck.Unknown)
-    askUpstream({ address: worker.address, clock, question: codec.askRun(worker, statusPath) }).then(onChecked)
+    askUpstream({ address: worker.address, clock, question: codec.askRun(worker, statusPath) }).then(onChecked, () => onChecked(UpstreamCheck.Unknown))
   }
 
   const workerCheckers: Record<WorkerCheckScope, (worker: Worker, onChecked: (check: UpstreamCheck) => void) => void> = {
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -9,7 +9,7 @@
 import { forEachRequest } from './forEachRequest.js'
 import { deliverEvents, deliverResponse, deliverStreamEnd } from './deliverResponse.js'
 import {
-  type Attempt, byUrgency, completesResumed, hasAnswerBegun, type InFlightRequest, isEmptyResumption, isRetryAllowed, isSafeToRetry, isStreamingResponse,
+  type Attempt, byUrgency, isEmptyContinuation, hasAnswerBegun, hasSuccessHead, type InFlightRequest, isEmptyResumption, isRetryAllowed, isSafeToRetry, isStreamingResponse,
   queueDeadlineOf, recordResponseEnd
 } from './forwardState.js'
 import {
@@ -99,6 +99,8 @@
    * the worker, so that the crash is known by then.
    */
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
+    // What the worker began to send follows the events that the caller has.
+    if (hasSuccessHead(attempt)) inFlight.mayHaveEnded = false
     endAttempt(inFlight, AttemptEnd.Lost, detail)
     if (isRetryAllowed(inFlight, clock.nowMs())) return checks.begin(attempt.worker, WorkerCheckScope.Address, inFlight)
     return [...checks.begin(attempt.worker, WorkerCheckScope.Address), ...giveUp(inFlight, ResultCode.UpstreamDied, detail)]
@@ -217,7 +219,7 @@
 
   const onResponseFinished = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     if (attempt.answer !== undefined) recordResponseEnd(attempt, FRAMED_END[attempt.answer.framing], clock.nowMs())
-    inFlight.proof = completesResumed(inFlight, attempt) ? CompletionProof.Resumption : CompletionProof.Framing
+    inFlight.proof = isEmptyContinuation(inFlight, attempt) ? CompletionProof.Resumption : CompletionProof.Framing
     return handleWholeResponse(inFlight, attempt)
   }
 
--- a/src/requests/createRequestEnds.ts
+++ b/src/requests/createRequestEnds.ts
@@ -2,7 +2,7 @@
 import type { InFlightTable } from './createInFlightTable.js'
 import type { WorkerChecks } from './createWorkerChecks.js'
 import { forEachRequest } from './forEachRequest.js'
-import { type InFlightRequest, recordResponseEnd } from './forwardState.js'
+import { hasVerificationTimedOut, type InFlightRequest, recordResponseEnd } from './forwardState.js'
 import { AttemptEnd, type ForwardEffect, ForwardEffectKind, type ForwardPorts } from './forwardTypes.js'
 import { CompletionProof, ResponseEnd } from './responseEnds.js'
 
@@ -91,6 +91,10 @@
       const code = inFlight.mayHaveRun ? ResultCode.DeadlineExceeded : ResultCode.DeadlineUnreachable
       return [...effects, ...failRequest(inFlight, code, 'deadline exceeded')]
     }
+    if (hasVerificationTimedOut(inFlight, nowMs)) {
+      const effects = cancelAttempt(inFlight, ResponseEnd.GivenUp, 'no answer to the resumption of a stream that may have ended')
+      return [...effects, ...giveUp(inFlight, ResultCode.UpstreamDied, 'stream ended without framing')]
+    }
     const hasQueueTimedOut = inFlight.queueDeadlineMs !== undefined && nowMs >= inFlight.queueDeadlineMs
     return hasQueueTimedOut ? giveUp(inFlight, inFlight.waitCode, 'no worker became available in time') : []
   }
--- a/src/requests/createUnframedEnds.ts
+++ b/src/requests/createUnframedEnds.ts
@@ -4,6 +4,7 @@
 import { CUT_OFF_SILENCE_SHARE } from './constants.js'
 import type { InFlightTable } from './createInFlightTable.js'
 import type { WorkerChecks } from './createWorkerChecks.js'
+import { deliverStreamEnd } from './deliverResponse.js'
 import { forEachRequest } from './forEachRequest.js'
 import { type Attempt, type InFlightRequest, isSafeToRetry, isStreamingResponse } from './forwardState.js'
 import { AttemptEnd, type ForwardEffect, type ForwardPorts, WorkerCheckScope } from './forwardTypes.js'
@@ -60,11 +61,11 @@
    */
   const onRunLives = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const isResumable = isStreamingResponse(attempt) && isSafeToRetry(inFlight.request)
-    const hasBegun = inFlight.isHeadSent || attempt.hasEvents
-    if (isResumable && hasBegun) {
+    if (isResumable) {
+      const effects = deliverStreamEnd(inFlight, attempt)
       table.endAttempt(inFlight, AttemptEnd.Unproven, 'stream ended without framing')
-      inFlight.mayHaveEnded = inFlight.isHeadSent
-      return steps.verifyEnd(inFlight)
+      inFlight.mayHaveEnded = true
+      return [...effects, ...steps.verifyEnd(inFlight)]
     }
     inFlight.proof = CompletionProof.LiveRun
     return steps.handleWholeResponse(inFlight, attempt)
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -53,7 +53,10 @@
   position: EventPosition
   /** When the caller was last sent a part of a stream, or sent the request. */
   lastDeliveredAtMs: TimestampMs
-  /** Whether a run that lives on has closed the stream after the last event that was delivered, without stating its end. */
+  /**
+   * Whether a run that lives on has closed the stream after the last event that was delivered, without stating its end, and no
+   * other worker has begun to go on with it.
+   */
   mayHaveEnded: boolean
   /** What the response was taken for whole by, once it was. */
   proof: CompletionProof | undefined
@@ -115,7 +118,7 @@
   attempt.resumesAfter !== undefined && isStreamingResponse(attempt) && !attempt.hasEvents && !attempt.splitter.hasPartialEvent
 
 /** Whether the worker was asked to go on with a stream that its caller has a part of, and sent no event. */
-export const completesResumed = ({ isHeadSent }: InFlightRequest, attempt: Attempt): boolean => isHeadSent && isEmptyResumption(attempt)
+export const isEmptyContinuation = ({ isHeadSent }: InFlightRequest, attempt: Attempt): boolean => isHeadSent && isEmptyResumption(attempt)
 
 /** Whether the worker has begun to write its answer; a head alone is sent before the request runs. */
 export const hasAnswerBegun = ({ hasEvents, held }: Attempt): boolean => hasEvents || held.length > 0
@@ -135,3 +138,7 @@
   const isBegun = isHeadSent && !mayHaveEnded
   return Math.min(request.deadlineAtMs, isBegun ? Math.max(shortMs, lastDeliveredAtMs + CONTINUATION_WAIT_MAX_MS) : shortMs)
 }
+
+/** Whether a worker that was asked whether anything is left of a stream has not answered while the caller waits for its end. */
+export const hasVerificationTimedOut = ({ mayHaveEnded, attempt, lastDeliveredAtMs }: InFlightRequest, nowMs: TimestampMs): boolean =>
+  mayHaveEnded && attempt !== undefined && attempt.answer === undefined && nowMs >= lastDeliveredAtMs + CONTINUATION_WAIT_MAX_MS
--- a/src/requests/responseEnds.ts
+++ b/src/requests/responseEnds.ts
@@ -34,7 +34,7 @@
 export enum CompletionProof {
   /** The worker's own framing. */
   Framing = 'framing',
-  /** A resumption after the last event, at another worker, had nothing more to give. */
+  /** A resumption after the last event had nothing more to give, and stated so. */
   Resumption = 'resumption',
   /** The run of the worker still answered after the end of the connection, so that it had closed it itself. */
   LiveRun = 'live-run'
--- a/src/upstreams/askUpstream.ts
+++ b/src/upstreams/askUpstream.ts
@@ -1,7 +1,7 @@
 import { type Clock, createByteBuffer } from '../core/index.js'
 import { checkUpstream } from './checkUpstream.js'
 import { createConnectionPool } from './connectionPool.js'
-import { ASK_TIMEOUT_MS, CHECK_TIMEOUT_MS, UpstreamCheck } from './constants.js'
+import { ASK_TIMEOUT_MS, CHECK_TIMEOUT_MS, ExchangeFault, UpstreamCheck } from './constants.js'
 import type { HttpResponse } from './httpCall.js'
 import { ConnectionUse, ExchangeEventKind, type HeaderField, type ResponseHeadRaw } from './types.js'
 
@@ -38,7 +38,11 @@
     else if (event.kind === ExchangeEventKind.Body) {
       body.add(event.bytes)
       if (body.length > ANSWER_BYTES_MAX) finish()
-    } else finish()
+    } else {
+      // A part of an answer may lack what it says about the run.
+      if (event.kind === ExchangeEventKind.Failed && event.fault !== ExchangeFault.UnframedEnd) head = undefined
+      finish()
+    }
   })
 })
 
