--- a/src/limits/createFleetRetryBudget.ts
+++ b/src/limits/createFleetRetryBudget.ts
@@ -11,8 +11,8 @@
 /** Bounds the retries of one entry, so that all entries together stay below the limit of the fleet. */
 export interface FleetRetryBudget {
   recordRequest (service: string): void
-  /** Consumes one retry; returns false if the budget, or the given share of it, is exhausted. */
-  take (service: string, share?: number): boolean
+  /** Consumes one retry; returns false if the budget is exhausted. */
+  take (service: string): boolean
 }
 
 /**
@@ -59,11 +59,11 @@
       const window = currentWindow(service)
       window.requests[window.bucketAt % BUCKETS]! += 1
     },
-    take: (service, share = 1) => {
+    take: service => {
       const { ratio, fleetSlack } = settings()
       const window = currentWindow(service)
       const slack = fleetSlack * SLACK_SHARE * shareOfFleet()
-      if (sum(window.retries) + 1 > (sum(window.requests) * ratio * RATIO_SHARE + slack) * share) return false
+      if (sum(window.retries) + 1 > sum(window.requests) * ratio * RATIO_SHARE + slack) return false
       window.retries[window.bucketAt % BUCKETS]! += 1
       return true
     }
--- a/src/nodes/forward/forwardPorts.ts
+++ b/src/nodes/forward/forwardPorts.ts
@@ -4,7 +4,7 @@
 import type { Worker } from '../../membership/index.js'
 import { type EventLog, LogEvent } from '../../observe/index.js'
 import { SelfChange } from '../../peers/index.js'
-import { AttemptEnd, type AttemptOutcome, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind, RetryPurpose } from '../../requests/index.js'
+import { AttemptEnd, type AttemptOutcome, type ForwardPorts, type ForwardRequest, type Placement, PlacementKind } from '../../requests/index.js'
 import type { WorkerPlacement } from '../../routing/index.js'
 import { UpstreamCheck } from '../../upstreams/index.js'
 import { type WorkerLimits, type WorkerLimitsMessage, WorkerLimitsMessageKind, WorkerPermission } from '../../workerLimits/index.js'
@@ -59,12 +59,6 @@
   [AttemptEnd.NotConnected]: true
 }
 
-/** Share of the retry budget for a purpose; most streams that are verified have ended, so that the rest is left for lost ones. */
-const BUDGET_SHARE: Record<RetryPurpose, number> = {
-  [RetryPurpose.Recovery]: 1,
-  [RetryPurpose.Verification]: 0.5
-}
-
 /** Whether a check shows that the run of a worker has ended. */
 const IS_RUN_OVER: Record<UpstreamCheck, boolean> = {
   [UpstreamCheck.Up]: false,
@@ -143,8 +137,8 @@
   return {
     place,
     mayRetry,
-    takeRetry: (service, purpose) => {
-      const isTaken = budget.take(service, BUDGET_SHARE[purpose])
+    takeRetry: service => {
+      const isTaken = budget.take(service)
       counters.retries[isTaken ? 'taken' : 'denied'] += 1
       return isTaken
     },
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -14,7 +14,7 @@
 } from './forwardState.js'
 import {
   ResponseVerdict, AttemptEnd, type ExchangeFailedMessage, type ForwardEffect, ForwardEffectKind, type ForwardMessage, ForwardMessageKind, type ForwardPorts,
-  type ForwardRequest, PlacementKind, RetryPurpose, WorkerCheckScope, type WorkerResponse
+  type ForwardRequest, PlacementKind, WorkerCheckScope, type WorkerResponse
 } from './forwardTypes.js'
 import { CompletionProof, END_OF_FAULT, FRAMED_END, ResponseEnd } from './responseEnds.js'
 
@@ -85,12 +85,12 @@
     if (!isRetryAllowed(inFlight, clock.nowMs())) return giveUp(inFlight, code, detail)
     // A stream that has begun is continued as far as the time allows.
     if (!inFlight.isHeadSent && !ports.mayRetry(request)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.Draining, detail)
-    if (!ports.takeRetry(request.service, RetryPurpose.Recovery)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
+    if (!ports.takeRetry(request.service)) return giveUp(inFlight, mayHaveRun ? code : ResultCode.RetryBudgetExhausted, detail)
     return placeOrQueue(inFlight)
   }
 
   const verifyEnd = (inFlight: InFlightRequest): ForwardEffect[] => {
-    const isAllowed = isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service, RetryPurpose.Verification)
+    const isAllowed = isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service)
     return isAllowed ? placeOrQueue(inFlight) : giveUp(inFlight, ResultCode.UpstreamDied, 'stream ended without framing')
   }
 
@@ -183,7 +183,7 @@
   }
 
   const canRetryFailure = (inFlight: InFlightRequest) =>
-    !inFlight.isHeadSent && isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service, RetryPurpose.Recovery)
+    !inFlight.isHeadSent && isRetryAllowed(inFlight, clock.nowMs()) && ports.takeRetry(inFlight.request.service)
 
   const onFailureResponse = (inFlight: InFlightRequest, attempt: Attempt, response: WorkerResponse): ForwardEffect[] => {
     endAttempt(inFlight, AttemptEnd.Failed, `status ${response.status}`)
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -100,14 +100,6 @@
   NotConnected = 'not-connected'
 }
 
-/** What a retry is for. */
-export enum RetryPurpose {
-  /** The request was lost, or refused. */
-  Recovery = 'recovery',
-  /** Its stream may have ended; a resumption shows whether anything was left. */
-  Verification = 'verification'
-}
-
 /** What a check of a worker asks. */
 export enum WorkerCheckScope {
   /** Whether its address accepts connections; tells a crash from a connection that was lost on the way. */
@@ -148,7 +140,7 @@
   /** Whether a further attempt may end before this process exits. */
   mayRetry (request: ForwardRequest): boolean
   /** Takes one retry from the budget of the service. */
-  takeRetry (service: string, purpose: RetryPurpose): boolean
+  takeRetry (service: string): boolean
   onSent (request: ForwardRequest, worker: Worker, attempt: number): void
   /** Called with what a worker says about itself in the head of its response to a request that was sent at `sentAtMs`. */
   onWorkerNotice (worker: Worker, notice: WorkerNotice, sentAtMs: TimestampMs): void
