Verify a stream that may have ended once, and never past an event that has begun

Sound streams took two retries each, as an empty answer without framing was verified again.

A stream is verified once: an empty answer of a run that lives, after one that may have ended, completes it.

--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -101,6 +101,7 @@
   const handleLostAttempt = (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[] => {
     // What the worker began to send follows the events that the caller has.
     if (hasSuccessHead(attempt)) inFlight.mayHaveEnded = false
+    if (attempt.splitter.hasPartialEvent) inFlight.isEventMissing = true
     endAttempt(inFlight, AttemptEnd.Lost, detail)
     if (isRetryAllowed(inFlight, clock.nowMs())) return checks.begin(attempt.worker, WorkerCheckScope.Address, inFlight)
     return [...checks.begin(attempt.worker, WorkerCheckScope.Address), ...giveUp(inFlight, ResultCode.UpstreamDied, detail)]
@@ -115,6 +116,7 @@
       handleLostAttempt: (...lost) => handleLostAttempt(...lost),
       handleWholeResponse: (...whole) => handleWholeResponse(...whole),
       retryOrFail,
+      completeStream,
       verifyEnd
     }
   })
@@ -146,6 +148,7 @@
   /** What an earlier worker left as its end was none. */
   const recordDelivered = (inFlight: InFlightRequest) => {
     inFlight.mayHaveEnded = false
+    inFlight.isEventMissing = false
     inFlight.lastDeliveredAtMs = clock.nowMs()
   }
 
--- a/src/requests/createUnframedEnds.ts
+++ b/src/requests/createUnframedEnds.ts
@@ -15,6 +15,7 @@
   handleLostAttempt (inFlight: InFlightRequest, attempt: Attempt, detail: string): ForwardEffect[]
   handleWholeResponse (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[]
   retryOrFail (inFlight: InFlightRequest, code: ResultCode, detail: string): ForwardEffect[]
+  completeStream (inFlight: InFlightRequest, proof: CompletionProof): ForwardEffect[]
   /** Resumes a stream that may have ended, or ends it if that is not possible. */
   verifyEnd (inFlight: InFlightRequest): ForwardEffect[]
 }
@@ -56,14 +57,16 @@
   }
 
   /**
-   * Handles a response whose run has closed its connection and lives on. A stream that may be resumed is, which shows whether
-   * anything was left; an answer without events may be cut off, too, before the first one.
+   * Handles a response whose run has closed its connection and lives on. A stream that may be resumed is, once, which shows
+   * whether anything was left.
    */
   const onRunLives = (inFlight: InFlightRequest, attempt: Attempt): ForwardEffect[] => {
     const isResumable = isStreamingResponse(attempt) && isSafeToRetry(inFlight.request)
+    if (isResumable && inFlight.isEventMissing) return steps.handleLostAttempt(inFlight, attempt, 'stream ended before an event that had begun')
     if (isResumable) {
       const effects = deliverStreamEnd(inFlight, attempt)
       table.endAttempt(inFlight, AttemptEnd.Unproven, 'stream ended without framing')
+      if (inFlight.mayHaveEnded) return steps.completeStream(inFlight, CompletionProof.LiveRun)
       inFlight.mayHaveEnded = true
       return [...effects, ...steps.verifyEnd(inFlight)]
     }
--- a/src/requests/forwardState.ts
+++ b/src/requests/forwardState.ts
@@ -58,6 +58,8 @@
    * other worker has begun to go on with it.
    */
   mayHaveEnded: boolean
+  /** Whether a worker has begun an event after the last one that was delivered, so that the stream has not ended there. */
+  isEventMissing: boolean
   /** What the response was taken for whole by, once it was. */
   proof: CompletionProof | undefined
   /** While the request is queued for a worker: when it is refused, and the code that it is refused with. */
@@ -94,6 +96,7 @@
   position: createEventPosition(request.lastEventId),
   lastDeliveredAtMs: request.arrivedAtMs,
   mayHaveEnded: false,
+  isEventMissing: false,
   proof: undefined,
   queueDeadlineMs: undefined,
   waitCode: ResultCode.Overloaded
--- a/src/requests/unprovenEnds.test.ts
+++ b/src/requests/unprovenEnds.test.ts
@@ -24,6 +24,12 @@
   })
 })
 
+// Guards against an empty answer that is taken for the end of a stream of which an event has begun.
+it('a stream that was cut inside an event is not complete by empty answers without framing', () => {
+  const first: Step[] = [framedHead, text(`${event(1)}id: 2\nda`), reset]
+  expect(openStreamScene().playToEnd(first, [unframedHead, unframedEnd]).end).toBe(CallerEnd.Broken)
+})
+
 // Guards against a sound stream whose caller waits for a worker that does not answer.
 it('a stream that may have ended is complete soon if the next worker does not answer', () => {
   const { caller, playToEnd } = openStreamScene()
