--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -64,5 +64,3 @@
 export const CHECK_TIMEOUT_MS = 150
 /** Time for an upstream to answer a question about itself, which may have to wait for a slot. */
 export const ASK_TIMEOUT_MS = 500
-/** Headers that state where a response ends; one without either ends with its connection. */
-export const FRAMING_HEADERS = ['content-length', 'transfer-encoding'] as const
--- /dev/null
+++ b/src/upstreams/strictParser.ts
@@ -0,0 +1,76 @@
+import { HTTPParser } from 'http-parser-js'
+import { RESPONSE_FRAMING_BYTES_MAX } from './constants.js'
+import { isFieldLine, isFoldedLine } from './headerFields.js'
+
+/** Keeps all eight bits of each byte, so that header values are passed on as they came. */
+HTTPParser.encoding = 'latin1'
+
+/** States of the library's parser in which it reads a line. */
+enum LineState {
+  Status = 'RESPONSE_LINE',
+  Header = 'HEADER',
+  ChunkSize = 'BODY_CHUNKHEAD',
+  ChunkEnd = 'BODY_CHUNKEMPTYLINE',
+  Trailer = 'BODY_CHUNKTRAILERS'
+}
+
+/** Members of the parser that the type declarations of the library omit. */
+interface ParserInternals {
+  state: string
+  /** The bytes that are parsed now, and the position in them. */
+  chunk: Buffer
+  offset: number
+  end: number
+  /** Returns the next complete line, or undefined if there is none. */
+  consumeLine (): string | undefined
+}
+
+type LibraryParser = InstanceType<typeof HTTPParser>
+/** The public members of the library's parser, and the internal ones that are needed here. */
+export type StrictParser = Pick<LibraryParser, keyof LibraryParser> & ParserInternals
+
+/** What the library lets pass, and HTTP/1.1 does not allow. */
+interface LineRule {
+  isValid (line: string): boolean
+}
+
+const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d\d(?: .*)?$/
+const CHUNK_SIZE_LINE = /^[0-9a-f]+[ \t]*(;.*)?$/i
+
+/**
+ * The library skips a line that is no header. One that begins with a blank continues the header before; an empty line ends the
+ * section.
+ */
+const HEADER_RULE: LineRule = { isValid: line => line === '' || isFieldLine(line) || isFoldedLine(line) }
+
+const LINE_RULES: Record<LineState, LineRule> = {
+  // Empty lines before a status line are skipped. The library takes the first three digits of a longer status.
+  [LineState.Status]: { isValid: line => line === '' || STATUS_LINE.test(line) },
+  [LineState.Header]: HEADER_RULE,
+  // The library takes a line without a size for the last chunk, so that a broken response would look complete.
+  [LineState.ChunkSize]: { isValid: line => CHUNK_SIZE_LINE.test(line) },
+  [LineState.ChunkEnd]: { isValid: line => line === '' },
+  [LineState.Trailer]: HEADER_RULE
+}
+
+/**
+ * Creates a parser of the HTTP library for responses that rejects lines which HTTP/1.1 does not allow in the head, between
+ * chunks and in trailers.
+ *
+ * @example
+ * createStrictParser().execute(Buffer.from('HTTP/1.1 000 X\r\n')) // a SyntaxError
+ */
+export const createStrictParser = (): StrictParser => {
+  const parser = new HTTPParser(HTTPParser.RESPONSE) as unknown as StrictParser
+  const { consumeLine } = parser
+  parser.maxHeaderSize = RESPONSE_FRAMING_BYTES_MAX
+  parser.consumeLine = () => {
+    const { state } = parser
+    const { isValid } = LINE_RULES[state as LineState]
+    const line = consumeLine.call(parser)
+    if (line === undefined) return undefined
+    if (!isValid(line)) throw new SyntaxError(`invalid line in state ${state}`)
+    return line
+  }
+  return parser
+}
