Reject lines of a head that begin with a blank: they hid the header that states the length

What callers saw: a worker wrote " Content-Length: 6" (a blank or tab before the name) and closed the connection; the caller got a complete answer without a length, 502 only after the deadline where the connection was kept. "Content-Length:" with its value on the next line, a line of blanks and folded trailers came through as well.

Cause: the library appends a line that begins with a blank to the value of the header before it (RFC 9112, 5.2), and our check allowed that for any line but the first. A header whose name follows a stray blank so became a part of another one, and its response one without framing. The standard leaves a gateway two ways: replace the blank line end, or discard the response. A receiver cannot tell a folded value from a spoilt name, so it is discarded.

--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -50,10 +50,13 @@
     withLength('in quotes', bytes => `Content-Length: "${bytes}"\r\n`),
     withLength('twice, and different', bytes => `Content-Length: ${bytes}\r\nContent-Length: ${bytes + 1}\r\n`),
     withLength('as a list of two', bytes => `Content-Length: ${bytes}, ${bytes + 1}\r\n`),
+    withLength('on a line of its own', bytes => `Content-Length:\r\n ${bytes}\r\n`),
     withLength('that goes on on the next line', bytes => `Content-Length: ${bytes}\r\n 0\r\n`),
     withLength('beside chunks', bytes => `Content-Length: ${bytes}\r\n${CHUNKED}`)
   ],
   line: [
+    withLength('a blank before the name of the length', bytes => ` Content-Length: ${bytes}\r\n`),
+    withLength('a tab before the name of the length', bytes => `\tContent-Length: ${bytes}\r\n`),
     withLength('a blank behind the name of the length', bytes => `Content-Length : ${bytes}\r\n`),
     withLength('a blank in the name of the length', bytes => `Content Length: ${bytes}\r\n`),
     withLength('a control byte in the name of the length', bytes => `Content\x01Length: ${bytes}\r\n`),
@@ -64,7 +67,13 @@
     withLine('a line without a name', ': 1\r\n'),
     withLine('a blank in a name', 'X Area: 1\r\n'),
     withLine('a control byte in a name', 'X\x01Area: 1\r\n'),
-    withLine('a zero byte in a value', 'X-Area: \x00\r\n')
+    withLine('a zero byte in a value', 'X-Area: \x00\r\n'),
+    withLine('a line that begins with a blank', 'X-Area: 1\r\n 2\r\n'),
+    withLine('a line that begins with a tab', 'X-Area: 1\r\n\t2\r\n'),
+    withLine('a line of blanks', ' \r\n')
+  ],
+  coding: [
+    withCoding('Transfer-Encoding:\r\n chunked\r\n')
   ],
   chunks: [
     withChunks('a size that is no number', body => chunk(body, 'x') + LAST_CHUNK),
@@ -73,7 +82,8 @@
     withChunks('a size with a sign', body => chunk(body, `+${body.length.toString(16)}`) + LAST_CHUNK),
     withChunks('a size with a prefix', body => chunk(body, `0x${body.length.toString(16)}`) + LAST_CHUNK),
     withChunks('a size shorter than its chunk', body => chunk(body, (body.length - 1).toString(16)) + LAST_CHUNK),
-    withChunks('a trailer without a colon', body => `${chunk(body)}0\r\nX-Trailer\r\n\r\n`)
+    withChunks('a trailer without a colon', body => `${chunk(body)}0\r\nX-Trailer\r\n\r\n`),
+    withChunks('a trailer that begins with a blank', body => `${chunk(body)}0\r\nX-Trailer: 1\r\n 2\r\n\r\n`)
   ],
   statusLine: [
     ...[
--- a/src/upstreams/headerFields.ts
+++ b/src/upstreams/headerFields.ts
@@ -40,6 +40,3 @@
   const separatorAt = line.indexOf(':')
   return isToken(line.slice(0, Math.max(0, separatorAt))) && isFieldValue(line.slice(separatorAt + 1))
 }
-
-/** Whether a line continues the value of the header before it. */
-export const isFoldedLine = (line: string): boolean => /^[ \t]/.test(line) && isFieldValue(line)
--- a/src/upstreams/strictParser.ts
+++ b/src/upstreams/strictParser.ts
@@ -1,6 +1,6 @@
 import { HTTPParser } from 'http-parser-js'
 import { RESPONSE_FRAMING_BYTES_MAX } from './constants.js'
-import { isFieldLine, isFoldedLine } from './headerFields.js'
+import { isFieldLine } from './headerFields.js'
 
 /** Keeps all eight bits of each byte, so that header values are passed on as they came. */
 HTTPParser.encoding = 'latin1'
@@ -38,10 +38,10 @@
 const CHUNK_SIZE_LINE = /^[0-9a-f]+[ \t]*(;.*)?$/i
 
 /**
- * The library skips a line that is no header. One that begins with a blank continues the header before; an empty line ends the
- * section.
+ * The library skips a line that is no header, and appends one that begins with a blank to the header before: a header with a
+ * stray blank before its name would be lost in both cases. An empty line ends the section.
  */
-const HEADER_RULE: LineRule = { isValid: line => line === '' || isFieldLine(line) || isFoldedLine(line) }
+const HEADER_RULE: LineRule = { isValid: line => line === '' || isFieldLine(line) }
 
 const LINE_RULES: Record<LineState, LineRule> = {
   // Empty lines before a status line are skipped. The library takes the first three digits of a longer status.
