Strip only blanks and tabs around a header's value: a no-break space was dropped from lengths

What callers saw: "Content-Length: \xa06" and "Content-Length: 6\xa0" came through as complete responses, and other values lost such a byte at their ends.

Cause: `toFields` called `trim`, which also removes a no-break space (and others that the check of values excludes). HTTP allows blanks and tabs around a value and nothing else (RFC 9112, 5.1); the library strips those already. Values are now taken as it returns them, and a length with another byte is no number.

--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -11,6 +11,7 @@
 }
 
 const OK = 'HTTP/1.1 200 OK'
+const NO_BREAK_SPACE = '\xa0'
 
 const plain = (body: string) => body
 const lengthOfBytes = (bytes: number) => `Content-Length: ${bytes}\r\n`
@@ -48,6 +49,8 @@
     withLength('with a fraction', bytes => `Content-Length: ${bytes}.0\r\n`),
     withLength('with an exponent', bytes => `Content-Length: ${bytes}e0\r\n`),
     withLength('in quotes', bytes => `Content-Length: "${bytes}"\r\n`),
+    withLength('after a no-break space', bytes => `Content-Length: ${NO_BREAK_SPACE}${bytes}\r\n`),
+    withLength('before a no-break space', bytes => `Content-Length: ${bytes}${NO_BREAK_SPACE}\r\n`),
     withLength('twice, and different', bytes => `Content-Length: ${bytes}\r\nContent-Length: ${bytes + 1}\r\n`),
     withLength('as a list of two', bytes => `Content-Length: ${bytes}, ${bytes + 1}\r\n`),
     withLength('on a line of its own', bytes => `Content-Length:\r\n ${bytes}\r\n`),
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -28,9 +28,10 @@
 /** Returned to the parser to indicate that the response has no body. */
 const SKIP_BODY = 1
 
+/** The library strips blanks and tabs around a value, as HTTP does; other white space belongs to it. */
 const toFields = (flat: readonly string[]): HeaderField[] => {
   const fields: HeaderField[] = []
-  for (let i = 0; i + 1 < flat.length; i += 2) fields.push([flat[i]!.toLowerCase(), flat[i + 1]!.trim()])
+  for (let i = 0; i + 1 < flat.length; i += 2) fields.push([flat[i]!.toLowerCase(), flat[i + 1]!])
   return fields
 }
 
