Accept one transfer coding only: chunked, once, in HTTP/1.1

What callers saw: "gzip" and "chunked" on two lines, "chunked" twice, and chunks in HTTP/1.0 came through as complete, with a body that was not decoded or not the worker's. "gzip", "identity", "chunkedx", "chunked;q=1", "gzip, chunked" and others waited for the deadline on a kept connection, although no end could follow any more.

Cause: the library looks at the last line only and takes every coding but "chunked" for none; our check only excluded a length beside a coding. No request of ours asks for a coding, so that a response may have none but chunks, as the last and only one (RFC 9112, 6.1, 6.3, 7.1), and HTTP/1.0 has none. All others make the head malformed, at once. The framing headers of interim responses are read by the same rules.

--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -76,7 +76,24 @@
     withLine('a line of blanks', ' \r\n')
   ],
   coding: [
-    withCoding('Transfer-Encoding:\r\n chunked\r\n')
+    withCoding('Transfer-Encoding:\r\n'),
+    withCoding('Transfer-Encoding: identity\r\n'),
+    withCoding('Transfer-Encoding: gzip\r\n'),
+    withCoding('Transfer-Encoding: chunkedx\r\n'),
+    withCoding('Transfer-Encoding: chun ked\r\n'),
+    withCoding('Transfer-Encoding: "chunked"\r\n'),
+    withCoding('Transfer-Encoding: chunked;q=1\r\n'),
+    withCoding('Transfer-Encoding: chunked, gzip\r\n'),
+    withCoding('Transfer-Encoding: gzip, chunked\r\n'),
+    withCoding('Transfer-Encoding: identity, chunked\r\n'),
+    withCoding('Transfer-Encoding: chunked, chunked\r\n'),
+    withCoding('Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n'),
+    withCoding('Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n'),
+    withCoding('Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n'),
+    withCoding(`Transfer-Encoding: ${NO_BREAK_SPACE}chunked\r\n`),
+    withCoding(`Transfer-Encoding: chunked${NO_BREAK_SPACE}\r\n`),
+    withCoding('Transfer-Encoding:\r\n chunked\r\n'),
+    withCoding('Transfer-Encoding: chunked\r\n', 'HTTP/1.0 200 OK')
   ],
   chunks: [
     withChunks('a size that is no number', body => chunk(body, 'x') + LAST_CHUNK),
@@ -95,6 +112,7 @@
     ...['HTTP/2.0 200 OK', 'HTTP/9.9 200 OK', 'HTTP/1 200 OK', 'HTTP/1.11 200 OK', 'http/1.1 200 OK', 'HTTQ/1.1 200 OK', '200 OK'].map(withStatusLine)
   ],
   interim: [
+    { ...withLength('a length that is no number', lengthOfBytes), interim: 'HTTP/1.1 102 Processing\r\nContent-Length: 1x\r\n\r\n' },
     { ...withLength('a line without a colon', lengthOfBytes), interim: 'HTTP/1.1 102 Processing\r\nX-Area\r\n\r\n' },
     { ...withLength('a body', lengthOfBytes), interim: 'HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nbody' }
   ]
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -65,11 +65,11 @@
   let bodyParts: Uint8Array[] = []
 
   parser[HTTPParser.kOnHeadersComplete] = info => {
-    const { statusCode: status, statusMessage: reason, headers, shouldKeepAlive } = info
+    const { versionMinor, statusCode: status, statusMessage: reason, headers, shouldKeepAlive } = info
     // Bytes after the final response are not parsed.
     if (isComplete) return SKIP_BODY
     const fields = toFields(headers)
-    if (!isHeadValid({ status, reason, fields })) fault = ExchangeFault.MalformedResponse
+    if (!isHeadValid({ versionMinor, status, reason, fields })) fault = ExchangeFault.MalformedResponse
     if (isInterim(status) || fault !== undefined) return SKIP_BODY
     hasFinalHead = true
     isFramed = statesEnd(fields)
