--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -99,9 +99,13 @@
     withChunks('a size that is no number', body => chunk(body, 'x') + LAST_CHUNK),
     withChunks('no size', body => chunk(body, '') + LAST_CHUNK),
     withChunks('a size after a blank', body => chunk(body, ` ${body.length.toString(16)}`) + LAST_CHUNK),
+    withChunks('a size before a blank', body => chunk(body, `${body.length.toString(16)} `) + LAST_CHUNK),
     withChunks('a size with a sign', body => chunk(body, `+${body.length.toString(16)}`) + LAST_CHUNK),
     withChunks('a size with a prefix', body => chunk(body, `0x${body.length.toString(16)}`) + LAST_CHUNK),
     withChunks('a size shorter than its chunk', body => chunk(body, (body.length - 1).toString(16)) + LAST_CHUNK),
+    withChunks('a control byte in an extension', body => chunk(body, `${body.length.toString(16)};a=\x01`) + LAST_CHUNK),
+    withChunks('a line feed alone behind a size', body => `${body.length.toString(16)}\n${body}\r\n${LAST_CHUNK}`),
+    withChunks('a line feed alone behind a chunk', body => `${body.length.toString(16)}\r\n${body}\n${LAST_CHUNK}`),
     withChunks('a trailer without a colon', body => `${chunk(body)}0\r\nX-Trailer\r\n\r\n`),
     withChunks('a trailer that begins with a blank', body => `${chunk(body)}0\r\nX-Trailer: 1\r\n 2\r\n\r\n`)
   ],
