Treat bytes behind the stated end of a response as a broken response

What callers saw: with a length that is too small, or zero, and with bytes behind the last chunk, the caller got the first part of the body as the whole one.

Cause: the reader noticed such bytes and only kept the connection from being reused. Bytes that are received together with the end may be the rest of a body whose length is wrong (RFC 9112, 6.3), so that the response is malformed now; also if they wait for the next turn of the parser. If they begin like another response, such as a second copy of an answer, they confirm the end, and the response counts as before (connectionPool.test.ts). Bytes that come later cannot be told: the response has been handled.

--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -55,6 +55,8 @@
     withLength('as a list of two', bytes => `Content-Length: ${bytes}, ${bytes + 1}\r\n`),
     withLength('on a line of its own', bytes => `Content-Length:\r\n ${bytes}\r\n`),
     withLength('that goes on on the next line', bytes => `Content-Length: ${bytes}\r\n 0\r\n`),
+    withLength('shorter than the body', bytes => `Content-Length: ${bytes - 3}\r\n`),
+    withLength('of zero before a body', () => 'Content-Length: 0\r\n'),
     withLength('beside chunks', bytes => `Content-Length: ${bytes}\r\n${CHUNKED}`)
   ],
   line: [
@@ -107,7 +109,8 @@
     withChunks('a line feed alone behind a size', body => `${body.length.toString(16)}\n${body}\r\n${LAST_CHUNK}`),
     withChunks('a line feed alone behind a chunk', body => `${body.length.toString(16)}\r\n${body}\n${LAST_CHUNK}`),
     withChunks('a trailer without a colon', body => `${chunk(body)}0\r\nX-Trailer\r\n\r\n`),
-    withChunks('a trailer that begins with a blank', body => `${chunk(body)}0\r\nX-Trailer: 1\r\n 2\r\n\r\n`)
+    withChunks('a trailer that begins with a blank', body => `${chunk(body)}0\r\nX-Trailer: 1\r\n 2\r\n\r\n`),
+    withChunks('bytes behind the last chunk', body => `${chunked(body)}more`)
   ],
   statusLine: [
     ...[
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -125,11 +125,15 @@
     state = ConnectionState.Busy
     write()
   })
+  /** Shows a reader that is complete what was received together with the end of its response. */
+  const readRest = ({ reader }: Exchange) =>
+    reader.isComplete && reading.unparsed !== undefined ? reader.read(reading.unparsed) : undefined
+
   const parse = (bytes: Buffer) => {
     // Bytes on an idle connection belong to no request.
     if (exchange === undefined) return close()
     const running = exchange
-    const fault = running.reader.read(bytes)
+    const fault = running.reader.read(bytes) ?? readRest(running)
     if (exchange !== running) return
     if (fault !== undefined) fail(fault)
     else if (running.reader.isComplete) finish()
--- a/src/upstreams/createPacedReading.ts
+++ b/src/upstreams/createPacedReading.ts
@@ -7,6 +7,7 @@
   setPaused (pause: ReadPause, isPaused: boolean): void
   /** Whether a part of the last read has not been parsed yet. */
   readonly hasUnparsed: boolean
+  readonly unparsed: Buffer | undefined
   /** Parses at once what was received before the connection was lost. */
   flush (): void
   /** Forgets what was read, and who holds the reading back. */
@@ -73,6 +74,7 @@
   return {
     setPaused: (reason, isPaused) => isPaused ? pause(reason) : unpause(reason),
     get hasUnparsed () { return unparsed !== undefined },
+    get unparsed () { return unparsed },
     flush: () => {
       // Otherwise a read would pass the bytes on, too.
       socket.off('data', onData)
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -14,7 +14,10 @@
 
 /** Parses exactly one response from the bytes of a connection. */
 export interface ResponseReader {
-  /** Returns a fault if the bytes are not a valid response. */
+  /**
+   * Returns a fault if the bytes are not a valid response. After a complete response it takes the bytes that were received
+   * together with it.
+   */
   read (bytes: Buffer): ExchangeFault | undefined
   /** Handles the end of the connection; returns a fault if the response is incomplete. */
   end (): ExchangeFault | undefined
@@ -28,6 +31,9 @@
 /** Returned to the parser to indicate that the response has no body. */
 const SKIP_BODY = 1
 
+/** How another response begins that follows on the same connection. */
+const NEXT_RESPONSE_START = 'HTTP/1.'
+
 /** The library strips blanks and tabs around a value, as HTTP does; other white space belongs to it. */
 const toFields = (flat: readonly string[]): HeaderField[] => {
   const fields: HeaderField[] = []
@@ -87,7 +93,16 @@
     // An interim response (1xx) completes before the final head.
     if (!hasFinalHead || isComplete) return
     isComplete = true
-    hasExtraBytes = parser.offset < parser.end
+    if (parser.offset < parser.end) recordExtraBytes(parser.chunk.subarray(parser.offset, parser.end))
+  }
+
+  /**
+   * Another response, such as a late copy of an earlier one, confirms the end of the one before. Anything else may be the rest
+   * of a body whose length, or whose last chunk, is wrong.
+   */
+  const recordExtraBytes = (bytes: Buffer) => {
+    hasExtraBytes = true
+    if (!bytes.toString('latin1', 0, NEXT_RESPONSE_START.length).startsWith(NEXT_RESPONSE_START)) fault ??= ExchangeFault.MalformedResponse
   }
 
   const deliverBody = (readBytes: number) => {
@@ -98,8 +113,8 @@
 
   const read = (bytes: Buffer): ExchangeFault | undefined => {
     if (isComplete) {
-      hasExtraBytes = true
-      return undefined
+      recordExtraBytes(bytes)
+      return fault
     }
     const bodyBytesBefore = bodyBytes
     const consumed = parser.execute(bytes)
