Do not wait for a body that cannot come

What callers saw: a length or a chunk size beyond any body that is accepted held the request until its deadline on a kept connection. So did 304 with the length of what it stands for, 204 with a length, and 304 with chunks, which are valid and end with their head.

Cause: the reader counted the bytes that came, not those that are announced, and left it to the library to know responses without a body, which overrides its own rule for 204 and 304 as soon as there is a framing header (RFC 9112, 6.3, rule 1).

--- a/src/standIns/scriptedResponses.ts
+++ b/src/standIns/scriptedResponses.ts
@@ -12,6 +12,9 @@
 
 const OK = 'HTTP/1.1 200 OK'
 const NO_BREAK_SPACE = '\xa0'
+/** Beyond any response that is accepted. */
+const HUGE_CHUNK_SIZE = 'fffffffffffffffff'
+const HUGE_LENGTH = '99999999999999999999'
 
 const plain = (body: string) => body
 const lengthOfBytes = (bytes: number) => `Content-Length: ${bytes}\r\n`
@@ -55,6 +58,7 @@
     withLength('as a list of two', bytes => `Content-Length: ${bytes}, ${bytes + 1}\r\n`),
     withLength('on a line of its own', bytes => `Content-Length:\r\n ${bytes}\r\n`),
     withLength('that goes on on the next line', bytes => `Content-Length: ${bytes}\r\n 0\r\n`),
+    withLength('beyond any body', () => `Content-Length: ${HUGE_LENGTH}\r\n`),
     withLength('shorter than the body', bytes => `Content-Length: ${bytes - 3}\r\n`),
     withLength('of zero before a body', () => 'Content-Length: 0\r\n'),
     withLength('beside chunks', bytes => `Content-Length: ${bytes}\r\n${CHUNKED}`)
@@ -104,6 +108,7 @@
     withChunks('a size before a blank', body => chunk(body, `${body.length.toString(16)} `) + LAST_CHUNK),
     withChunks('a size with a sign', body => chunk(body, `+${body.length.toString(16)}`) + LAST_CHUNK),
     withChunks('a size with a prefix', body => chunk(body, `0x${body.length.toString(16)}`) + LAST_CHUNK),
+    withChunks('a size beyond any body', body => chunk(body, HUGE_CHUNK_SIZE) + LAST_CHUNK),
     withChunks('a size shorter than its chunk', body => chunk(body, (body.length - 1).toString(16)) + LAST_CHUNK),
     withChunks('a control byte in an extension', body => chunk(body, `${body.length.toString(16)};a=\x01`) + LAST_CHUNK),
     withChunks('a line feed alone behind a size', body => `${body.length.toString(16)}\n${body}\r\n${LAST_CHUNK}`),
--- a/src/upstreams/createResponseReader.ts
+++ b/src/upstreams/createResponseReader.ts
@@ -1,6 +1,6 @@
 import { HTTPParser } from 'http-parser-js'
 import { ExchangeFault, RESPONSE_BODY_BYTES_MAX, RESPONSE_FRAMING_BYTES_MAX } from './constants.js'
-import { isHeadValid, isInterim, statesEnd } from './responseFraming.js'
+import { hasNoBody, isHeadValid, isInterim, statesEnd } from './responseFraming.js'
 import { createStrictParser } from './strictParser.js'
 import type { HeaderField, ResponseHeadRaw } from './types.js'
 
@@ -81,7 +81,7 @@
     isFramed = statesEnd(fields)
     keepsAlive = shouldKeepAlive
     onHead({ status, headers: fields })
-    return isHeadRequest ? SKIP_BODY : undefined
+    return hasNoBody(status, isHeadRequest) ? SKIP_BODY : undefined
   }
   parser[HTTPParser.kOnBody] = (bytes, offset, length) => {
     if (isComplete || fault !== undefined) return
@@ -111,6 +111,9 @@
     if (joined !== undefined) onBody(joined)
   }
 
+  /** Bytes of the body, with those that its length or the size of a chunk announces. */
+  const announcedBytes = () => bodyBytes + (parser.body_bytes ?? 0)
+
   const read = (bytes: Buffer): ExchangeFault | undefined => {
     if (isComplete) {
       recordExtraBytes(bytes)
@@ -124,7 +127,7 @@
     framingBytes = bytes.length - received + (received > 0 ? 0 : framingBytes)
     if (typeof consumed !== 'number') fault ??= ExchangeFault.MalformedResponse
     // The library limits only headers, and only those of one interim response.
-    if (framingBytes > RESPONSE_FRAMING_BYTES_MAX) fault ??= ExchangeFault.ResponseTooLarge
+    if (framingBytes > RESPONSE_FRAMING_BYTES_MAX || announcedBytes() > RESPONSE_BODY_BYTES_MAX) fault ??= ExchangeFault.ResponseTooLarge
     return fault
   }
 
--- a/src/upstreams/malformedResponses.test.ts
+++ b/src/upstreams/malformedResponses.test.ts
@@ -14,9 +14,9 @@
 const broken = Object.entries(BROKEN_RESPONSES).flatMap(([part, responses]) => responses.map(response => [`${part}: ${response.what}`, response] as const))
 const sound = SOUND_RESPONSES.map(response => [response.what, response] as const)
 
-const readInParts = (bytes: Buffer, partBytes: number) => {
+const readInParts = (bytes: Buffer, partBytes: number, isHeadRequest = false) => {
   let body = ''
-  const reader = createResponseReader({ isHeadRequest: false, onHead: () => {}, onBody: part => { body += Buffer.from(part).toString('latin1') } })
+  const reader = createResponseReader({ isHeadRequest, onHead: () => {}, onBody: part => { body += Buffer.from(part).toString('latin1') } })
   let fault
   for (let at = 0; at < bytes.length && fault === undefined && !reader.isComplete; at += partBytes) fault = reader.read(bytes.subarray(at, at + partBytes))
   return { fault, body, isComplete: reader.isComplete }
@@ -34,6 +34,18 @@
       expect(readInParts(bytes, partBytes)).toEqual({ fault: undefined, body: BODY, isComplete: true })
     }
   })
+
+  // Guards against an answer that waits for a body which never comes.
+  it.each([
+    ['204', 'HTTP/1.1 204 X\r\n\r\n', false],
+    ['204 with a length', 'HTTP/1.1 204 X\r\nContent-Length: 6\r\n\r\n', false],
+    ['304 with the length of what it stands for', 'HTTP/1.1 304 X\r\nContent-Length: 6\r\n\r\n', false],
+    ['304 with chunks', 'HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n', false],
+    ['200 to HEAD', 'HTTP/1.1 200 X\r\nContent-Length: 6\r\n\r\n', true],
+    ['200 to HEAD, of any length', 'HTTP/1.1 200 X\r\nContent-Length: 99999999999\r\n\r\n', true]
+  ])('ends a response that has no body with its head: %s', (_what, text, isHeadRequest) => {
+    expect(readInParts(Buffer.from(text), Infinity, isHeadRequest)).toEqual({ fault: undefined, body: '', isComplete: true })
+  })
 })
 
 describe('a question to an upstream, the store, a rank or another entry', () => {
--- a/src/upstreams/responseFraming.ts
+++ b/src/upstreams/responseFraming.ts
@@ -13,6 +13,8 @@
 /** Never asked for, so that the bytes behind it belong to no protocol that is spoken here. */
 const SWITCHING_PROTOCOLS = 101
 const FIRST_FINAL_STATUS = 200
+/** Responses with these statuses end with their head, whatever their headers say. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 const LENGTH = /^\d+$/
 /** The only transfer coding that may come unasked. */
 const CHUNKED = 'chunked'
@@ -52,6 +54,9 @@
 /** Whether another response to the same request follows. */
 export const isInterim = (status: number): boolean => status < FIRST_FINAL_STATUS
 
+/** Whether a response ends with its head. */
+export const hasNoBody = (status: number, isHeadRequest: boolean): boolean => isHeadRequest || BODYLESS_STATUSES.has(status)
+
 /**
  * Whether valid headers state where the body ends; otherwise it ends with its connection.
  *
--- a/src/upstreams/strictParser.ts
+++ b/src/upstreams/strictParser.ts
@@ -23,6 +23,8 @@
   end: number
   /** Beginning of a line that the bytes before have left incomplete. */
   line: string
+  /** Bytes that the length, or the size of the current chunk, still announces. */
+  body_bytes: number | null
   /** Returns the next complete line, or undefined if there is none. */
   consumeLine (): string | undefined
 }
