Wait for the reset that may follow the end of a response without framing

What callers saw: a worker answered an upload with a head without framing and a part of the body, closed its side (FIN) and reset the connection 5 ms later.

Cause: the end was taken for the end of the body at the moment at which it was read, and the question whether the run lives is answered yes, rightly: a worker that gives up one request lives on. By then our side had sent its own end, too, after which Node.js has no way to tell a reset from a normal close. What was ruled out: the order of error and close (there is neither, as nothing is written any more), and data that is unread while the caller reads late (the same results).

Change: our side stays open after an end without framing, and 50 ms later the connection is asked for its peer, which it has not after a reset. A response that ends before all of the request has been handed to the operating system is lost at once: the worker has not read what it answers. The silence before an end is counted up to the end (`endedAtMs`), not to the decision, which two tests of the event's exact form now expect as well, with all other fields as before.

--- a/src/nodes/forward/forwardTask.ts
+++ b/src/nodes/forward/forwardTask.ts
@@ -106,8 +106,8 @@
       ({ kind: ForwardMessageKind.ResponseStarted, exchangeId, answer: codec.decode(head, callerAttemptId) }),
     [ExchangeEventKind.Body]: ({ bytes }) => ({ kind: ForwardMessageKind.ResponseBytes, exchangeId, bytes }),
     [ExchangeEventKind.Finished]: () => ({ kind: ForwardMessageKind.ResponseFinished, exchangeId }),
-    [ExchangeEventKind.Failed]: ({ fault, hasLeft }) =>
-      ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, fault })
+    [ExchangeEventKind.Failed]: ({ fault, hasLeft, endedAtMs }) =>
+      ({ kind: ForwardMessageKind.ExchangeFailed, exchangeId, hasLeft, reason: fault, fault, ...(endedAtMs === undefined ? {} : { endedAtMs }) })
   })
 
   const forgetExchange = (exchangeId: number) => {
--- a/src/requests/createForwardCore.ts
+++ b/src/requests/createForwardCore.ts
@@ -227,9 +227,9 @@
   }
 
   const onExchangeFailed = (
-    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, fault }: Omit<ExchangeFailedMessage, 'kind'>
+    inFlight: InFlightRequest, attempt: Attempt, { hasLeft, reason, fault, endedAtMs = clock.nowMs() }: Omit<ExchangeFailedMessage, 'kind'>
   ): ForwardEffect[] => {
-    recordResponseEnd(attempt, fault === undefined ? ResponseEnd.GivenUp : END_OF_FAULT[fault], clock.nowMs())
+    recordResponseEnd(attempt, fault === undefined ? ResponseEnd.GivenUp : END_OF_FAULT[fault], endedAtMs)
     // The response head alone proves the refusal, even if the body is incomplete.
     if (attempt.answer?.verdict === ResponseVerdict.NotRun) return verdictHandlers[ResponseVerdict.NotRun](inFlight, attempt, attempt.answer)
     if (fault === ExchangeFault.UnframedEnd && (hasAnswerBegun(attempt) || isEmptyResumption(attempt))) return onUnframedEnd(inFlight, attempt)
--- a/src/requests/forwardTypes.ts
+++ b/src/requests/forwardTypes.ts
@@ -186,8 +186,8 @@
   | { kind: ForwardMessageKind.ResponseBytes, exchangeId: number, bytes: Uint8Array }
   | { kind: ForwardMessageKind.ResponseFinished, exchangeId: number }
   | { kind: ForwardMessageKind.ReadingResumed, exchangeId: number }
-  /** `fault` is unset if the exchange ended by an exception in this process. */
-  | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, fault?: ExchangeFault }
+  /** `fault` is unset if the exchange ended by an exception in this process, `endedAtMs` if it has ended just now. */
+  | { kind: ForwardMessageKind.ExchangeFailed, exchangeId: number, hasLeft: boolean, reason: string, fault?: ExchangeFault, endedAtMs?: TimestampMs }
   | { kind: ForwardMessageKind.ExchangeOverflowed, exchangeId: number }
   | { kind: ForwardMessageKind.RequestUnsendable, exchangeId: number, reason: string }
   | { kind: ForwardMessageKind.ConnectionClosedEarly, worker: Worker }
--- a/src/standIns/index.ts
+++ b/src/standIns/index.ts
@@ -1,6 +1,7 @@
 /** Test servers that implement the network interfaces of the platform, the engines and the services. */
 export * from './callerCrowd.js'
 export * from './collectorStandIn.js'
+export * from './cutResponses.js'
 export * from './engineStandIn.js'
 export * from './hostListStandIn.js'
 export * from './listenOnLoopback.js'
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import type { Clock, TimestampMs } from '../core/index.js'
 import {
-  CONNECT_TIMEOUT_MS, ConnectionState, EARLY_CLOSE_MS, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS, type ReadPause
+  CONNECT_TIMEOUT_MS, ConnectionState, EARLY_CLOSE_MS, END_SETTLE_MS, ExchangeFault, IDLE_MARGIN_MS, IDLE_REUSE_MAX_MS, type ReadPause
 } from './constants.js'
 import { createPacedReading } from './createPacedReading.js'
 import { createResponseReader, type ResponseReader } from './createResponseReader.js'
@@ -49,7 +49,7 @@
 
 /**
  * Whether a connection that has ended was reset: Node.js reports a reset that it reads together with data as an end, but the
- * socket has no peer then.
+ * socket has no peer then. To be asked once, as Node.js remembers a peer that it has seen.
  */
 const wasReset = (socket: Socket) => socket.remoteAddress === undefined
 
@@ -68,22 +68,25 @@
   let reusableUntilMs = 0
   let idleSinceMs = 0
   let idleLimitMs = IDLE_REUSE_MAX_MS
-  const socket: Socket = connect({ host, port, noDelay: true })
+  let settleTimer: NodeJS.Timeout | undefined
+  // Its own side stays open after the end of the other one, as a reset shows only until both have ended.
+  const socket: Socket = connect({ host, port, noDelay: true, allowHalfOpen: true })
 
   const close = () => {
     if (state === ConnectionState.Closed) return
     state = ConnectionState.Closed
     clearTimeout(connectTimer)
+    clearTimeout(settleTimer)
     reading.reset()
     socket.destroy()
     onClosed()
   }
 
-  const fail = (fault: ExchangeFault) => {
+  const fail = (fault: ExchangeFault, endedAtMs?: TimestampMs) => {
     const failed = exchange
     exchange = undefined
     close()
-    failed?.emit({ kind: ExchangeEventKind.Failed, fault, hasLeft: failed.hasLeft })
+    failed?.emit({ kind: ExchangeEventKind.Failed, fault, hasLeft: failed.hasLeft, ...(endedAtMs === undefined ? {} : { endedAtMs }) })
   }
 
   const connectTimer = setTimeout(() => fail(ExchangeFault.NotConnected), connectTimeoutMs)
@@ -140,10 +143,24 @@
   }
   const reading = createPacedReading({ socket, parse })
 
-  const endResponse = ({ reader }: Exchange) => {
-    const fault = reader.end()
+  /**
+   * Handles the end of a connection behind a response without framing. An upstream that gives a request up may close its side
+   * first and reset the connection then, as it does if a part of the request is left unread.
+   */
+  const endUnframed = (ended: Exchange) => {
+    // It has answered before it can have read the request.
+    if (socket.writableLength > 0) return fail(ExchangeFault.ConnectionLost)
+    const endedAtMs = clock.nowMs()
+    settleTimer = setTimeout(() => {
+      if (exchange === ended) fail(wasReset(socket) ? ExchangeFault.ConnectionLost : ExchangeFault.UnframedEnd, endedAtMs)
+    }, END_SETTLE_MS)
+  }
+
+  const endResponse = (ended: Exchange) => {
+    const fault = ended.reader.end()
     if (fault === undefined) finish()
-    else fail(fault)
+    else if (fault === ExchangeFault.UnframedEnd) endUnframed(ended)
+    else fail(wasReset(socket) ? ExchangeFault.ConnectionLost : fault)
   }
 
   const onIdleClosed = () => {
@@ -153,7 +170,6 @@
   }
   socket.on('end', () => {
     if (exchange === undefined) return onIdleClosed()
-    if (wasReset(socket)) return onLost()
     // The end is reported even while a part of the last read waits to be parsed.
     reading.flush()
     if (exchange !== undefined) endResponse(exchange)
--- a/src/upstreams/connectionPool.test.ts
+++ b/src/upstreams/connectionPool.test.ts
@@ -97,7 +97,7 @@
   // normally, without a reset.
   it('never considers a response without a length complete', async () => {
     await serve(socket => socket.end(`HTTP/1.1 200 OK\r\n\r\n${BODY}`))
-    expect((await exchange()).at(-1)).toEqual({ kind: ExchangeEventKind.Failed, fault: ExchangeFault.UnframedEnd, hasLeft: true })
+    expect((await exchange()).at(-1)).toEqual({ kind: ExchangeEventKind.Failed, fault: ExchangeFault.UnframedEnd, hasLeft: true, endedAtMs: expect.any(Number) })
   })
 
   // Guards against a response without a length that is truncated by a reset and forwarded as complete.
--- a/src/upstreams/constants.ts
+++ b/src/upstreams/constants.ts
@@ -34,6 +34,8 @@
 
 /** Needed because a SYN to a host that is switched off gets no reply. */
 export const CONNECT_TIMEOUT_MS = 700
+/** Time for the reset of a connection to follow its end. */
+export const END_SETTLE_MS = 50
 /** An idle connection is no longer reused this long before the end of the idle timeout that the upstream announces. */
 export const IDLE_MARGIN_MS = 1_000
 /** Longest time for which an idle connection may be reused, also if the upstream announces no timeout. */
--- a/src/upstreams/resetAfterData.test.ts
+++ b/src/upstreams/resetAfterData.test.ts
@@ -34,6 +34,6 @@
   })
   const lastEvents: ExchangeEvent[] = []
   for (let at = 0; at < EXCHANGES; at++) lastEvents.push(await exchange())
-  expect(lastEvents).toEqual(lastEvents.map(() => ({ kind: ExchangeEventKind.Failed, fault, hasLeft: true })))
+  expect(lastEvents).toEqual(lastEvents.map(() => ({ kind: ExchangeEventKind.Failed, fault, hasLeft: true, endedAtMs: expect.any(Number) })))
   pool.close()
 })
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -1,3 +1,4 @@
+import type { TimestampMs } from '../core/index.js'
 import type { ExchangeFault } from './constants.js'
 
 export type HeaderField = readonly [name: string, value: string]
@@ -37,8 +38,11 @@
   | { kind: ExchangeEventKind.Head, head: ResponseHeadRaw }
   | { kind: ExchangeEventKind.Body, bytes: Uint8Array }
   | { kind: ExchangeEventKind.Finished }
-  /** `hasLeft` (the request was sent) is false only if provably no byte of it reached the upstream. */
-  | { kind: ExchangeEventKind.Failed, fault: ExchangeFault, hasLeft: boolean }
+  /**
+   * `hasLeft` (the request was sent) is false only if provably no byte of it reached the upstream. `endedAtMs` is when the
+   * connection ended, if that was before the event.
+   */
+  | { kind: ExchangeEventKind.Failed, fault: ExchangeFault, hasLeft: boolean, endedAtMs?: TimestampMs }
 
 /** Which connections a request may use. */
 export enum ConnectionUse {
