Agents: reject answers to their questions whose transfer coding the client library does not know

What was seen: loads, and weights of experts, were taken from responses with "gzip, chunked", "chunked" twice and similar codings, and weights also from "identity", "chunkedx" and others that the library passes on undecoded.

Cause: the library decodes chunks if "chunked" stands last and ignores what stands before it; `statesEnd` did the same.

Log, host list and weight store keep the library, as their URLs may need TLS.

--- a/src/clients/createRankClient.ts
+++ b/src/clients/createRankClient.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod'
 import { BaobabdriftError, parseDecimal, ResultCode } from '../core/index.js'
+import { isFramingValid, statesEnd } from '../upstreams/index.js'
+import { framingFields } from './framingFields.js'
 import { createJsonClient } from './httpJson.js'
-import { statesEnd } from './statesEnd.js'
 
 /** Measurements of one rank for one step. */
 export interface StepResult {
@@ -73,10 +74,6 @@
   }
 }
 
-const isFramed = ({ headers }: Response): boolean => statesEnd({
-  contentLength: headers.get('content-length') ?? undefined, transferEncoding: headers.get('transfer-encoding') ?? undefined
-})
-
 /**
  * Fetches the weights of one expert from the weight store; throws WeightStoreBusyError if it is rate limited. A response that
  * only its connection ends is whole only if it has as many bytes as were asked for.
@@ -86,5 +83,8 @@
   const body = await response.arrayBuffer()
   if (response.status === 429) throw new WeightStoreBusyError((parseDecimal(response.headers.get('retry-after') ?? undefined) ?? RETRY_AFTER_DEFAULT_S) * MS_PER_S)
   if (!response.ok) throw new BaobabdriftError(ResultCode.UpstreamRefused, `weight store responded with status ${response.status}`)
-  if (!isFramed(response) && body.byteLength < bytes) throw new BaobabdriftError(ResultCode.AnswerLost, `weight store broke off after ${body.byteLength} of ${bytes} bytes`)
+  const fields = framingFields(name => response.headers.get(name))
+  // The library passes on what it cannot decode.
+  if (!isFramingValid(fields)) throw new BaobabdriftError(ResultCode.UpstreamRefused, 'the response of the weight store is malformed')
+  if (!statesEnd(fields) && body.byteLength < bytes) throw new BaobabdriftError(ResultCode.AnswerLost, `weight store broke off after ${body.byteLength} of ${bytes} bytes`)
 }
--- a/src/clients/httpJson.ts
+++ b/src/clients/httpJson.ts
@@ -1,5 +1,7 @@
 import { Pool } from 'undici'
 import { BaobabdriftError, ResultCode } from '../core/index.js'
+import { isFramingValid } from '../upstreams/index.js'
+import { framingFields } from './framingFields.js'
 
 /** An HTTP client for JSON requests to one base URL, with a connection pool and a timeout. */
 export interface JsonClient {
@@ -29,6 +31,11 @@
         path,
         ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
       })
+      // The library passes on what it cannot decode.
+      if (!isFramingValid(framingFields(name => response.headers[name]))) {
+        response.body.destroy()
+        throw new BaobabdriftError(ResultCode.UpstreamRefused, `${method} ${path}: the response is malformed`)
+      }
       if (response.statusCode >= 200 && response.statusCode < 300) return await response.body.json() as T
       const text = (await response.body.text()).slice(0, ERROR_TEXT_MAX)
       throw new BaobabdriftError(ResultCode.UpstreamRefused, `${method} ${path}: status ${response.statusCode} ${text}`)
--- a/src/upstreams/responseFraming.ts
+++ b/src/upstreams/responseFraming.ts
@@ -33,7 +33,7 @@
  * @example
  * isFramingValid([['content-length', '12x']]) // false
  */
-const isFramingValid = (fields: readonly HeaderField[]): boolean => {
+export const isFramingValid = (fields: readonly HeaderField[]): boolean => {
   const lengths = valuesOf(fields, 'content-length')
   const codings = valuesOf(fields, 'transfer-encoding')
   return codings.length === 0 ? isLengthValid(lengths) : lengths.length === 0 && isCodingValid(codings)
