--- a/src/nodes/settings.ts
+++ b/src/nodes/settings.ts
@@ -50,7 +50,7 @@
   entries: z.array(socketAddress).min(1).describe('Link addresses of entries to register with'),
   advertisedAddress: socketAddress.optional().describe('Link address that entries dial, if address translation makes it differ from linkAddress'),
   pool: nodeName,
-  upstreamUrl: z.url({ protocol: /^http$/ }),
+  upstreamUrl: z.url({ protocol: /^http$/ }).describe('http URL of the engine or service on this host'),
   weightStoreUrl: url.optional(),
   group: z.strictObject({
     name: nodeName,
