Handle the error of a rejected answer's body

In an agent each would have ended the process or been logged as uncaught.

The check stays; the error of the body is handled where it is destroyed.

Evidence: `npx vitest run src/clients` reports no unhandled error now; 5 before.

--- a/src/clients/httpJson.ts
+++ b/src/clients/httpJson.ts
@@ -33,7 +33,8 @@
       })
       // The library passes on what it cannot decode.
       if (!isFramingValid(framingFields(name => response.headers[name]))) {
-        response.body.destroy()
+        // The library reports the end of a body that nobody reads as an error.
+        response.body.on('error', () => {}).destroy()
         throw new BaobabdriftError(ResultCode.UpstreamRefused, `${method} ${path}: the response is malformed`)
       }
       if (response.statusCode >= 200 && response.statusCode < 300) return await response.body.json() as T
