--- a/src/nodes/agent/upstreamTask.ts
+++ b/src/nodes/agent/upstreamTask.ts
@@ -211,6 +211,7 @@
    * process that has restarted, or a proxy. A load that is only late is asked for again.
    */
   const checkRun = async (run: number | undefined): Promise<UpstreamCheck> => {
+    // A restart since the call would not show.
     if (run === undefined) return UpstreamCheck.Replaced
     for (let failures = 0; failures < LOAD_FAILURES_MAX; failures += 1) {
       try {
