--- a/src/clients/createUpstreamClient.test.ts
+++ b/src/clients/createUpstreamClient.test.ts
@@ -7,6 +7,8 @@
 
 const CALL: UpstreamCall = { method: 'GET', path: '/stock', headers: {}, body: new Uint8Array(), isEventStream: false, timeoutMs: 2_000 }
 
+const CALLS = 20
+
 describe('an agent\'s client of its upstream', () => {
   let server: Server
   let client: UpstreamClient
@@ -47,6 +49,14 @@
     expect(await run({ method })).toBe(ResultCode.Ok)
   })
 
+  // Guards against a call that is lost because its connection was about to be closed: the upstream has not announced it.
+  it('sends no call on a connection that its upstream closes right after a response', async () => {
+    respond = socket => { socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok') }
+    const codes: ResultCode[] = []
+    for (let at = 0; at < CALLS; at++) codes.push(await run())
+    expect(codes).toEqual(codes.map(() => ResultCode.Ok))
+  })
+
   // Guards against an upstream that counts as up, with a load that nobody has reported, because something at its address
   // answers every request.
   it.each(['{}', 'null', '[]', '"ok"', '{"sequence":"7"}', '{"sequence":7}', '{"sequence":7,"madeAtMs":1,"queuedTokens":null,"runningRequests":0,"tokensPerS":1}'])('takes a body that is no load for none: %s', async body => {
--- a/src/clients/malformedAnswers.test.ts
+++ b/src/clients/malformedAnswers.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { BROKEN_RESPONSES, renderResponse, type ScriptedResponse } from '../standIns/index.js'
+import { BROKEN_RESPONSES, renderResponse, type ScriptedResponse, SOUND_RESPONSES } from '../standIns/index.js'
 import { fetchWeights } from './createRankClient.js'
 import { createUpstreamClient } from './createUpstreamClient.js'
 
@@ -23,6 +23,14 @@
   })
   afterEach(() => { server.close() })
 
+  it('is answered by a sound response', async () => {
+    response = SOUND_RESPONSES[0]!
+    const client = createUpstreamClient(url)
+    expect(await client.load()).toMatchObject(JSON.parse(LOAD))
+    await client.close()
+    await expect(fetchWeights(url, 'group-0', LOAD.length)).resolves.toBeUndefined()
+  })
+
   // Guards against a load, or another answer in JSON, that nobody has given.
   it.each(broken)('for the load gets no answer from a broken %s', async (_what, scripted) => {
     response = scripted
--- a/src/clients/upstreamExchange.ts
+++ b/src/clients/upstreamExchange.ts
@@ -1,4 +1,4 @@
-import { dispatch, type HandlerTable, ResultCode } from '../core/index.js'
+import { createLog, dispatch, type HandlerTable, ResultCode } from '../core/index.js'
 import {
   type ConnectionPool, ConnectionUse, type ExchangeControl, type ExchangeEvent, ExchangeEventKind, ExchangeFault, type HeaderField,
   type OutgoingRequest, ReadPause, statesEnd, UnsendableRequestError
@@ -6,6 +6,8 @@
 import type { UpstreamCall, UpstreamCallListener } from './types.js'
 import { readUpstreamNotice } from './upstreamNotice.js'
 
+const log = createLog('upstream')
+
 /** One call to the upstream of an agent. */
 export interface UpstreamExchange {
   /** Sends the request; does nothing if the call was cancelled before. */
@@ -133,7 +135,8 @@
     if (isEnded) return
     try {
       dispatch(handlers, event)
-    } catch {
+    } catch (error) {
+      log('a part of a response could not be handled: %s', error)
       abandon(ResultCode.UpstreamDied)
     }
   }
@@ -145,6 +148,7 @@
       try {
         control = pool.send(toRequest(call, address), ConnectionUse.Reuse, onEvent)
       } catch (error) {
+        log('a request could not be sent: %s', error)
         end(ResultCode.UpstreamDied, !(error instanceof UnsendableRequestError))
       }
     },
